--- /dev/null
+++ b/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, with switchable faults; they import nothing of the product."""
--- /dev/null
+++ b/stand_ins/__main__.py
@@ -0,0 +1,92 @@
+"""Starts one stand-in: `python -m stand_ins store --port 7000`."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Annotated
+
+from aiohttp import web
+import typer
+
+from stand_ins.executor import Executor
+from stand_ins.http import (
+    make_executor_app,
+    make_instances_app,
+    make_store_app,
+    make_worker_app,
+)
+from stand_ins.instances import InstanceList
+from stand_ins.store import Store
+from stand_ins.worker import Worker
+
+cli = typer.Typer(help="Stand-ins of the platform, for tests and trials.", no_args_is_help=True)
+Host = Annotated[str, typer.Option(help="IP number to listen on.")]
+Port = Annotated[int, typer.Option(help="First TCP port to listen on.")]
+Count = Annotated[int, typer.Option(help="How many, on consecutive ports.", min=1, max=400)]
+
+
+async def _async_serve(apps: list[web.Application], host: str, port: int) -> None:
+    """Serve applications on consecutive ports until SIGTERM."""
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    runners = []
+    for offset, app in enumerate(apps):
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, host, port + offset).start()
+        runners.append(runner)
+    await stop.wait()
+    for runner in runners:
+        await runner.cleanup()
+
+
+def _run(make: list, host: str, port: int) -> None:
+    """Build the applications inside the loop and serve them."""
+
+    async def async_main() -> None:
+        await _async_serve([build() for build in make], host, port)
+
+    asyncio.run(async_main())
+
+
+@cli.command()
+def store(port: Port, host: Host = "127.0.0.1") -> None:
+    """Run the key-value service."""
+    _run([lambda: make_store_app(Store())], host, port)
+
+
+@cli.command()
+def instances(port: Port, host: Host = "127.0.0.1", lag_s: float = 0.5) -> None:
+    """Run the instance list."""
+    _run([lambda: make_instances_app(InstanceList(lag_s))], host, port)
+
+
+@cli.command()
+def executor(
+    port: Port,
+    host: Host = "127.0.0.1",
+    count: Count = 1,
+    slots: int = 8,
+    service_s: float = 0.1,
+) -> None:
+    """Run executors."""
+    _run([lambda: make_executor_app(Executor(slots, service_s))] * count, host, port)
+
+
+@cli.command()
+def worker(
+    port: Port,
+    host: Host = "127.0.0.1",
+    count: Count = 1,
+    cores: float = 64,
+    memory_mb: float = 131072,
+    accelerators: int = 0,
+) -> None:
+    """Run workers."""
+    _run([lambda: make_worker_app(Worker(cores, memory_mb, accelerators))] * count, host, port)
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/stand_ins/http.py
@@ -0,0 +1,266 @@
+"""HTTP faces of the stand-ins, each a small application that a test can start."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Any
+
+from aiohttp import web
+import orjson
+
+from stand_ins.executor import Executor
+from stand_ins.instances import InstanceList
+from stand_ins.store import MAX_VALUE_BYTES, Store, describe_item
+from stand_ins.worker import Worker
+
+MAX_REQUEST_BYTES = 4_000_000
+
+
+def _reply(value: Any, status: int = 200) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(body=orjson.dumps(value), status=status, content_type="application/json")
+
+
+async def _read(request: web.Request) -> Any:
+    """Return the JSON body."""
+    return orjson.loads(await request.read())
+
+
+def _now() -> float:
+    """Return the stand-in's clock in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def _drop(request: web.Request) -> web.Response:
+    """Break the connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+def _add_faults(app: web.Application, faults: Any) -> None:
+    """Serve POST /faults, which sets the named fields of the faults."""
+
+    async def async_set_faults(request: web.Request) -> web.Response:
+        for name, value in (await _read(request)).items():
+            if not hasattr(faults, name):
+                return _reply({"error": f"unknown fault {name}"}, 400)
+            setattr(faults, name, value)
+        return _reply({})
+
+    app.router.add_post("/faults", async_set_faults)
+
+
+def make_store_app(store: Store, seed: int = 1) -> web.Application:
+    """Return the application of the key-value service."""
+    random = Random(seed)
+    changed = asyncio.Event()
+
+    async def async_guard(kind: str) -> web.Response | None:
+        if store.faults.down:
+            return _reply({"error": "the service is down"}, 503)
+        if not store.count_call(kind, _now()):
+            return _reply({"error": "over the rate limit"}, 429)
+        if store.faults.delay_s:
+            await asyncio.sleep(store.faults.delay_s)
+        return None
+
+    async def async_list(request: web.Request) -> web.Response:
+        body = await _read(request)
+        refusal = await async_guard("read")
+        if refusal is not None:
+            return refusal
+        items, revision = store.list_items(_now(), body["prefix"], body.get("after", 0))
+        return _reply({"items": [describe_item(item) for item in items], "revision": revision})
+
+    async def async_swap(request: web.Request) -> web.Response:
+        body = await _read(request)
+        refusal = await async_guard("write")
+        if refusal is not None:
+            return refusal
+        value = body["value"]
+        if value is not None and len(value) > MAX_VALUE_BYTES:
+            return _reply({"error": "the value is over a megabyte"}, 413)
+        done, item = store.swap(_now(), body["key"], value, body["expect"], body.get("lease", ""))
+        if done:
+            changed.set()
+        if random.random() < store.faults.lose_answers:
+            return _drop(request)
+        return _reply({"ok": done, **describe_item(item)})
+
+    async def async_watch(request: web.Request) -> web.Response:
+        body = await _read(request)
+        refusal = await async_guard("watch")
+        if refusal is not None:
+            return refusal
+        until = _now() + min(60.0, body["timeout_s"])
+        while True:
+            found = store.list_changes(body["prefix"], body["after"])
+            if store.faults.down:
+                return _reply({"error": "the service is down"}, 503)
+            if (found and not store.faults.watch_stalled) or _now() >= until:
+                if store.faults.watch_stalled:
+                    found = []
+                revision = store.revision if not store.faults.watch_stalled else body["after"]
+                items = [describe_item(item) for item in found]
+                return _reply({"items": items, "revision": revision})
+            changed.clear()
+            try:
+                await asyncio.wait_for(changed.wait(), max(0.001, min(0.25, until - _now())))
+            except TimeoutError:
+                continue
+
+    async def async_lease(request: web.Request) -> web.Response:
+        body = await _read(request)
+        refusal = await async_guard("write")
+        if refusal is not None:
+            return refusal
+        store.grant(_now(), body["lease"], body["ttl_s"])
+        return _reply({})
+
+    async def async_calls(_request: web.Request) -> web.Response:
+        return _reply(store.calls)
+
+    app = web.Application(client_max_size=MAX_REQUEST_BYTES)
+    app.router.add_post("/list", async_list)
+    app.router.add_post("/swap", async_swap)
+    app.router.add_post("/watch", async_watch)
+    app.router.add_post("/lease", async_lease)
+    app.router.add_get("/calls", async_calls)
+    _add_faults(app, store.faults)
+    return app
+
+
+def make_instances_app(instances: InstanceList) -> web.Application:
+    """Return the application of the instance list."""
+
+    async def async_list(_request: web.Request) -> web.Response:
+        if instances.down:
+            return _reply({"error": "the list is down"}, 503)
+        listed = instances.read(_now())
+        return _reply([{"name": name, "state": state} for name, state in listed.items()])
+
+    async def async_set(request: web.Request) -> web.Response:
+        body = await _read(request)
+        instances.set_state(_now(), body["name"], body["state"])
+        return _reply({})
+
+    app = web.Application()
+    app.router.add_get("/instances", async_list)
+    app.router.add_post("/instances", async_set)
+    _add_faults(app, instances)
+    return app
+
+
+def make_executor_app(executor: Executor, seed: int = 1) -> web.Application:
+    """Return the application of an executor."""
+    random = Random(seed)
+
+    async def async_run(request: web.Request) -> web.Response:
+        body = await request.read()
+        call_id = request.headers.get("X-Call-Id", "")
+        start_by_s = float(request.headers.get("X-Start-By", "0"))
+        faults = executor.faults
+        if faults.down:
+            return _drop(request)
+        if random.random() < faults.refuse:
+            return _reply({"error": "refused"}, 503)
+        if not executor.start(_now(), call_id, body, start_by_s):
+            return _reply({"error": "too late to start"}, 409)
+        try:
+            service_s = float(request.headers.get("X-Service-Time", executor.service_s))
+            await asyncio.sleep(service_s + faults.late_s)
+        finally:
+            executor.finish(call_id)
+        if random.random() < faults.truncate:
+            return _drop(request)
+        answered = call_id if random.random() >= faults.swap_ids else "another-call"
+        headers = {"X-Call-Id": answered, "X-Clock": repr(_now())}
+        return web.Response(body=b"done:" + body, headers=headers)
+
+    async def async_status(_request: web.Request) -> web.Response:
+        if executor.faults.down:
+            return _drop(_request)
+        return _reply(
+            {
+                "clock_s": _now(),
+                "running": list(executor.running),
+                "connections": executor.connections,
+            }
+        )
+
+    async def async_log(_request: web.Request) -> web.Response:
+        return _reply(
+            {
+                "log": executor.log,
+                "peak": executor.peak,
+                "peak_connections": executor.peak_connections,
+                "refused_late": executor.refused_late,
+            }
+        )
+
+    app = web.Application(client_max_size=MAX_REQUEST_BYTES)
+    app.router.add_post("/run", async_run)
+    app.router.add_get("/status", async_status)
+    app.router.add_get("/log", async_log)
+    _add_faults(app, executor.faults)
+    return app
+
+
+def make_worker_app(worker: Worker, seed: int = 1) -> web.Application:
+    """Return the application of a worker."""
+    random = Random(seed)
+    changed = asyncio.Event()
+
+    async def async_sync(request: web.Request) -> web.Response:
+        body = await _read(request)
+        if worker.faults.down:
+            return _drop(request)
+        if worker.faults.delay_s:
+            await asyncio.sleep(worker.faults.delay_s)
+        answer = worker.sync(_now(), body)
+        changed.set()
+        if random.random() < worker.faults.lose_answers:
+            return _drop(request)
+        return _reply(answer)
+
+    async def async_watch(request: web.Request) -> web.Response:
+        body = await _read(request)
+        if worker.faults.down:
+            return _drop(request)
+        until = _now() + min(60.0, body["timeout_s"])
+        while True:
+            worker.advance(_now())
+            if worker.sequence != body["sequence"] or _now() >= until:
+                return _reply(worker.report(_now()))
+            changed.clear()
+            following = worker.next_change_s()
+            wait_s = until - _now() if following is None else min(until, following) - _now()
+            try:
+                await asyncio.wait_for(changed.wait(), max(0.001, wait_s))
+            except TimeoutError:
+                continue
+
+    async def async_log(_request: web.Request) -> web.Response:
+        worker.advance(_now())
+        return _reply({"log": worker.log, "peak": worker.peak, "incarnation": worker.incarnation})
+
+    async def async_command(request: web.Request) -> web.Response:
+        body = await _read(request)
+        action = request.match_info["action"]
+        for task in worker.tasks.values():
+            if task.task != body["task"] or task.state != "running":
+                continue
+            if action == "throttle":
+                worker.throttled[task.task] = float(body["cores"])
+                task.ends_at += float(body.get("delay_s", 0.0))
+        return _reply({"action": action})
+
+    app = web.Application(client_max_size=MAX_REQUEST_BYTES)
+    app.router.add_post("/sync", async_sync)
+    app.router.add_post("/watch", async_watch)
+    app.router.add_get("/log", async_log)
+    app.router.add_post("/tasks/{action:throttle|checkpoint}", async_command)
+    _add_faults(app, worker.faults)
+    return app
--- /dev/null
+++ b/stand_ins/worker.py
@@ -0,0 +1,181 @@
+"""A worker: runs tasks under leases and keeps the ground truth of what it ran."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+DEFAULT_RUN_S = 0.2
+
+
+@dataclass(slots=True)
+class WorkerFaults:
+    """Faults that a test switches."""
+
+    down: bool = False
+    fail_all: bool = False
+    lose_answers: float = 0.0
+    delay_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Task:
+    """A task as the worker runs it; the size is what it was started with."""
+
+    task: str
+    attempt: int
+    cores: float
+    memory_mb: float
+    accelerators: int
+    ends_at: float
+    lease_until: float
+    outcome: str
+    exit_code: int
+    state: str = "running"
+    reason: str = ""
+    used_memory_mb: float = 0.0
+    started_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Worker:
+    """The worker's logic; `now` is its own clock in seconds."""
+
+    cores: float
+    memory_mb: float
+    accelerators: int = 0
+    incarnation: str = "1"
+    usage_lag_s: float = 5.0
+    sequence: int = 0
+    tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
+    log: list[dict[str, Any]] = field(default_factory=list)
+    peak: list[float] = field(default_factory=lambda: [0.0, 0.0, 0.0])
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    throttled: dict[str, float] = field(default_factory=dict)
+
+    def advance(self, now: float) -> None:
+        """End what has run its time, outgrown its memory or lost its lease."""
+        for task in self.tasks.values():
+            if task.state != "running":
+                continue
+            if now >= task.lease_until and task.lease_until <= task.ends_at:
+                self._end(task, "lapsed", "the lease lapsed", task.lease_until)
+            elif now >= task.ends_at:
+                self._end(task, task.outcome, task.reason, task.ends_at)
+
+    def _end(self, task: Task, state: str, reason: str, at: float) -> None:
+        """End a task and log it."""
+        task.state = state
+        task.reason = reason
+        self.sequence += 1
+        self.log.append({"end": task.task, "attempt": task.attempt, "at": at, "state": state})
+
+    def sync(self, now: float, request: dict[str, Any]) -> dict[str, Any]:
+        """Apply one batch and return the inventory."""
+        self.advance(now)
+        refused: list[list[Any]] = []
+        valid_until = request.get("valid_until_s", 0.0)
+        if valid_until and now <= valid_until:
+            self._apply(now, request, refused)
+        elif valid_until:
+            refused = [[item["task"], item["attempt"], "late"] for item in request["starts"]]
+        return self.report(now, refused)
+
+    def _apply(self, now: float, request: dict[str, Any], refused: list[list[Any]]) -> None:
+        """Renew, stop, forget and start."""
+        lease_until = now + request["lease_s"]
+        for name, attempt in request.get("renew", ()):
+            task = self.tasks.get((name, attempt))
+            if task is not None and task.state == "running":
+                task.lease_until = lease_until
+        for name, attempt in request.get("stops", ()):
+            task = self.tasks.get((name, attempt))
+            if task is not None and task.state == "running":
+                self._end(task, "stopped", "stopped", now)
+        for name, attempt in request.get("forget", ()):
+            task = self.tasks.get((name, attempt))
+            if task is not None and task.state != "running":
+                del self.tasks[(name, attempt)]
+        for start in request.get("starts", ()):
+            key = (start["task"], start["attempt"])
+            if key in self.tasks:
+                continue
+            if now > start["start_by_s"]:
+                refused.append([*key, "late"])
+                continue
+            self._start(now, start, lease_until)
+
+    def _start(self, now: float, start: dict[str, Any], lease_until: float) -> None:
+        """Start a task; the payload may say how it behaves."""
+        payload = start.get("payload") or {}
+        ends_at = now + float(payload.get("run_s", DEFAULT_RUN_S))
+        outcome, reason = "done", ""
+        exit_code = int(payload.get("exit_code", 0))
+        if self.faults.fail_all:
+            exit_code, ends_at = 1, now + 0.01
+        if exit_code:
+            outcome, reason = "failed", f"exit code {exit_code}"
+        used = float(payload.get("used_memory_mb", start["memory_mb"]))
+        if used > start["memory_mb"]:
+            outcome, reason, ends_at = "over-limit", "used more memory than its size", now + 0.05
+        task = Task(
+            start["task"],
+            start["attempt"],
+            start["cores"],
+            start["memory_mb"],
+            start["accelerators"],
+            ends_at,
+            lease_until,
+            outcome,
+            exit_code,
+            reason=reason,
+            used_memory_mb=min(used, start["memory_mb"]),
+            started_at=now,
+        )
+        self.tasks[(task.task, task.attempt)] = task
+        self.sequence += 1
+        self.log.append({"start": task.task, "attempt": task.attempt, "at": now})
+        running = [item for item in self.tasks.values() if item.state == "running"]
+        totals = (
+            sum(item.cores for item in running),
+            sum(item.memory_mb for item in running),
+            sum(item.accelerators for item in running),
+        )
+        self.peak = [max(old, new) for old, new in zip(self.peak, totals, strict=True)]
+
+    def next_change_s(self) -> float | None:
+        """Return the clock time of the next change that will happen by itself."""
+        times = [
+            min(task.ends_at, task.lease_until)
+            for task in self.tasks.values()
+            if task.state == "running"
+        ]
+        return min(times, default=None)
+
+    def report(self, now: float, refused: list[list[Any]] | None = None) -> dict[str, Any]:
+        """Return the inventory; measured use is shown once it is `usage_lag_s` old."""
+        self.advance(now)
+        return {
+            "clock_s": now,
+            "incarnation": self.incarnation,
+            "sequence": self.sequence,
+            "refused": refused or [],
+            "tasks": [
+                {
+                    "task": task.task,
+                    "attempt": task.attempt,
+                    "state": task.state,
+                    "exit_code": task.exit_code,
+                    "cores": task.cores,
+                    "memory_mb": task.memory_mb,
+                    "accelerators": task.accelerators,
+                    "reason": task.reason,
+                }
+                for task in self.tasks.values()
+            ],
+            "usage": {
+                task.task: task.used_memory_mb
+                for task in self.tasks.values()
+                if task.state == "running" and now - task.started_at >= self.usage_lag_s
+            },
+        }
--- /dev/null
+++ b/wasabiramp/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers and operators."""
--- /dev/null
+++ b/wasabiramp/api/replies.py
@@ -0,0 +1,86 @@
+"""Replies and request bodies that all routes share."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from aiohttp import web
+import orjson
+
+from wasabiramp.core.records import encode_json
+
+
+class BadRequestError(Exception):
+    """A request that names a wrong field; nothing was changed."""
+
+
+def reply_json(value: Any, status: int = 200, headers: dict[str, str] | None = None) -> Any:
+    """Return records or plain values as a JSON answer."""
+    return web.Response(
+        text=encode_json(value), status=status, content_type="application/json", headers=headers
+    )
+
+
+def reply_error(status: int, message: str) -> web.Response:
+    """Return an error in the form that all routes use."""
+    return web.Response(
+        body=orjson.dumps({"kind": "Status", "status": "Failure", "message": message}),
+        status=status,
+        content_type="application/json",
+    )
+
+
+def _refuse_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Build an object, unless a field stands twice."""
+    built: dict[str, Any] = {}
+    for name, value in pairs:
+        if name in built:
+            raise BadRequestError(f"{name}: the field stands twice")
+        built[name] = value
+    return built
+
+
+def _refuse_constant(name: str) -> Any:
+    """Refuse NaN and infinities, which JSON does not have."""
+    raise BadRequestError(f"body: {name} is not a number")
+
+
+async def async_read_json(request: web.Request) -> Any:
+    """Return the JSON body; raises BadRequestError when it is not JSON."""
+    data = await request.read()
+    try:
+        return json.loads(
+            data, object_pairs_hook=_refuse_duplicates, parse_constant=_refuse_constant
+        )
+    except (ValueError, RecursionError) as err:
+        raise BadRequestError(f"body: not JSON: {err}") from err
+
+
+@web.middleware
+async def async_catch_errors(request: web.Request, handler: Any) -> web.StreamResponse:
+    """Turn errors into answers that name the fault."""
+    try:
+        return await handler(request)
+    except BadRequestError as err:
+        return reply_error(400, str(err))
+    except web.HTTPRequestEntityTooLarge as err:
+        return reply_error(413, f"body: {err.text}")
+    except web.HTTPException as err:
+        return reply_error(err.status, err.reason)
+
+
+def read_number(
+    request: web.Request, header: str, default: float, lowest: float, highest: float
+) -> float:
+    """Return a number from a header; raises BadRequestError naming the header."""
+    text = request.headers.get(header)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = float("nan")
+    if not lowest <= value <= highest:
+        raise BadRequestError(f"{header}: expected a number from {lowest} to {highest}")
+    return value
--- /dev/null
+++ b/wasabiramp/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the system against baselines."""
--- /dev/null
+++ b/wasabiramp/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/wasabiramp/cli/main.py
@@ -0,0 +1,59 @@
+"""The command line: the daemon, the demo, and commands for operators and callers."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+from typing import Annotated
+
+import typer
+import uvloop
+
+from wasabiramp.cli import operate
+from wasabiramp.daemon import async_run_daemon
+from wasabiramp.logs import set_up_logs
+from wasabiramp.settings.schema import load_settings
+
+EXIT_SETTINGS = 2
+
+cli = typer.Typer(
+    help="wasabiramp schedules services, batch runs and all-or-nothing jobs in one cell.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+operate.add_commands(cli)
+
+
+@cli.command()
+def daemon(
+    settings: Annotated[Path, typer.Option(help="YAML file with the daemon's settings.")],
+) -> None:
+    """Run one daemon until SIGTERM."""
+    loaded = load_settings(settings)
+    if loaded.is_error():
+        print(f"wasabiramp: {loaded.error}", file=sys.stderr)
+        raise typer.Exit(EXIT_SETTINGS)
+    set_up_logs()
+    if not uvloop.run(async_run_daemon(loaded.ok)):
+        raise typer.Exit(1)
+
+
+@cli.command()
+def demo(
+    serve: Annotated[bool, typer.Option(help="Stay up and print the address.")] = False,
+    port: Annotated[int, typer.Option(help="Port of the API; 0 picks a free one.")] = 0,
+) -> None:
+    """Run a whole cell in this process and send it each kind of work."""
+    from wasabiramp.cli.demo import async_run_demo
+
+    set_up_logs()
+    ok = uvloop.run(async_run_demo(serve, port))
+    raise typer.Exit(0 if ok else 1)
+
+
+def main() -> None:
+    """Run the command line."""
+    cli()
+
+
+__all__ = ["cli", "main"]
--- /dev/null
+++ b/wasabiramp/cli/operate.py
@@ -0,0 +1,264 @@
+"""Commands for operators and callers, against a running daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+import json
+from pathlib import Path
+import sys
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+import yaml
+
+from wasabiramp.resource.kinds import KIND_JOB
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_UNKNOWN = 4
+TIMEOUT_S = 30.0
+BASE = "/apis/wasabiramp/v1"
+PLURALS = {"team": "teams", "service": "services", "policy": "policies", "instance": "instances"}
+
+
+class Output(StrEnum):
+    """How a command prints."""
+
+    TABLE = "table"
+    YAML = "yaml"
+    JSON = "json"
+
+
+Server = Annotated[str, typer.Option(help="API address of a daemon.", envvar="WASABIRAMP_SERVER")]
+Team = Annotated[str, typer.Option(help="The team of a job.")]
+OutputOption = Annotated[Output, typer.Option("--output", "-o", help="Form of the output.")]
+DEFAULT_SERVER = "127.0.0.1:7070"
+
+
+def fail(message: str, code: int = EXIT_FAILED) -> typer.Exit:
+    """Print an error and return the exit to raise."""
+    print(f"wasabiramp: {message}", file=sys.stderr)
+    return typer.Exit(code)
+
+
+async def _async_call(method: str, server: str, path: str, body: Any = None) -> tuple[int, Any]:
+    """Call a daemon and return the status and the JSON answer."""
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.request(method, f"http://{server}{path}", json=body) as answer,
+    ):
+        return answer.status, json.loads(await answer.text())
+
+
+def call(method: str, server: str, path: str, body: Any = None) -> Any:
+    """Call a daemon; exits with a message when it refuses or does not answer."""
+    try:
+        status, answer = asyncio.run(_async_call(method, server, path, body))
+    except aiohttp.ClientConnectorError as err:
+        raise fail(f"cannot reach {server}: {err}", EXIT_UNREACHABLE) from err
+    except (aiohttp.ClientError, TimeoutError, ValueError) as err:
+        raise fail(f"no answer from {server}: it may have acted", EXIT_UNKNOWN) from err
+    if status == 504:
+        raise fail(str(answer.get("message", answer)), EXIT_UNKNOWN)
+    if status >= 400:
+        raise fail(_find_message(answer))
+    return answer
+
+
+def _find_message(answer: Any) -> str:
+    """Return what a refusal says."""
+    reasons = [item.get("reason", "") for item in answer.get("items", []) if item]
+    return answer.get("message") or "; ".join(filter(None, reasons)) or json.dumps(answer)
+
+
+def show(value: Any, output: Output, rows: list[list[str]]) -> None:
+    """Print a value; the table form prints the rows."""
+    if output is Output.JSON:
+        print(json.dumps(value, indent=2))
+    elif output is Output.YAML:
+        print(yaml.safe_dump(value, sort_keys=False), end="")
+    else:
+        widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+        for row in rows:
+            cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+            print("  ".join(cells).rstrip())
+
+
+def find_plural(kind: str) -> str:
+    """Return the path part of a kind given in any usual form."""
+    lowered = kind.lower()
+    if lowered in PLURALS:
+        return PLURALS[lowered]
+    if lowered in PLURALS.values():
+        return lowered
+    known = ", ".join([*PLURALS, "job"])
+    raise fail(f"kind: unknown kind {kind!r}, expected one of {known}", EXIT_USAGE)
+
+
+def is_job(kind: str) -> bool:
+    """Tell whether the kind is that of jobs."""
+    return kind.lower() in ("job", "jobs")
+
+
+def load_documents(path: Path) -> list[dict[str, Any]]:
+    """Read resources from a YAML or JSON file, `-` for standard input."""
+    try:
+        text = sys.stdin.read() if str(path) == "-" else path.read_text(encoding="utf-8")
+        documents = [item for item in yaml.safe_load_all(text) if item is not None]
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as err:
+        raise fail(f"{path}: cannot be read: {err}", EXIT_USAGE) from err
+    flat: list[dict[str, Any]] = []
+    for item in documents:
+        if isinstance(item, dict) and isinstance(item.get("items"), list):
+            flat.extend(item["items"])
+        else:
+            flat.append(item)
+    for index, item in enumerate(flat):
+        if not isinstance(item, dict) or not isinstance(item.get("kind"), str):
+            raise fail(f"{path}: document {index + 1}: kind: expected a string", EXIT_USAGE)
+        metadata = item.get("metadata")
+        if not isinstance(metadata, dict) or not isinstance(metadata.get("name"), str):
+            message = f"{path}: document {index + 1}: metadata.name: expected a string"
+            raise fail(message, EXIT_USAGE)
+    return flat
+
+
+def apply(
+    file: Annotated[Path, typer.Option("--file", "-f", help="Resources; - reads from stdin.")],
+    server: Server = DEFAULT_SERVER,
+) -> None:
+    """Create or replace resources, and submit jobs."""
+    for item in load_documents(file):
+        name = item["metadata"]["name"]
+        if item["kind"] == KIND_JOB:
+            call("POST", server, "/v1/jobs", item)
+            print(f"job {name} accepted")
+            continue
+        path = f"{BASE}/{find_plural(item['kind'])}/{name}"
+        answer = call("PUT", server, path, item)
+        version = answer["metadata"]["resourceVersion"]
+        print(f"{item['kind'].lower()} {name} applied at revision {version}")
+
+
+def submit(
+    file: Annotated[Path, typer.Option("--file", "-f", help="Jobs; - reads from stdin.")],
+    server: Server = DEFAULT_SERVER,
+) -> None:
+    """Submit jobs in one call."""
+    items = load_documents(file)
+    answer = call("POST", server, "/v1/jobs", {"items": items})
+    for item in answer["items"]:
+        print(f"job {item['team']}/{item['name']} {item['reason'] or 'accepted'}")
+
+
+def get(
+    kind: str,
+    name: Annotated[str | None, typer.Argument()] = None,
+    team: Team = "",
+    server: Server = DEFAULT_SERVER,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Show one resource, or all of a kind."""
+    if is_job(kind):
+        _get_jobs(name, team, server, output)
+        return
+    path = f"{BASE}/{find_plural(kind)}" + (f"/{name}" if name else "")
+    answer = call("GET", server, path)
+    items = answer["items"] if name is None else [answer]
+    rows = [["NAME", "REVISION", "SPEC"]]
+    for item in items:
+        spec = " ".join(f"{key}={value}" for key, value in item["spec"].items())
+        rows.append([item["metadata"]["name"], item["metadata"]["resourceVersion"], spec])
+    show(answer, output, rows)
+
+
+def _get_jobs(name: str | None, team: str, server: str, output: Output) -> None:
+    """Show one job, or all of a team."""
+    if not team:
+        raise fail("--team: expected the team of the job", EXIT_USAGE)
+    answer = call("GET", server, f"/v1/teams/{team}/jobs" + (f"/{name}" if name else ""))
+    items = answer["items"] if name is None else [answer]
+    rows = [["NAME", "PHASE", "TASKS", "REASON"]]
+    for item in items:
+        counts = " ".join(f"{key}={value}" for key, value in item["status"]["counts"].items())
+        status = item["status"]
+        rows.append([item["metadata"]["name"], status["phase"], counts, status["reason"]])
+    show(answer, output, rows)
+
+
+def describe(kind: str, name: str, team: Team = "", server: Server = DEFAULT_SERVER) -> None:
+    """Show all of one resource."""
+    get(kind, name, team, server, Output.YAML)
+
+
+def watch(
+    kind: str,
+    name: Annotated[str | None, typer.Argument()] = None,
+    team: Team = "",
+    server: Server = DEFAULT_SERVER,
+    since: Annotated[int, typer.Option(help="Resume after this revision.")] = 0,
+) -> None:
+    """Print a line for each change; a watch of a job ends with the job."""
+    path = f"/v1/teams/{team}/jobs/{name}?watch=true"
+    if not is_job(kind):
+        path = f"{BASE}/{find_plural(kind)}?watch=true&resourceVersion={since}"
+    elif not team or not name:
+        raise fail("a watch of a job needs its name and --team", EXIT_USAGE)
+    try:
+        asyncio.run(_async_stream(server, path))
+    except aiohttp.ClientError as err:
+        raise fail(f"the watch ended: {err}", EXIT_UNREACHABLE) from err
+
+
+async def _async_stream(server: str, path: str) -> None:
+    """Print the lines of a stream."""
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.get(f"http://{server}{path}") as answer,
+    ):
+        async for line in answer.content:
+            print(line.decode().rstrip(), flush=True)
+
+
+def delete(kind: str, name: str, team: Team = "", server: Server = DEFAULT_SERVER) -> None:
+    """Delete a resource, or cancel a job."""
+    if is_job(kind):
+        cancel(name, team, server)
+        return
+    call("DELETE", server, f"{BASE}/{find_plural(kind)}/{name}")
+    print(f"{kind.lower()} {name} deleted")
+
+
+def cancel(name: str, team: Team = "", server: Server = DEFAULT_SERVER) -> None:
+    """Cancel a job."""
+    if not team:
+        raise fail("--team: expected the team of the job", EXIT_USAGE)
+    call("DELETE", server, f"/v1/teams/{team}/jobs/{name}")
+    print(f"job {team}/{name} cancelling")
+
+
+def drain(name: str, server: Server = DEFAULT_SERVER) -> None:
+    """Stop trusting an instance: it gets no new work, and what runs there ends by itself."""
+    delete("instance", name, "", server)
+
+
+def status(server: Server = DEFAULT_SERVER, output: OutputOption = Output.TABLE) -> None:
+    """Show what a daemon is doing."""
+    answer = call("GET", server, "/status")
+    rows = [["FIELD", "VALUE"]]
+    for key, value in answer.items():
+        if not isinstance(value, dict):
+            rows.append([key, ", ".join(value) if isinstance(value, list) else str(value)])
+    rows.extend([key, str(value)] for key, value in answer["gauges"].items())
+    show(answer, output, rows)
+
+
+def add_commands(cli: typer.Typer) -> None:
+    """Add the commands of this module."""
+    for command in (apply, submit, get, describe, watch, delete, cancel, drain, status):
+        cli.command()(command)
--- /dev/null
+++ b/wasabiramp/const.py
@@ -0,0 +1,25 @@
+"""Constants that more than one package uses, with their units in the name."""
+
+from __future__ import annotations
+
+from typing import Final
+
+DEFAULT_HEARTBEAT_S: Final = 0.4
+DEFAULT_SUSPECT_S: Final = 1.4
+DEFAULT_RIGHT_S: Final = 2.0
+DEFAULT_LIST_LAG_S: Final = 5.0
+DEFAULT_TASK_LEASE_S: Final = 15.0
+
+CLOCK_DRIFT: Final = 0.01
+"""Upper bound on how much one clock may run faster or slower than another."""
+
+TICK_S: Final = 0.05
+WITNESS_COUNT: Final = 7
+PARTITION_COUNT: Final = 16
+
+MAX_BODY_BYTES: Final = 1_000_000
+MAX_SEGMENT_BYTES: Final = 64_000
+
+KEY_MEMBERS: Final = "members"
+PREFIX_RESOURCE: Final = "resource/"
+PREFIX_JOURNAL: Final = "journal/"
--- /dev/null
+++ b/wasabiramp/core/__init__.py
@@ -0,0 +1,1 @@
+"""The pure core: records, events, effects, verdicts and the one reducer."""
--- /dev/null
+++ b/wasabiramp/core/reducer.py
@@ -0,0 +1,53 @@
+"""The one reducer: an event and a time go in, effects as data come out."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from wasabiramp.core.context import Context
+from wasabiramp.core.events import PeerReceived, StoreAnswer
+from wasabiramp.core.registry import ANSWER_HANDLERS, EVENT_HANDLERS, MESSAGE_HANDLERS
+from wasabiramp.core.state import State
+from wasabiramp.core.subjects import load_subjects
+from wasabiramp.settings.schema import Settings
+
+
+class Reducer:
+    """Applies events to the state of one daemon.
+
+    It does no input or output and reads no clock, so the same events at the same times give the
+    same effects.
+
+    Example: `effects = Reducer(settings, "3f2a").apply(Tick(), now=1.5)`.
+    """
+
+    __slots__ = ("state", "context")
+
+    def __init__(self, settings: Settings, incarnation: str) -> None:
+        """Create the state of a daemon that has just started."""
+        load_subjects()
+        self.state = State(settings, incarnation)
+        self.context = Context(self.state, settings, Random(self.state.me.id))
+
+    def apply(self, event: Any, now: float) -> list[Any]:
+        """Apply one event at the loop time `now`, in seconds, and return the effects."""
+        context = self.context
+        context.now = max(now, context.now)
+        context.effects = []
+        self._route(context, event)
+        while context.local:
+            message = context.local.pop(0)
+            MESSAGE_HANDLERS[type(message)](context, self.state.me.id, message)
+        return context.effects
+
+    def _route(self, context: Context, event: Any) -> None:
+        """Hand the event to the handlers that its type names."""
+        if isinstance(event, PeerReceived):
+            MESSAGE_HANDLERS[type(event.message)](context, event.sender, event.message)
+            return
+        if isinstance(event, StoreAnswer):
+            ANSWER_HANDLERS[event.purpose](context, event)
+            return
+        for handler in EVENT_HANDLERS.get(type(event), ()):
+            handler(context, event)
--- /dev/null
+++ b/wasabiramp/core/registry.py
@@ -0,0 +1,44 @@
+"""Registries that decorators fill with the handlers of events, messages and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+Handler = Callable[..., None]
+
+EVENT_HANDLERS: Final[dict[type, list[Handler]]] = {}
+MESSAGE_HANDLERS: Final[dict[type, Handler]] = {}
+ANSWER_HANDLERS: Final[dict[str, Handler]] = {}
+
+
+def handles(event_type: type) -> Callable[[Handler], Handler]:
+    """Register a handler for an event; several handlers run in order of registration."""
+
+    def register(handler: Handler) -> Handler:
+        EVENT_HANDLERS.setdefault(event_type, []).append(handler)
+        return handler
+
+    return register
+
+
+def receives(message_type: type) -> Callable[[Handler], Handler]:
+    """Register the handler for a message from another daemon."""
+    return _fill(MESSAGE_HANDLERS, message_type)
+
+
+def answers(purpose: str) -> Callable[[Handler], Handler]:
+    """Register the handler for the store's answer to operations with this purpose."""
+    return _fill(ANSWER_HANDLERS, purpose)
+
+
+def _fill(registry: dict[Any, Handler], key: Any) -> Callable[[Handler], Handler]:
+    """Return a decorator that puts one handler under the key."""
+
+    def register(handler: Handler) -> Handler:
+        if key in registry:
+            raise TypeError(f"{key} has a handler already")
+        registry[key] = handler
+        return handler
+
+    return register
--- /dev/null
+++ b/wasabiramp/core/subjects.py
@@ -0,0 +1,25 @@
+"""Imports the modules whose handlers make up the reducer."""
+
+from __future__ import annotations
+
+from importlib import import_module
+from typing import Final
+
+SUBJECTS: Final = (
+    "wasabiramp.membership.changes",
+    "wasabiramp.membership.heartbeats",
+    "wasabiramp.resource.intent",
+    "wasabiramp.dispatch.executors",
+    "wasabiramp.dispatch.requests",
+    "wasabiramp.jobs.journal",
+    "wasabiramp.jobs.keys",
+    "wasabiramp.jobs.home",
+    "wasabiramp.jobs.workers",
+    "wasabiramp.membership.leaving",
+)
+
+
+def load_subjects() -> None:
+    """Import every subject once; their order is the order in which handlers of an event run."""
+    for name in SUBJECTS:
+        import_module(name)
--- /dev/null
+++ b/wasabiramp/core/verdict.py
@@ -0,0 +1,47 @@
+"""The verdict on a piece of work: whether it ran, did not run, or may have run."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.records import record
+
+RAN: Final = "ran"
+NOT_RUN: Final = "not-run"
+MAY_HAVE_RUN: Final = "may-have-run"
+
+
+@record
+class Verdict:
+    """What a caller is told about its work.
+
+    `retry_after_s` is set on a "not-run" verdict when trying again later may help.
+    `body` holds the complete answer of work that ran.
+
+    Example: `Verdict.not_run("queue full", retry_after_s=0.5)`.
+    """
+
+    outcome: str
+    reason: str = ""
+    retry_after_s: float | None = None
+    body: bytes = b""
+
+    @classmethod
+    def ran(cls, body: bytes, reason: str = "") -> Verdict:
+        """Return the verdict on work that ran and answered."""
+        return cls(RAN, reason, None, body)
+
+    @classmethod
+    def not_run(cls, reason: str, retry_after_s: float | None = None) -> Verdict:
+        """Return the verdict on work that certainly did not run."""
+        return cls(NOT_RUN, reason, retry_after_s)
+
+    @classmethod
+    def may_have_run(cls, reason: str) -> Verdict:
+        """Return the verdict on work of which nobody can say whether it ran."""
+        return cls(MAY_HAVE_RUN, reason)
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the work can never be started again under the same key."""
+        return self.outcome != NOT_RUN
--- /dev/null
+++ b/wasabiramp/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to executors."""
--- /dev/null
+++ b/wasabiramp/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their journal and their tasks."""
--- /dev/null
+++ b/wasabiramp/jobs/admission.py
@@ -0,0 +1,242 @@
+"""Admission of tasks to workers by their owner, with reservations and preemption."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.context import Context
+from wasabiramp.core.registry import receives
+from wasabiramp.jobs.capacity import find_worker, is_placeable, summarize_free, view_worker
+from wasabiramp.jobs.state import (
+    HELD,
+    PENDING,
+    SEEN_REFUSED,
+    SEEN_RUNNING,
+    GangHold,
+    Reservation,
+    Worker,
+    WorkerTask,
+)
+from wasabiramp.membership.owners import choose_member, partition_key
+from wasabiramp.membership.rights import has_right
+from wasabiramp.peer.messages import (
+    GangAnswered,
+    GangAsked,
+    GangSettled,
+    PlaceAnswered,
+    PlaceAsked,
+    Placement,
+    TaskReport,
+    WorkerTold,
+)
+from wasabiramp.policy.placement import EPSILON, Need, has_room
+
+RESERVATION_S: Final = 3.0
+HOLD_S: Final = 3.0
+DEFAULT_PLACEMENT: Final = "balanced"
+
+
+def _may_admit(context: Context, sender: str, partition: int) -> bool:
+    """Tell whether the sender is the partition's home as this daemon knows it."""
+    membership = context.state.membership
+    if membership.is_leaving or not has_right(context):
+        return False
+    return choose_member(partition_key(partition), membership.current.members) == sender
+
+
+@receives(PlaceAsked)
+def admit_tasks(context: Context, sender: str, message: PlaceAsked) -> None:
+    """Admit tasks to workers with room; the same task and attempt is admitted once."""
+    admitted: list[tuple[str, int, str]] = []
+    refused: list[tuple[str, int]] = []
+    allowed = _may_admit(context, sender, message.partition)
+    for placement in message.placements:
+        worker = _find_known(context, placement)
+        if worker is None and allowed:
+            worker = _admit(context, placement)
+        if worker is None:
+            refused.append((placement.task, placement.attempt))
+        else:
+            admitted.append((placement.task, placement.attempt, worker.instance.name))
+    answer = PlaceAnswered(message.partition, admitted, refused, summarize_free(context))
+    context.send(sender, answer)
+    flush_dirty(context)
+
+
+def flush_dirty(context: Context) -> None:
+    """Send what waits for workers."""
+    from wasabiramp.jobs.workers import flush_worker
+
+    for worker in context.state.jobs.workers.values():
+        if worker.is_dirty:
+            flush_worker(context, worker)
+
+
+def _find_known(context: Context, placement: Placement) -> Worker | None:
+    """Return the worker that has this task and attempt already."""
+    key = (placement.task, placement.attempt)
+    for worker in context.state.jobs.workers.values():
+        if worker.is_owned and key in worker.tasks:
+            return worker
+    return None
+
+
+def _admit(context: Context, placement: Placement) -> Worker | None:
+    """Put a task on a worker with room, or on one where lower work gives way."""
+    hold = context.state.jobs.hold
+    if hold is not None and context.now < hold.until and placement.priority <= hold.priority:
+        return None
+    worker = find_worker(context, placement, DEFAULT_PLACEMENT)
+    if worker is not None:
+        _put(context, worker, placement, PENDING)
+        return worker
+    if placement.can_preempt:
+        return _preempt(context, placement)
+    return None
+
+
+def _put(context: Context, worker: Worker, placement: Placement, state: str) -> None:
+    """Count the task on the worker and have it sent."""
+    worker.tasks[(placement.task, placement.attempt)] = WorkerTask(placement, state)
+    worker.occupy(placement, 1)
+    worker.is_dirty = worker.is_dirty or state == PENDING
+    context.count("tasks_admitted_total")
+
+
+def _preempt(context: Context, placement: Placement) -> Worker | None:
+    """Stop the fewest preemptible tasks that make room on one worker."""
+    need = Need(placement.cores, placement.memory_mb, placement.accelerators)
+    best: tuple[Worker, list[WorkerTask]] | None = None
+    for worker in context.state.jobs.workers.values():
+        if worker.instance.name in placement.exclude or not is_placeable(context, worker):
+            continue
+        victims = _find_victims(worker, need, placement.priority)
+        if victims and (best is None or len(victims) < len(best[1])):
+            best = (worker, victims)
+    if best is None:
+        return None
+    worker, victims = best
+    for victim in victims:
+        victim.is_stopping = True
+        worker.stops.append((victim.placement.task, victim.placement.attempt))
+    worker.is_dirty = True
+    _put(context, worker, placement, HELD)
+    context.log("tasks_preempted", worker=worker.instance.name, count=len(victims))
+    return worker
+
+
+def _find_victims(worker: Worker, need: Need, priority: int) -> list[WorkerTask]:
+    """Return tasks whose stop makes room, lowest priority first, or none if that cannot be."""
+    room = view_worker(worker)
+    stoppable = [
+        task
+        for task in worker.tasks.values()
+        if task.state == SEEN_RUNNING
+        and task.placement.is_preemptible
+        and task.placement.priority < priority
+        and not task.is_stopping
+    ]
+    stoppable.sort(key=lambda task: (task.placement.priority, -task.placement.cores))
+    victims = []
+    for task in stoppable:
+        if has_room(need, room):
+            break
+        victims.append(task)
+        room.cores += task.placement.cores
+        room.memory_mb += task.placement.memory_mb
+        room.accelerators += task.placement.accelerators
+    return victims if has_room(need, room) else []
+
+
+def release_held(context: Context, worker: Worker) -> None:
+    """Let held tasks go once the tasks before them have made room."""
+    instance = worker.instance
+    fits = (
+        worker.used[0] <= instance.cores + EPSILON
+        and worker.used[1] <= instance.memory_mb + EPSILON
+        and worker.used[2] <= instance.accelerators
+    )
+    if not fits:
+        return
+    for task in worker.tasks.values():
+        if task.state == HELD:
+            task.state = PENDING
+            worker.is_dirty = True
+
+
+@receives(GangAsked)
+def reserve_gang(context: Context, sender: str, message: GangAsked) -> None:
+    """Reserve room for as many of the gang's tasks as fit here."""
+    reserved: list[tuple[str, int, str]] = []
+    jobs = context.state.jobs
+    hold = jobs.hold
+    is_blocked = hold is not None and context.now < hold.until and hold.gang != message.gang
+    if message.is_holding and not is_blocked and message.placements:
+        jobs.hold = GangHold(message.gang, message.placements[0].priority, context.now + HOLD_S)
+    if _may_admit(context, sender, message.partition) and not is_blocked:
+        for placement in message.placements:
+            worker = find_worker(context, placement, DEFAULT_PLACEMENT)
+            if worker is None:
+                continue
+            key = (placement.task, placement.attempt)
+            until = context.now + RESERVATION_S
+            worker.reserved[key] = Reservation(placement, message.gang, message.round, until)
+            worker.occupy(placement, 1)
+            reserved.append((placement.task, placement.attempt, worker.instance.name))
+    answer = GangAnswered(message.partition, message.gang, message.round, reserved)
+    context.send(sender, answer)
+
+
+@receives(GangSettled)
+def settle_gang(context: Context, sender: str, message: GangSettled) -> None:
+    """Start the named tasks of a gang and give the rest of its room back."""
+    starts = dict(zip(message.tasks, message.attempts, strict=True))
+    allowed = _may_admit(context, sender, message.partition)
+    jobs = context.state.jobs
+    if jobs.hold is not None and jobs.hold.gang == message.gang and message.is_start:
+        jobs.hold = None
+    for worker in jobs.workers.values():
+        for key, reservation in list(worker.reserved.items()):
+            if reservation.gang != message.gang or reservation.round != message.round:
+                continue
+            _drop(context, worker, key)
+            if message.is_start and allowed and starts.get(key[0]) == key[1]:
+                _put(context, worker, reservation.placement, PENDING)
+    if message.is_start:
+        _answer_starts(context, sender, message, starts)
+    flush_dirty(context)
+
+
+def _answer_starts(
+    context: Context, sender: str, message: GangSettled, starts: dict[str, int]
+) -> None:
+    """Tell the home on which worker each task starts, or that its reservation is gone."""
+    epoch = context.state.membership.current.epoch
+    placed: list[tuple[str, int, str]] = []
+    lost: list[TaskReport] = []
+    for task, attempt in starts.items():
+        for worker in context.state.jobs.workers.values():
+            if (task, attempt) in worker.tasks:
+                placed.append((task, attempt, worker.instance.name))
+                break
+        else:
+            reason = "the reservation has lapsed"
+            lost.append(TaskReport(task, attempt, SEEN_REFUSED, reason=reason))
+    free = summarize_free(context)
+    context.send(sender, PlaceAnswered(message.partition, placed, [], free))
+    if lost:
+        context.send(sender, WorkerTold(epoch, message.partition, "", "", False, lost))
+
+
+def drop_reservations(context: Context, worker: Worker) -> None:
+    """Give back reservations whose time is up."""
+    for key, reservation in list(worker.reserved.items()):
+        if context.now >= reservation.until:
+            _drop(context, worker, key)
+
+
+def _drop(context: Context, worker: Worker, key: tuple[str, int]) -> None:
+    """Give one reservation back."""
+    reservation = worker.reserved.pop(key)
+    worker.occupy(reservation.placement, -1)
+    context.state.jobs.version += 1
--- /dev/null
+++ b/wasabiramp/jobs/capacity.py
@@ -0,0 +1,70 @@
+"""Free capacity of workers, and the choice of one for a task."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.context import Context
+from wasabiramp.dispatch.load import is_staying
+from wasabiramp.jobs.state import Worker
+from wasabiramp.membership.rights import has_right
+from wasabiramp.peer.messages import Placement
+from wasabiramp.policy.placement import Candidate, Need, choose_worker
+
+MISS_LASTS_S: Final = 0.5
+
+
+def is_placeable(context: Context, worker: Worker) -> bool:
+    """Tell whether the worker may be given new tasks, apart from its room."""
+    if not worker.is_owned or not worker.is_ready or worker.is_lapsed:
+        return False
+    return context.now >= worker.blocked_until and is_staying(context, worker.instance.name)
+
+
+def view_worker(worker: Worker) -> Candidate:
+    """Return the worker as placement policies see it."""
+    instance = worker.instance
+    return Candidate(
+        instance.name,
+        instance.cores - worker.used[0],
+        instance.memory_mb - worker.used[1],
+        instance.accelerators - worker.used[2],
+        instance.cores,
+        instance.memory_mb,
+        instance.rack,
+    )
+
+
+def summarize_free(context: Context) -> tuple[float, float, int]:
+    """Return the free cores, megabytes and accelerators of this daemon's workers."""
+    if not has_right(context) or context.state.membership.is_leaving:
+        return (0.0, 0.0, 0)
+    cores, memory_mb, accelerators = 0.0, 0.0, 0
+    for worker in context.state.jobs.workers.values():
+        if is_placeable(context, worker):
+            cores += worker.instance.cores - worker.used[0]
+            memory_mb += worker.instance.memory_mb - worker.used[1]
+            accelerators += worker.instance.accelerators - worker.used[2]
+    return (round(cores, 3), round(memory_mb, 3), int(accelerators))
+
+
+def find_worker(context: Context, placement: Placement, policy: str) -> Worker | None:
+    """Return the worker that the placement policy chooses, if any has room."""
+    jobs = context.state.jobs
+    shape = (placement.cores, placement.memory_mb, placement.accelerators)
+    missed = jobs.misses.get(shape)
+    if not placement.exclude and missed is not None:
+        version, until = missed
+        if version == jobs.version and context.now < until:
+            return None
+    need = Need(*shape)
+    workers = [
+        worker
+        for name, worker in jobs.workers.items()
+        if name not in placement.exclude and is_placeable(context, worker)
+    ]
+    chosen = choose_worker(policy, need, workers, view_worker, context.random)
+    if chosen is None and not placement.exclude:
+        # Room also comes back by itself, when an instance is listed or no longer blocked.
+        jobs.misses[shape] = (jobs.version, context.now + MISS_LASTS_S)
+    return chosen
--- /dev/null
+++ b/wasabiramp/jobs/gangs.py
@@ -0,0 +1,195 @@
+"""All-or-nothing jobs: room for every task is reserved across owners before any task starts.
+
+A round asks each owner for its part. Only when every task has room are the reservations turned
+into starts; otherwise all of them are given back and the job waits with jitter. Reservations
+lapse by themselves, so a home that dies holds nothing for long. A job that keeps failing asks
+owners to admit nothing else of its priority or below until it has had its chance.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.context import Context
+from wasabiramp.core.registry import receives
+from wasabiramp.jobs import journal, tasks
+from wasabiramp.jobs.limits import is_within_quota
+from wasabiramp.jobs.state import (
+    ASKED,
+    OCCUPYING,
+    WAITING,
+    AttemptRecord,
+    GangRound,
+    Job,
+    PartitionState,
+    Task,
+)
+from wasabiramp.peer.messages import GangAnswered, GangAsked, GangSettled
+from wasabiramp.policy.retry import backoff_s
+
+ROUND_TIMEOUT_S: Final = 1.0
+RESERVATION_S: Final = 3.0
+HOLD_AFTER: Final = 3
+KIND_GANG: Final = "gang-attempt"
+
+
+def keep(context: Context, state: PartitionState) -> None:
+    """Start rounds for gangs that wait, oldest first, and end rounds that take too long."""
+    for key, job in list(state.active.items()):
+        if not job.spec.is_gang or job.reason == "cancelled":
+            continue
+        if job.gang is not None:
+            if context.now >= job.gang.started_at + ROUND_TIMEOUT_S:
+                release(context, state, key, job)
+            continue
+        _repeat_starts(context, state, key, job)
+        waiting = [task for task in job.tasks if task.state == WAITING]
+        if not waiting or context.now < job.retry_at:
+            continue
+        if any(task.state in OCCUPYING for task in job.tasks):
+            fail(context, state, key, job, "some tasks of the gang do not run")
+            continue
+        if not is_within_quota(context, state, job.spec, job.spec.memory_mb, len(waiting)):
+            continue
+        _start_round(context, state, key, job, waiting)
+
+
+def _repeat_starts(context: Context, state: PartitionState, key: str, job: Job) -> None:
+    """Tell owners again to start their tasks where no answer came."""
+    late: dict[str, list[str]] = {}
+    for task in job.tasks:
+        if task.state == ASKED and context.now >= task.asked_at + ROUND_TIMEOUT_S:
+            task.asked_at = context.now
+            late.setdefault(task.owner, []).append(tasks.task_id(key, task.index))
+    epoch = context.state.membership.current.epoch
+    for owner, listed in late.items():
+        attempts = [job.tasks[tasks.split_id(item)[1]].attempt for item in listed]
+        settled = GangSettled(epoch, state.number, key, 0, True, listed, attempts)
+        context.send(owner, settled)
+
+
+def _start_round(
+    context: Context, state: PartitionState, key: str, job: Job, waiting: list[Task]
+) -> None:
+    """Ask every owner how many of the tasks it can hold."""
+    members = [member.id for member in context.state.membership.current.members]
+    owners = [owner for owner in members if not _is_leaving(context, owner)]
+    if not owners:
+        return
+    epoch = context.state.membership.current.epoch
+    job.gang_rounds += 1
+    number = epoch * 1000 + job.gang_rounds
+    job.gang = GangRound(number, owners, {}, context.now)
+    is_holding = job.gang_rounds > HOLD_AFTER
+    placements = []
+    for task in waiting:
+        task.attempt = max(task.attempt + 1, epoch * 1000)
+        placements.append(tasks.make_placement(context, state, key, job, task))
+    for owner in owners:
+        message = GangAsked(epoch, state.number, key, number, placements, is_holding)
+        context.send(owner, message)
+
+
+def _is_leaving(context: Context, owner: str) -> bool:
+    """Tell whether a member is about to hand its targets over."""
+    view = context.state.membership.views.get(owner)
+    return view is not None and view.is_leaving
+
+
+@receives(GangAnswered)
+def take_reserved(context: Context, sender: str, answer: GangAnswered) -> None:
+    """Gather reservations; start once every task has room, give up once none is missing."""
+    state = context.state.jobs.partitions.get(answer.partition)
+    job = state.active.get(answer.gang) if state is not None else None
+    if job is None or job.gang is None or job.gang.round != answer.round:
+        epoch = context.state.membership.current.epoch
+        refusal = GangSettled(epoch, answer.partition, answer.gang, answer.round, False)
+        context.send(sender, refusal)
+        return
+    job.gang.answered[sender] = answer.reserved
+    waiting = sum(1 for task in job.tasks if task.state == WAITING)
+    if len(_assign(job)) == waiting:
+        _commit(context, state, answer.gang, job)
+    elif len(job.gang.answered) == len(job.gang.owners):
+        release(context, state, answer.gang, job)
+
+
+def _assign(job: Job) -> dict[int, tuple[str, str]]:
+    """Choose an owner and a worker for each task out of what is reserved."""
+    chosen: dict[int, tuple[str, str]] = {}
+    for owner, reserved in job.gang.answered.items():
+        for task_name, _attempt, worker in reserved:
+            _key, index = tasks.split_id(task_name)
+            chosen.setdefault(index, (owner, worker))
+    return chosen
+
+
+def _commit(context: Context, state: PartitionState, key: str, job: Job) -> None:
+    """Start the gang, after its intent is recorded where it is not idempotent."""
+    needs_intent = not job.spec.is_idempotent and not job.tasks[0].has_intent
+    if not needs_intent:
+        _start(context, state, key, job)
+        return
+    release(context, state, key, job)
+    job.retry_at = context.now + 1e6
+    indexes = [task.index for task in job.tasks]
+    journal.append(context, state, [AttemptRecord(key, indexes)], KIND_GANG, key)
+
+
+@journal.committed(KIND_GANG)
+def start_recorded(context: Context, state: PartitionState, item: object, outcome: str) -> None:
+    """Reserve again once the intent of a non-idempotent gang is in the store."""
+    job = state.active.get(item.reference)
+    if job is None:
+        return
+    job.retry_at = context.now
+    for task in job.tasks:
+        task.has_intent = outcome == "ok"
+
+
+def _start(context: Context, state: PartitionState, key: str, job: Job) -> None:
+    """Turn reservations into starts: each owner starts the tasks chosen for it."""
+    chosen = _assign(job)
+    epoch = context.state.membership.current.epoch
+    for owner in job.gang.owners:
+        mine = [index for index, (name, _worker) in chosen.items() if name == owner]
+        if not mine:
+            settled = GangSettled(epoch, state.number, key, job.gang.round, False)
+            context.send(owner, settled)
+            continue
+        for index in mine:
+            _mark_started(context, state, job, job.tasks[index], owner)
+        listed = [tasks.task_id(key, index) for index in mine]
+        attempts = [job.tasks[index].attempt for index in mine]
+        settled = GangSettled(epoch, state.number, key, job.gang.round, True, listed, attempts)
+        context.send(owner, settled)
+    job.gang = None
+
+
+def _mark_started(
+    context: Context, state: PartitionState, job: Job, task: Task, owner: str
+) -> None:
+    """Note that an owner was told to start the task."""
+    tasks.set_state(state, job, task, ASKED)
+    task.owner = owner
+    task.epoch = context.state.membership.current.epoch
+    task.asked_at = context.now
+
+
+def release(context: Context, state: PartitionState, key: str, job: Job) -> None:
+    """Give every reservation of the round back and wait."""
+    if job.gang is None:
+        return
+    epoch = context.state.membership.current.epoch
+    for owner in job.gang.owners:
+        settled = GangSettled(epoch, state.number, key, job.gang.round, False)
+        context.send(owner, settled)
+    job.gang = None
+    job.retry_at = context.now + backoff_s(min(job.gang_rounds, 4), context.random, 0.1)
+
+
+def fail(context: Context, state: PartitionState, key: str, job: Job, reason: str) -> None:
+    """Stop what runs of a gang of which one task could not start; it is tried again whole."""
+    context.log("gang_interrupted", job=key, reason=reason)
+    tasks.stop_running(context, key, job)
+    job.retry_at = context.now + backoff_s(min(job.gang_rounds, 6), context.random, 0.1)
--- /dev/null
+++ b/wasabiramp/jobs/journal.py
@@ -0,0 +1,412 @@
+"""The journal: records in segments of the store, one writer each, written in groups.
+
+Every write is a compare-and-swap on the newest segment. A new home seals that segment before it
+opens the next, so a write of the old home fails from then on, however late it comes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from wasabiramp.const import MAX_SEGMENT_BYTES, PREFIX_JOURNAL
+from wasabiramp.core.context import Context
+from wasabiramp.core.events import CONFLICT, FAILED, OK, UNKNOWN, StoreAnswer, Tick
+from wasabiramp.core.records import encode_json
+from wasabiramp.core.registry import answers, handles
+from wasabiramp.jobs.state import Append, Journal, PartitionState, Segment
+from wasabiramp.membership.rights import is_member
+
+RETRY_S: Final = 0.3
+COMPACT_SEGMENTS: Final = 6
+MAX_SNAPSHOT_BYTES: Final = 900_000
+
+NEW: Final = "new"
+LOADING: Final = "loading"
+READY: Final = "ready"
+
+Committed = Callable[[Context, PartitionState, Append, str], None]
+Replay = Callable[[Context, PartitionState, Any], None]
+Snapshot = Callable[[PartitionState], list[Any]]
+
+COMMITTED: Final[dict[str, Committed]] = {}
+REPLAYS: Final[dict[type, Replay]] = {}
+SNAPSHOTS: Final[list[Snapshot]] = []
+LOADED: Final[list[Callable[[Context, PartitionState], None]]] = []
+
+
+def committed(kind: str) -> Callable[[Committed], Committed]:
+    """Register what happens once an append is settled with OK, FAILED or UNKNOWN."""
+
+    def register(handler: Committed) -> Committed:
+        COMMITTED[kind] = handler
+        return handler
+
+    return register
+
+
+def replays(record_type: type) -> Callable[[Replay], Replay]:
+    """Register how a record is applied when a partition is loaded."""
+
+    def register(handler: Replay) -> Replay:
+        REPLAYS[record_type] = handler
+        return handler
+
+    return register
+
+
+def segment_key(partition: int, segment: int) -> str:
+    """Return the store key of a segment."""
+    return f"{PREFIX_JOURNAL}{partition:02d}/{segment:08d}"
+
+
+def is_ready(state: PartitionState | None) -> bool:
+    """Tell whether the partition is loaded and may be written."""
+    return state is not None and not state.is_lost and state.journal.status == READY
+
+
+def is_store_away(context: Context, state: PartitionState) -> bool:
+    """Tell whether writes of this partition have been failing for a while."""
+    failing = state.journal.failing_since
+    return failing > 0 and context.now - failing > 1.0
+
+
+def append(
+    context: Context, state: PartitionState, records: list[Any], kind: str, reference: str = ""
+) -> None:
+    """Queue records for the next group write; the kind names who is told of the outcome."""
+    size = sum(len(encode_json(item)) for item in records)
+    state.journal.queue.append(Append(records, kind, reference, size))
+    _flush(context, state)
+
+
+def withdraw(state: PartitionState, kind: str, reference: str) -> bool:
+    """Take back an append that no write has carried yet; tell whether that was possible."""
+    journal = state.journal
+    for item in journal.queue:
+        if item.kind == kind and item.reference == reference:
+            journal.queue.remove(item)
+            return True
+    return False
+
+
+@handles(Tick)
+def keep_journals(context: Context, _event: Tick) -> None:
+    """Load new partitions, write what is queued and let lost partitions go."""
+    partitions = context.state.jobs.partitions
+    for state in list(partitions.values()):
+        if state.is_lost:
+            _release(context, state)
+        elif state.journal.status == NEW and context.now >= state.journal.due_at:
+            if is_member(context):
+                _start_load(context, state)
+        else:
+            _flush(context, state)
+
+
+def _release(context: Context, state: PartitionState) -> None:
+    """Forget a partition that another home has; what was queued was never written."""
+    journal = state.journal
+    for item in journal.queue:
+        _tell(context, state, item, FAILED)
+    journal.queue = []
+    for item in journal.in_flight:
+        _tell(context, state, item, UNKNOWN)
+    journal.in_flight = []
+    del context.state.jobs.partitions[state.number]
+    context.log("partition_released", partition=state.number)
+    from wasabiramp.membership.targets import refresh_owners
+
+    refresh_owners(context)
+
+
+def _tell(context: Context, state: PartitionState, item: Append, outcome: str) -> None:
+    """Tell whoever appended the records what became of them."""
+    handler = COMMITTED.get(item.kind)
+    if handler is not None:
+        handler(context, state, item, outcome)
+
+
+def _start_load(context: Context, state: PartitionState) -> None:
+    """Read the segments; the list may lag, which the seal below makes up for."""
+    state.journal.status = LOADING
+    prefix = f"{PREFIX_JOURNAL}{state.number:02d}/"
+    context.read("journal.list", prefix, str(state.number), is_prefix=True)
+
+
+def _find(context: Context, answer: StoreAnswer) -> PartitionState | None:
+    """Return the partition that an answer belongs to, unless it is lost."""
+    number, _, _rest = answer.tag.partition(":")
+    state = context.state.jobs.partitions.get(int(number))
+    return None if state is None or state.is_lost else state
+
+
+def _restart_load(context: Context, state: PartitionState) -> None:
+    """Load again after a pause."""
+    state.journal = _fresh_journal(state.journal)
+    state.journal.due_at = context.now + context.random.uniform(0.5, 1.0) * RETRY_S
+
+
+def _fresh_journal(old: Journal) -> Journal:
+    """Return an empty journal that keeps counting its writes."""
+    journal = Journal()
+    journal.writes = old.writes
+    return journal
+
+
+@answers("journal.list")
+def take_list(context: Context, answer: StoreAnswer) -> None:
+    """Seal the newest segment that the list shows, or open the first."""
+    state = _find(context, answer)
+    if state is None or state.journal.status != LOADING:
+        return
+    if answer.status != OK:
+        _restart_load(context, state)
+        return
+    for item in answer.items:
+        if item.value is not None:
+            number = int(item.key.rsplit("/", 1)[1])
+            state.journal.loaded[number] = item.value
+            state.journal.revisions[number] = item.revision
+    if not state.journal.loaded:
+        _open(context, state, 1)
+        return
+    _seal(context, state, max(state.journal.loaded))
+
+
+def _new_write_id(context: Context, journal: Journal) -> str:
+    """Return an id that marks one write, so that a lost answer can be settled."""
+    journal.writes += 1
+    return f"{context.state.me.id}.{journal.writes}"
+
+
+def _seal(context: Context, state: PartitionState, number: int) -> None:
+    """Write a segment once more as sealed, which stops its old writer."""
+    journal = state.journal
+    old = journal.loaded[number]
+    journal.write_id = _new_write_id(context, journal)
+    sealed = Segment(old.owner, journal.write_id, True, old.is_base, old.records)
+    key = segment_key(state.number, number)
+    tag = f"{state.number}:{number}"
+    context.swap("journal.seal", key, sealed, journal.revisions[number], tag)
+
+
+@answers("journal.seal")
+def take_seal(context: Context, answer: StoreAnswer) -> None:
+    """Open the next segment once the newest is sealed."""
+    state = _find(context, answer)
+    if state is None or state.journal.status != LOADING:
+        return
+    number = int(answer.tag.partition(":")[2])
+    journal = state.journal
+    if answer.status == OK:
+        journal.revisions[number] = answer.revision
+        _open(context, state, number + 1)
+        return
+    item = answer.items[0] if answer.items else None
+    if answer.status != CONFLICT or item is None or item.value is None:
+        _restart_load(context, state)
+        return
+    is_ours = item.value.write_id == journal.write_id
+    journal.loaded[number] = item.value
+    journal.revisions[number] = item.revision
+    if is_ours:
+        _open(context, state, number + 1)
+        return
+    _seal(context, state, number)
+
+
+def _open(context: Context, state: PartitionState, number: int) -> None:
+    """Create the segment that this home will write."""
+    journal = state.journal
+    journal.write_id = _new_write_id(context, journal)
+    segment = Segment(context.state.me.id, journal.write_id, False, False, [])
+    key = segment_key(state.number, number)
+    context.swap("journal.open", key, segment, 0, f"{state.number}:{number}")
+
+
+@answers("journal.open")
+def take_open(context: Context, answer: StoreAnswer) -> None:
+    """Replay everything once the new segment is ours."""
+    state = _find(context, answer)
+    if state is None or state.journal.status != LOADING:
+        return
+    number = int(answer.tag.partition(":")[2])
+    journal = state.journal
+    item = answer.items[0] if answer.items else None
+    is_ours = answer.status == OK
+    revision = answer.revision
+    if answer.status == CONFLICT and item is not None and item.value is not None:
+        is_ours = item.value.write_id == journal.write_id
+        revision = item.revision
+        if not is_ours:
+            # The list lagged: somebody has opened this segment before us.
+            journal.loaded[number] = item.value
+            journal.revisions[number] = item.revision
+            _seal(context, state, number)
+            return
+    if not is_ours:
+        _restart_load(context, state)
+        return
+    journal.revisions[number] = revision
+    journal.active = number
+    _replay(context, state)
+
+
+def _replay(context: Context, state: PartitionState) -> None:
+    """Apply the records since the newest base, in order."""
+    journal = state.journal
+    bases = [number for number, segment in journal.loaded.items() if segment.is_base]
+    first = max(bases, default=0)
+    count = 0
+    for number in sorted(journal.loaded):
+        if number < first:
+            continue
+        for item in journal.loaded[number].records:
+            REPLAYS[type(item)](context, state, item)
+            count += 1
+    journal.loaded = {}
+    journal.status = READY
+    context.log("partition_loaded", partition=state.number, records=count, segment=journal.active)
+    for loaded in LOADED:
+        loaded(context, state)
+
+
+def _flush(context: Context, state: PartitionState) -> None:
+    """Write the queue in one compare-and-swap, if none is under way."""
+    journal = state.journal
+    if journal.status != READY or journal.is_waiting or context.now < journal.due_at:
+        return
+    if journal.in_flight or journal.is_snapshot:
+        _send_write(context, state)
+        return
+    if len(journal.revisions) > COMPACT_SEGMENTS and _start_snapshot(context, state):
+        return
+    if not journal.queue:
+        return
+    journal.in_flight = journal.queue
+    journal.queue = []
+    size = sum(item.size for item in journal.in_flight)
+    added = [entry for item in journal.in_flight for entry in item.records]
+    if journal.size + size > MAX_SEGMENT_BYTES and journal.records:
+        journal.rolls_to = journal.active + 1
+        journal.records = added
+        journal.size = size
+    else:
+        journal.records = [*journal.records, *added]
+        journal.size += size
+    journal.write_id = _new_write_id(context, journal)
+    _send_write(context, state)
+
+
+def _start_snapshot(context: Context, state: PartitionState) -> bool:
+    """Write all that is alive as a new base segment; tell whether it was small enough."""
+    journal = state.journal
+    records = [item for snapshot in SNAPSHOTS for item in snapshot(state)]
+    size = sum(len(encode_json(item)) for item in records)
+    if size > MAX_SNAPSHOT_BYTES:
+        return False
+    journal.is_snapshot = True
+    journal.rolls_to = journal.active + 1
+    journal.records = records
+    journal.size = size
+    journal.write_id = _new_write_id(context, journal)
+    _send_write(context, state)
+    return True
+
+
+def _send_write(context: Context, state: PartitionState) -> None:
+    """Send the write that is under way, or read its segment back."""
+    journal = state.journal
+    journal.is_waiting = True
+    number = journal.rolls_to or journal.active
+    key = segment_key(state.number, number)
+    tag = f"{state.number}:{number}"
+    if journal.is_reading_back:
+        context.swap("journal.write", key, None, -1, tag)
+        return
+    is_base = journal.is_snapshot
+    segment = Segment(context.state.me.id, journal.write_id, False, is_base, journal.records)
+    expect = 0 if journal.rolls_to else journal.revisions[journal.active]
+    context.swap("journal.write", key, segment, expect, tag)
+
+
+@answers("journal.write")
+def take_write(context: Context, answer: StoreAnswer) -> None:
+    """Settle a group write, by reading it back where the answer was lost."""
+    state = _find(context, answer)
+    if state is None or not state.journal.is_waiting:
+        return
+    journal = state.journal
+    journal.is_waiting = False
+    if answer.status == OK:
+        _complete(context, state, answer.revision)
+        return
+    if answer.status in (FAILED, UNKNOWN):
+        journal.is_reading_back |= answer.status == UNKNOWN
+        journal.failing_since = journal.failing_since or context.now
+        journal.due_at = context.now + context.random.uniform(0.5, 1.0) * RETRY_S
+        return
+    _settle_conflict(context, state, answer)
+
+
+def _settle_conflict(context: Context, state: PartitionState, answer: StoreAnswer) -> None:
+    """Tell a write of ours whose answer was lost from one that another home has stopped."""
+    journal = state.journal
+    item = answer.items[0] if answer.items else None
+    value = item.value if item else None
+    revision = item.revision if item and value is not None else 0
+    if value is not None and value.write_id == journal.write_id:
+        _complete(context, state, revision)
+        return
+    expected = 0 if journal.rolls_to else journal.revisions[journal.active]
+    if journal.is_reading_back and revision == expected:
+        journal.is_reading_back = False
+        _send_write(context, state)
+        return
+    _lose(context, state)
+
+
+def _lose(context: Context, state: PartitionState) -> None:
+    """Give up a partition whose segment another home has sealed; our write had no effect."""
+    journal = state.journal
+    for item in journal.in_flight:
+        _tell(context, state, item, FAILED)
+    journal.in_flight = []
+    state.is_lost = True
+    context.log("partition_lost", partition=state.number)
+
+
+def _complete(context: Context, state: PartitionState, revision: int) -> None:
+    """Tell everyone whose records the write carried."""
+    journal = state.journal
+    journal.failing_since = 0.0
+    journal.is_reading_back = False
+    if journal.rolls_to:
+        journal.active = journal.rolls_to
+        journal.rolls_to = 0
+    journal.revisions[journal.active] = revision
+    context.count("journal_writes_total")
+    if journal.is_snapshot:
+        journal.is_snapshot = False
+        _drop_old(context, state)
+    done, journal.in_flight = journal.in_flight, []
+    journal.due_at = context.now + context.settings.journal_interval_s
+    for item in done:
+        _tell(context, state, item, OK)
+
+
+def _drop_old(context: Context, state: PartitionState) -> None:
+    """Delete the segments that the new base replaces."""
+    journal = state.journal
+    for number in [number for number in journal.revisions if number < journal.active]:
+        revision = journal.revisions.pop(number)
+        key = segment_key(state.number, number)
+        context.swap("journal.drop", key, None, revision, f"{state.number}:{number}")
+
+
+@answers("journal.drop")
+def take_drop(context: Context, answer: StoreAnswer) -> None:
+    """Note a deletion that failed; a later takeover drops the segment again."""
+    if answer.status != OK:
+        context.log("segment_kept", segment=answer.tag, status=answer.status)
--- /dev/null
+++ b/wasabiramp/jobs/keys.py
@@ -0,0 +1,231 @@
+"""Request keys: a non-idempotent request with a key runs at most once."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.context import Context
+from wasabiramp.core.events import OK, PeerLost, RequestArrived, Tick
+from wasabiramp.core.records import record
+from wasabiramp.core.registry import handles, receives
+from wasabiramp.core.verdict import NOT_RUN, Verdict
+from wasabiramp.dispatch.requests import submit_request
+from wasabiramp.dispatch.state import Request
+from wasabiramp.jobs import journal
+from wasabiramp.jobs.state import Append, KeyEntry, KeyRecord, PartitionState
+from wasabiramp.membership.owners import choose_member, find_partition, partition_key
+from wasabiramp.peer.messages import KeyedAnswered, KeyedRequest
+
+KIND_INTENT: Final = "key-intent"
+KIND_VERDICT: Final = "key-verdict"
+RESEND_S: Final = 0.2
+RETRY_AFTER_S: Final = 2.0
+KEPT_BODY_BYTES: Final = 2048
+NOT_READY: Final = "the home of the key is not ready"
+
+
+@record
+class KeyedWait:
+    """A request with a key at its entry; it is sent to the key's home once at a time."""
+
+    message: KeyedRequest
+    deadline_at: float
+    home: str = ""
+    send_at: float = 0.0
+
+
+@handles(RequestArrived)
+def accept_keyed(context: Context, event: RequestArrived) -> None:
+    """Send a non-idempotent request with a key to its home."""
+    if not event.key or event.is_idempotent:
+        return
+    message = KeyedRequest(
+        event.request_id,
+        event.service,
+        event.team,
+        event.key,
+        event.body,
+        event.deadline_s,
+        event.is_idempotent,
+        event.work_class,
+    )
+    wait = KeyedWait(message, context.now + event.deadline_s)
+    context.state.jobs.keyed[event.request_id] = wait
+    _send(context, wait)
+
+
+def _send(context: Context, wait: KeyedWait) -> None:
+    """Send a waiting request to the current home of its key."""
+    message = wait.message
+    partition = find_partition(message.team, message.key)
+    members = context.state.membership.current.members
+    home = choose_member(partition_key(partition), members)
+    if home is None:
+        wait.send_at = context.now + RESEND_S
+        return
+    wait.home = home
+    message.deadline_s = wait.deadline_at - context.now
+    context.send(home, message)
+
+
+@receives(KeyedRequest)
+def take_keyed(context: Context, sender: str, message: KeyedRequest) -> None:
+    """Record the intent of a new key, or answer a repeated one with its first verdict."""
+    partition = find_partition(message.team, message.key)
+    state = context.state.jobs.partitions.get(partition)
+    if not journal.is_ready(state) or journal.is_store_away(context, state):
+        verdict = Verdict.not_run(NOT_READY, RETRY_AFTER_S)
+        context.send(sender, KeyedAnswered(message.request_id, verdict))
+        return
+    key = _full_key(message.team, message.key)
+    entry = state.keys.get(key)
+    if entry is not None:
+        _answer_repeat(context, sender, message, entry)
+        return
+    entry = state.keys[key] = KeyEntry(is_ours=True)
+    entry.waiters.append((sender, message.request_id))
+    request = Request(
+        f"{sender}/{message.request_id}",
+        message.service,
+        message.team,
+        message.body,
+        context.now + message.deadline_s,
+        message.is_idempotent,
+        message.work_class,
+        context.now,
+        key=key,
+    )
+    context.state.jobs.accepting[request.request_id] = request
+    journal.append(context, state, [KeyRecord(key, None)], KIND_INTENT, request.request_id)
+
+
+def _full_key(team: str, key: str) -> str:
+    """Return the key with its team; teams do not share keys."""
+    return f"{team}/{key}"
+
+
+def _answer_repeat(context: Context, sender: str, message: KeyedRequest, entry: KeyEntry) -> None:
+    """Answer a repeat with the first verdict, now or when it is known."""
+    if entry.verdict is not None:
+        context.send(sender, KeyedAnswered(message.request_id, entry.verdict))
+        return
+    if entry.is_ours:
+        entry.waiters.append((sender, message.request_id))
+        return
+    verdict = Verdict.may_have_run("an earlier daemon took the key and its outcome is lost")
+    context.send(sender, KeyedAnswered(message.request_id, verdict))
+
+
+@journal.committed(KIND_INTENT)
+def start_keyed(context: Context, state: PartitionState, item: Append, outcome: str) -> None:
+    """Start the request once its intent is in the store."""
+    request = context.state.jobs.accepting.pop(item.reference, None)
+    if request is None:
+        return
+    if outcome == OK and context.now < request.deadline_at:
+        submit_request(context, request)
+        return
+    reason = "the intent could not be recorded before the deadline"
+    _close_key(context, state, request.key, Verdict.not_run(reason, RETRY_AFTER_S), outcome == OK)
+
+
+def settle_key(context: Context, request: Request, verdict: Verdict) -> None:
+    """Keep the verdict under the key and answer everyone who waits for it."""
+    for state in context.state.jobs.partitions.values():
+        entry = state.keys.get(request.key)
+        if entry is not None and entry.is_ours and entry.verdict is None:
+            _close_key(context, state, request.key, verdict, True)
+            return
+
+
+def _close_key(
+    context: Context, state: PartitionState, key: str, verdict: Verdict, is_recorded: bool
+) -> None:
+    """Answer the waiters; a key whose request did not run may be used again."""
+    entry = state.keys.get(key)
+    if entry is None:
+        return
+    waiters, entry.waiters = entry.waiters, []
+    entry.verdict = verdict
+    if verdict.outcome == NOT_RUN:
+        del state.keys[key]
+    for member, request_id in waiters:
+        context.send(member, KeyedAnswered(request_id, verdict))
+    if is_recorded and not state.is_lost:
+        journal.append(context, state, [KeyRecord(key, _trim(verdict))], KIND_VERDICT)
+
+
+def _trim(verdict: Verdict) -> Verdict:
+    """Return the verdict as it is kept in the store, without a large body."""
+    if len(verdict.body) <= KEPT_BODY_BYTES:
+        return verdict
+    return Verdict.ran(b"", "the answer was too large to keep")
+
+
+@receives(KeyedAnswered)
+def take_keyed_answer(context: Context, sender: str, answer: KeyedAnswered) -> None:
+    """Answer the caller, or try another home while time is left."""
+    wait = context.state.jobs.keyed.get(answer.request_id)
+    if wait is None or wait.home != sender:
+        return
+    is_unready = answer.verdict.outcome == NOT_RUN and answer.verdict.reason == NOT_READY
+    if is_unready and context.now + RESEND_S < wait.deadline_at:
+        wait.home = ""
+        wait.send_at = context.now + RESEND_S
+        return
+    del context.state.jobs.keyed[answer.request_id]
+    context.answer(answer.request_id, answer.verdict)
+
+
+@handles(PeerLost)
+def lose_home(context: Context, event: PeerLost) -> None:
+    """Answer requests whose home was lost: it may have run them."""
+    for request_id, wait in list(context.state.jobs.keyed.items()):
+        if wait.home == event.member:
+            del context.state.jobs.keyed[request_id]
+            context.answer(request_id, Verdict.may_have_run("the home of the key was lost"))
+
+
+@handles(Tick)
+def keep_keyed(context: Context, _event: Tick) -> None:
+    """Send what waits for a home and answer what is late."""
+    for request_id, wait in list(context.state.jobs.keyed.items()):
+        if context.now >= wait.deadline_at:
+            del context.state.jobs.keyed[request_id]
+            verdict = Verdict.not_run(NOT_READY, RETRY_AFTER_S)
+            if wait.home:
+                verdict = Verdict.may_have_run("the deadline passed before the answer came")
+            context.answer(request_id, verdict)
+        elif not wait.home and context.now >= wait.send_at:
+            _send(context, wait)
+    for request_id, request in list(context.state.jobs.accepting.items()):
+        if isinstance(request, Request) and context.now >= request.deadline_at:
+            _withdraw(context, request_id, request)
+
+
+def _withdraw(context: Context, request_id: str, request: Request) -> None:
+    """Take back an intent that waits in vain for the store."""
+    for state in context.state.jobs.partitions.values():
+        if journal.withdraw(state, KIND_INTENT, request_id):
+            del context.state.jobs.accepting[request_id]
+            verdict = Verdict.not_run("the store is away", RETRY_AFTER_S)
+            _close_key(context, state, request.key, verdict, False)
+            return
+
+
+@journal.replays(KeyRecord)
+def replay_key(_context: Context, state: PartitionState, item: KeyRecord) -> None:
+    """Restore a key; one without a verdict may have run."""
+    if item.verdict is not None and item.verdict.outcome == NOT_RUN:
+        state.keys.pop(item.key, None)
+        return
+    state.keys[item.key] = KeyEntry(item.verdict)
+
+
+@journal.SNAPSHOTS.append
+def snapshot_keys(state: PartitionState) -> list[KeyRecord]:
+    """Return a record for each key."""
+    return [
+        KeyRecord(key, _trim(entry.verdict) if entry.verdict else None)
+        for key, entry in state.keys.items()
+    ]
--- /dev/null
+++ b/wasabiramp/jobs/workers.py
@@ -0,0 +1,373 @@
+"""Workers at their owner: synced in batches, leases renewed, inventories told to homes."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.const import CLOCK_DRIFT, PARTITION_COUNT
+from wasabiramp.core.context import Context
+from wasabiramp.core.effects import SyncWorker, TaskStart, WatchWorker
+from wasabiramp.core.events import TaskSeen, Tick, WorkerReported
+from wasabiramp.core.registry import handles, receives
+from wasabiramp.dispatch.executors import target_deadline_s
+from wasabiramp.jobs import admission
+from wasabiramp.jobs.state import (
+    HELD,
+    PENDING,
+    SEEN_DONE,
+    SEEN_FAILED,
+    SEEN_LAPSED,
+    SEEN_LOST,
+    SEEN_REFUSED,
+    SEEN_RUNNING,
+    SENT,
+    Worker,
+    WorkerTask,
+)
+from wasabiramp.membership.owners import choose_member, find_partition, partition_key
+from wasabiramp.membership.rights import has_right, is_key_free
+from wasabiramp.peer.messages import (
+    Placement,
+    ReportAsked,
+    ResultsKept,
+    TaskReport,
+    TasksStopped,
+    WorkerTold,
+)
+
+RETRY_SYNC_S: Final = 0.5
+WATCH_TIMEOUT_S: Final = 10.0
+TELL_INTERVAL_S: Final = 1.0
+BAD_AFTER: Final = 4
+BLOCK_BASE_S: Final = 30.0
+BLOCK_MAX_S: Final = 600.0
+MIN_START_S: Final = 0.05
+
+
+def lapse_s(context: Context) -> float:
+    """Return how long after the last renewal a lease has certainly lapsed, in seconds."""
+    return context.settings.task_lease_s * (1 + 2 * CLOCK_DRIFT)
+
+
+@handles(Tick)
+def keep_workers(context: Context, _event: Tick) -> None:
+    """Sync what is due, watch what is ready, and tell homes again what they have not kept."""
+    if not has_right(context):
+        return
+    for worker in context.state.jobs.workers.values():
+        if not worker.is_owned:
+            continue
+        if not worker.is_ready and not is_key_free(context, f"instance/{worker.instance.name}"):
+            continue
+        if worker.owned_at < 0:
+            worker.owned_at = context.now
+        admission.drop_reservations(context, worker)
+        _note_lapse(context, worker)
+        if context.now >= worker.sync_due_at or worker.is_dirty:
+            flush_worker(context, worker)
+        if worker.is_ready:
+            _watch(context, worker)
+            _tell_again(context, worker)
+
+
+def flush_worker(context: Context, worker: Worker) -> None:
+    """Send everything that waits for the worker in one sync, unless one is under way."""
+    if worker.is_syncing or not has_right(context):
+        return
+    valid_until = 0.0
+    if worker.is_ready:
+        valid_until = target_deadline_s(context, worker.clock_s, worker.clock_at)
+    sync = SyncWorker(
+        worker.instance.name, worker.instance.address, context.settings.task_lease_s, valid_until
+    )
+    if worker.is_ready:
+        _fill_sync(context, worker, sync)
+    worker.is_syncing = True
+    worker.is_dirty = False
+    worker.sync_due_at = context.now + context.settings.task_lease_s / 3
+    context.add(sync)
+
+
+def _fill_sync(context: Context, worker: Worker, sync: SyncWorker) -> None:
+    """Put starts, renewals, stops and forgotten results into a sync."""
+    clock_now = worker.clock_s + (context.now - worker.clock_at)
+    may_start = sync.valid_until_s - clock_now > MIN_START_S
+    for key, task in worker.tasks.items():
+        if task.state == SEEN_RUNNING:
+            sync.renew.append(key)
+            if task.is_stopping:
+                sync.stops.append(key)
+        elif task.state in (PENDING, SENT) and may_start:
+            if task.state == PENDING:
+                task.start_by_s = sync.valid_until_s
+                task.state = SENT
+            sync.starts.append(_make_start(task))
+    sync.stops.extend(worker.stops)
+    sync.forget = worker.forget
+    worker.stops = []
+    worker.forget = []
+
+
+def _make_start(task: WorkerTask) -> TaskStart:
+    """Describe a start; the worker takes the same one twice as one."""
+    placement = task.placement
+    return TaskStart(
+        placement.task,
+        placement.attempt,
+        placement.cores,
+        placement.memory_mb,
+        placement.accelerators,
+        task.start_by_s,
+        placement.payload,
+    )
+
+
+def _watch(context: Context, worker: Worker) -> None:
+    """Keep one long poll open, so that an end is known at once."""
+    if worker.is_watching or not worker.tasks:
+        return
+    worker.is_watching = True
+    context.add(
+        WatchWorker(worker.instance.name, worker.instance.address, worker.sequence, WATCH_TIMEOUT_S)
+    )
+
+
+def _note_lapse(context: Context, worker: Worker) -> None:
+    """Give up the tasks of a worker that has not been reached for as long as a lease lasts."""
+    heard = max(worker.heard_at, worker.owned_at)
+    if worker.is_lapsed or context.now < heard + lapse_s(context):
+        return
+    worker.is_lapsed = True
+    worker.is_ready = True
+    context.log("worker_lapsed", worker=worker.instance.name, tasks=len(worker.tasks))
+    for task in worker.tasks.values():
+        if not task.is_ended:
+            ended = SEEN_REFUSED if task.state in (HELD, PENDING) else SEEN_LAPSED
+            _end(context, worker, task, ended)
+    tell_homes(context, worker, is_complete=True)
+
+
+@handles(WorkerReported)
+def take_report(context: Context, event: WorkerReported) -> None:
+    """Take over a worker's inventory."""
+    worker = context.state.jobs.workers.get(event.worker)
+    if worker is None:
+        return
+    if event.is_watch:
+        worker.is_watching = False
+    else:
+        worker.is_syncing = False
+    if not event.is_reachable:
+        worker.sync_due_at = context.now + RETRY_SYNC_S
+        return
+    if not worker.is_owned or (event.is_watch and not worker.is_ready):
+        return
+    if not worker.is_ready and not is_key_free(context, f"instance/{event.worker}"):
+        return
+    if not worker.is_ready and worker.owned_at > event.sent_at:
+        return
+    _take_inventory(context, worker, event)
+
+
+def _take_inventory(context: Context, worker: Worker, event: WorkerReported) -> None:
+    """Apply an inventory, unless a newer one is known."""
+    if worker.incarnation and event.incarnation != worker.incarnation:
+        _lose_incarnation(context, worker)
+        worker.sequence = -1
+    worker.incarnation = event.incarnation
+    is_back = worker.is_lapsed
+    worker.is_lapsed = False
+    worker.heard_at = max(worker.heard_at, event.sent_at)
+    worker.clock_s, worker.clock_at = event.clock_s, context.now
+    refused = {(task, attempt): reason for task, attempt, reason in event.refused}
+    changed = False
+    if event.sequence >= worker.sequence:
+        worker.sequence = event.sequence
+        for seen in event.tasks:
+            changed |= _take_seen(context, worker, seen)
+    inventory = {(seen.task, seen.attempt) for seen in event.tasks}
+    changed |= _settle_unseen(context, worker, event, inventory, refused)
+    if not worker.is_ready or is_back:
+        worker.is_ready = True
+        context.log("worker_ready", worker=worker.instance.name, tasks=len(worker.tasks))
+        context.state.jobs.version += 1
+        tell_homes(context, worker, is_complete=True)
+    elif changed:
+        tell_homes(context, worker, is_complete=False)
+    admission.release_held(context, worker)
+    if worker.is_dirty:
+        flush_worker(context, worker)
+
+
+def _lose_incarnation(context: Context, worker: Worker) -> None:
+    """Give up what ran on a worker that has restarted."""
+    for task in worker.tasks.values():
+        if task.state in (SENT, SEEN_RUNNING):
+            _end(context, worker, task, SEEN_LOST)
+
+
+def _take_seen(context: Context, worker: Worker, seen: TaskSeen) -> bool:
+    """Apply one task of an inventory; tell whether anything changed."""
+    key = (seen.task, seen.attempt)
+    task = worker.tasks.get(key)
+    if task is None:
+        if key in worker.forget:
+            return False
+        task = _adopt(worker, seen)
+        if not task.is_ended:
+            worker.occupy(task.placement, 1)
+            return True
+    if task.state == seen.state or task.is_ended:
+        return False
+    if seen.state == SEEN_RUNNING:
+        task.state = SEEN_RUNNING
+        return True
+    task.exit_code = seen.exit_code
+    _end(context, worker, task, seen.state, seen.reason)
+    _note_outcome(context, worker, task)
+    return True
+
+
+def _adopt(worker: Worker, seen: TaskSeen) -> WorkerTask:
+    """Take in a task that an earlier owner started."""
+    placement = Placement(
+        seen.task, seen.attempt, seen.cores, seen.memory_mb, seen.accelerators, 0, {}
+    )
+    task = WorkerTask(placement, seen.state, 0.0, seen.exit_code, seen.reason)
+    worker.tasks[(seen.task, seen.attempt)] = task
+    return task
+
+
+def _settle_unseen(
+    context: Context,
+    worker: Worker,
+    event: WorkerReported,
+    inventory: set[tuple[str, int]],
+    refused: dict[tuple[str, int], str],
+) -> bool:
+    """Judge sent tasks that the worker refused, or that can no longer start there."""
+    changed = False
+    for key, task in worker.tasks.items():
+        if task.state != SENT or key in inventory:
+            continue
+        is_late = event.clock_s >= task.start_by_s and event.sequence >= worker.sequence
+        if key in refused or is_late:
+            _end(context, worker, task, SEEN_REFUSED, refused.get(key, "too late to start"))
+            changed = True
+    return changed
+
+
+def _end(context: Context, worker: Worker, task: WorkerTask, state: str, reason: str = "") -> None:
+    """Note the end of a task and give its room back."""
+    worker.occupy(task.placement, -1)
+    task.state = state
+    task.reason = reason
+    context.state.jobs.version += 1
+
+
+def _note_outcome(context: Context, worker: Worker, task: WorkerTask) -> None:
+    """Stop using a worker on which tasks of several jobs fail without a success between."""
+    if task.state == SEEN_DONE:
+        worker.failed_jobs = []
+        worker.block_s = 0.0
+        return
+    if task.state != SEEN_FAILED:
+        return
+    worker.failed_jobs.append(task.placement.task.rpartition("/")[0])
+    if len(worker.failed_jobs) < BAD_AFTER or len(set(worker.failed_jobs)) < 2:
+        return
+    worker.block_s = min(BLOCK_MAX_S, max(BLOCK_BASE_S, worker.block_s * 2))
+    worker.blocked_until = context.now + worker.block_s
+    worker.failed_jobs = []
+    context.log("worker_blocked", worker=worker.instance.name, seconds=worker.block_s)
+
+
+def _tell_again(context: Context, worker: Worker) -> None:
+    """Repeat ended tasks whose homes have not said that they have them."""
+    if context.now < worker.told_due_at:
+        return
+    worker.told_due_at = context.now + TELL_INTERVAL_S
+    if any(task.is_ended for task in worker.tasks.values()):
+        tell_homes(context, worker, is_complete=False)
+
+
+def tell_homes(
+    context: Context, worker: Worker, is_complete: bool, partitions: list[int] | None = None
+) -> None:
+    """Send homes what is known of their tasks on the worker."""
+    worker.told_due_at = context.now + TELL_INTERVAL_S
+    by_partition: dict[int, list[TaskReport]] = {}
+    if is_complete:
+        numbers = partitions if partitions is not None else range(PARTITION_COUNT)
+        by_partition = {number: [] for number in numbers}
+    for task in worker.tasks.values():
+        if task.state in (HELD, PENDING, SENT) and not is_complete:
+            continue
+        number = find_partition(task.placement.task.split("/", 1)[0])
+        if is_complete and number not in by_partition:
+            continue
+        by_partition.setdefault(number, []).append(_describe(task))
+    members = context.state.membership.current.members
+    epoch = context.state.membership.current.epoch
+    incarnation = "" if worker.is_lapsed else worker.incarnation
+    for number, reports in by_partition.items():
+        home = choose_member(partition_key(number), members)
+        if home is None:
+            continue
+        told = WorkerTold(epoch, number, worker.instance.name, incarnation, is_complete, reports)
+        context.send(home, told)
+
+
+def _describe(task: WorkerTask) -> TaskReport:
+    """Return a task as homes see it; one about to start counts as running."""
+    state = task.state
+    if state in (HELD, PENDING, SENT):
+        state = SEEN_RUNNING
+    placement = task.placement
+    return TaskReport(placement.task, placement.attempt, state, task.exit_code, reason=task.reason)
+
+
+@receives(ReportAsked)
+def report_workers(context: Context, _sender: str, message: ReportAsked) -> None:
+    """Report every ready worker, once this daemon is in the asker's epoch or later."""
+    if context.state.membership.current.epoch < message.epoch or not has_right(context):
+        return
+    for worker in context.state.jobs.workers.values():
+        if worker.is_owned and worker.is_ready:
+            tell_homes(context, worker, True, message.partitions)
+
+
+@receives(ResultsKept)
+def forget_results(context: Context, _sender: str, message: ResultsKept) -> None:
+    """Let the worker forget results that their home has."""
+    worker = context.state.jobs.workers.get(message.worker)
+    if worker is None:
+        return
+    for item in message.tasks:
+        key = (item[0], item[1])
+        task = worker.tasks.get(key)
+        if task is not None and task.is_ended:
+            del worker.tasks[key]
+            worker.forget.append(key)
+
+
+@receives(TasksStopped)
+def stop_tasks(context: Context, _sender: str, message: TasksStopped) -> None:
+    """Stop tasks: those not yet sent end here, the others at the worker."""
+    for task_name, attempt, worker_name in message.tasks:
+        worker = context.state.jobs.workers.get(worker_name)
+        if worker is None or not worker.is_owned:
+            continue
+        task = worker.tasks.get((task_name, attempt))
+        if task is None or task.is_ended:
+            continue
+        if task.state in (HELD, PENDING):
+            _end(context, worker, task, SEEN_REFUSED, "stopped before its start")
+            tell_homes(context, worker, is_complete=False)
+            continue
+        task.is_stopping = True
+        worker.stops.append((task_name, attempt))
+        worker.is_dirty = True
+    for worker in context.state.jobs.workers.values():
+        if worker.is_dirty:
+            flush_worker(context, worker)
--- /dev/null
+++ b/wasabiramp/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members, rights to act, heartbeats and handover."""
--- /dev/null
+++ b/wasabiramp/membership/changes.py
@@ -0,0 +1,231 @@
+"""Changes of the member list: joining, adopting an epoch and removing the dead."""
+
+from __future__ import annotations
+
+from wasabiramp.const import KEY_MEMBERS
+from wasabiramp.core.context import Context
+from wasabiramp.core.effects import ListInstances
+from wasabiramp.core.events import CONFLICT, OK, InstancesListed, StoreAnswer, Tick
+from wasabiramp.core.registry import answers, handles, receives
+from wasabiramp.membership.heartbeats import list_suspects
+from wasabiramp.membership.owners import choose_witnesses, count_majority
+from wasabiramp.membership.rights import (
+    has_right,
+    is_epoch_over,
+    is_member,
+    right_until,
+    update_fences,
+)
+from wasabiramp.membership.state import Member, MemberList, PastEpoch, PeerView
+from wasabiramp.membership.targets import refresh_owners
+from wasabiramp.peer.messages import MembersTold
+
+READ_INTERVAL_S = 2.0
+LIST_INTERVAL_S = 1.0
+JOIN_RETRY_S = 1.0
+PROPOSE_RETRY_S = 1.0
+
+
+@handles(Tick)
+def keep_membership(context: Context, _event: Tick) -> None:
+    """Read, join, confirm and remove as time requires."""
+    state = context.state.membership
+    update_fences(context)
+    if context.now >= state.list_due_at:
+        state.list_due_at = context.now + LIST_INTERVAL_S
+        context.add(ListInstances())
+    if context.now >= state.read_due_at:
+        state.read_due_at = context.now + READ_INTERVAL_S
+        context.read("members.read", KEY_MEMBERS)
+    if state.has_left:
+        return
+    if not is_member(context):
+        _join(context)
+        return
+    _confirm_right(context)
+    _remove_dead(context)
+    _note_right(context)
+
+
+@handles(InstancesListed)
+def keep_instances(context: Context, event: InstancesListed) -> None:
+    """Take over the platform's list, unless a later one is known."""
+    state = context.state.membership
+    if event.sent_at < state.listed_sent_at:
+        return
+    state.listed_sent_at = event.sent_at
+    state.listed = {instance.name: instance.state for instance in event.instances}
+
+
+def _note_right(context: Context) -> None:
+    """Log when the right to act is gained or lost."""
+    state = context.state.membership
+    holds = has_right(context)
+    if holds == state.had_right:
+        return
+    state.had_right = holds
+    context.log("right_gained" if holds else "right_lost", epoch=state.current.epoch)
+
+
+def _join(context: Context) -> None:
+    """Add this incarnation to the list, in place of earlier ones of the same instance."""
+    state = context.state.membership
+    if state.swap_pending or context.now < state.join_due_at:
+        return
+    state.join_due_at = context.now + JOIN_RETRY_S
+    me = context.state.me
+    others = [member for member in state.current.members if member.name != me.name]
+    members = sorted([*others, me], key=lambda member: member.name)
+    propose_members(context, members)
+
+
+def propose_members(context: Context, members: list[Member]) -> None:
+    """Write the next epoch with these members."""
+    state = context.state.membership
+    current = state.current
+    history = [past for past in current.history if not is_epoch_over(context, past)]
+    if current.members:
+        history.append(PastEpoch(current.epoch, current.members))
+    proposed = MemberList(current.epoch + 1, members, history)
+    state.swap_pending = True
+    context.swap("members.swap", KEY_MEMBERS, proposed, state.revision)
+
+
+def _confirm_right(context: Context) -> None:
+    """Ask the store for proof that no later epoch exists when the witnesses fall short.
+
+    The comparison never matches, so nothing is written; unlike a read, a compare-and-swap is
+    always answered from the committed value.
+    """
+    state = context.state.membership
+    margin = context.settings.right_s / 2
+    if state.is_confirming or right_until(context) - context.now > margin:
+        return
+    state.is_confirming = True
+    context.swap("members.confirm", KEY_MEMBERS, None, -1)
+
+
+def _remove_dead(context: Context) -> None:
+    """Propose an epoch without the members that enough witnesses no longer hear."""
+    state = context.state.membership
+    suspects = list_suspects(context)
+    if not suspects or state.swap_pending or context.now < state.propose_after:
+        return
+    dead = [suspect for suspect in suspects if _is_agreed(context, suspect)]
+    if not dead:
+        return
+    state.propose_after = context.now + context.random.uniform(0.2, 0.6)
+    context.log("removal_proposed", members=",".join(dead), epoch=state.current.epoch + 1)
+    propose_members(context, [member for member in state.current.members if member.id not in dead])
+
+
+def _is_agreed(context: Context, suspect: str) -> bool:
+    """Tell whether enough witnesses agree that the member is silent.
+
+    A majority of all witnesses is enough at once. Fewer must be all that are heard, and must have
+    missed the member for three times as long.
+    """
+    state = context.state.membership
+    me = context.state.me.id
+    witnesses = choose_witnesses(state.current.members)
+    silent = set(list_suspects(context))
+    heard = [w for w in witnesses if w != me and w not in silent]
+    agreeing = sum(1 for w in heard if suspect in state.views[w].suspects)
+    agreeing += 1 if me in witnesses else 0
+    if agreeing >= count_majority(len(witnesses)):
+        return True
+    view = state.views.get(suspect)
+    silent_s = context.now - (view.heard_at if view else state.learned_at)
+    everyone = agreeing == len(heard) + (1 if me in witnesses else 0)
+    return everyone and silent_s > 3 * context.settings.suspect_s
+
+
+@answers("members.read")
+def adopt_read(context: Context, answer: StoreAnswer) -> None:
+    """Adopt what a read shows, if it is newer than what is known."""
+    if answer.status == OK:
+        _adopt_items(context, answer)
+
+
+@answers("members.swap")
+def settle_swap(context: Context, answer: StoreAnswer) -> None:
+    """Adopt the list as it stands after a write of ours, whoever won."""
+    state = context.state.membership
+    state.swap_pending = False
+    if answer.status in (OK, CONFLICT):
+        _adopt_items(context, answer)
+        if answer.status == OK:
+            _announce(context)
+        return
+    state.read_due_at = context.now
+    state.propose_after = context.now + PROPOSE_RETRY_S
+
+
+def _announce(context: Context) -> None:
+    """Tell every member of this epoch and the last one of the list just written."""
+    state = context.state.membership
+    told = MembersTold(state.current, state.revision)
+    ids = {member.id for member in state.current.members}
+    for past in state.current.history[-1:]:
+        ids.update(member.id for member in past.members)
+    for member in sorted(ids - {context.state.me.id}):
+        context.send(member, told)
+
+
+@answers("members.confirm")
+def settle_confirm(context: Context, answer: StoreAnswer) -> None:
+    """Count the committed value as proof up to the moment at which we asked."""
+    state = context.state.membership
+    state.is_confirming = False
+    if answer.status != CONFLICT:
+        return
+    _adopt_items(context, answer)
+    committed = answer.items[0].value if answer.items else None
+    if committed is not None and committed.epoch == state.current.epoch:
+        state.confirmed_at = max(state.confirmed_at, answer.sent_at)
+
+
+def _adopt_items(context: Context, answer: StoreAnswer) -> None:
+    """Adopt the member list in a store answer."""
+    for item in answer.items:
+        if item.value is not None:
+            adopt_members(context, item.value, item.revision)
+
+
+@receives(MembersTold)
+def adopt_told(context: Context, _sender: str, message: MembersTold) -> None:
+    """Adopt a list that a peer read from the store."""
+    adopt_members(context, message.members, message.revision)
+
+
+def adopt_members(context: Context, members: MemberList, revision: int) -> None:
+    """Move to a later epoch; an earlier or equal one changes nothing."""
+    state = context.state.membership
+    if members.epoch <= state.current.epoch:
+        return
+    state.current = members
+    state.revision = revision
+    state.learned_at = context.now
+    # A confirmation speaks of one epoch, as does a grant: neither carries over.
+    state.confirmed_at = -1e9
+    state.fenced_at = {
+        past.epoch: state.fenced_at[past.epoch]
+        for past in members.history
+        if past.epoch in state.fenced_at
+    }
+    ids = {member.id for member in members.members}
+    known = ids | {member.id for past in members.history for member in past.members}
+    state.views = {name: view for name, view in state.views.items() if name in known}
+    state.first_seen = {name: state.first_seen.get(name, context.now) for name in known}
+    for name in ids - {context.state.me.id}:
+        view = state.views.setdefault(name, PeerView(heard_at=context.now))
+        view.acked_sent_at = -1e9
+    state.beat_due_at = context.now
+    refresh_owners(context)
+    context.log(
+        "epoch_adopted",
+        epoch=members.epoch,
+        members=len(members.members),
+        is_member=is_member(context),
+    )
+    update_fences(context)
--- /dev/null
+++ b/wasabiramp/membership/heartbeats.py
@@ -0,0 +1,126 @@
+"""Heartbeats: members renew their rights and tell one another what is new."""
+
+from __future__ import annotations
+
+from wasabiramp.core.context import Context
+from wasabiramp.core.events import Tick
+from wasabiramp.core.registry import handles, receives
+from wasabiramp.dispatch.load import summarize_load
+from wasabiramp.jobs.capacity import summarize_free
+from wasabiramp.membership.owners import choose_witnesses
+from wasabiramp.membership.rights import is_member, update_fences
+from wasabiramp.membership.state import PeerView
+from wasabiramp.peer.messages import ConfigAsked, Heartbeat, HeartbeatAck, MembersTold
+
+SMALL_CELL = 8
+"""Up to this many members, heartbeats keep their full rate."""
+
+
+def beat_interval_s(context: Context) -> float:
+    """Return the time between heartbeats, in seconds.
+
+    A witness hears every member, so the interval grows with the members to keep its share of
+    the network constant, up to a third of how long a right lasts.
+    """
+    count = len(context.state.membership.current.members)
+    scaled = context.settings.heartbeat_s * max(1.0, count / SMALL_CELL)
+    return min(scaled, context.settings.right_s / 3)
+
+
+def list_suspects(context: Context) -> list[str]:
+    """Return the members that this witness has not heard for the suspicion time."""
+    state = context.state.membership
+    me = context.state.me.id
+    if me not in choose_witnesses(state.current.members):
+        return []
+    oldest = context.now - context.settings.suspect_s
+    return [
+        member.id
+        for member in state.current.members
+        if member.id != me and state.views[member.id].heard_at < oldest
+    ]
+
+
+def make_beat(context: Context) -> Heartbeat:
+    """Describe this daemon as it stands."""
+    state = context.state
+    return Heartbeat(
+        epoch=state.membership.current.epoch,
+        sent_at=context.now,
+        config_revision=state.intent.complete_to,
+        suspects=tuple(list_suspects(context)),
+        is_leaving=state.membership.is_leaving,
+        clean_epoch=find_clean_epoch(context),
+        load=summarize_load(context),
+        free=summarize_free(context),
+    )
+
+
+def find_clean_epoch(context: Context) -> int:
+    """Return the newest epoch in which nothing is under way for targets owned by others."""
+    state = context.state
+    for executor in state.dispatch.executors.values():
+        if not executor.is_owned and executor.calls:
+            return 0
+    for worker in state.jobs.workers.values():
+        if not worker.is_owned and worker.is_syncing:
+            return 0
+    return state.membership.current.epoch
+
+
+@handles(Tick)
+def send_beats(context: Context, _event: Tick) -> None:
+    """Send a heartbeat to every witness when one is due."""
+    state = context.state.membership
+    if context.now < state.beat_due_at or not state.current.members:
+        return
+    state.beat_due_at = context.now + beat_interval_s(context)
+    beat = make_beat(context)
+    for witness in choose_witnesses(state.current.members):
+        if witness != context.state.me.id:
+            context.send(witness, beat)
+
+
+@receives(Heartbeat)
+def answer_beat(context: Context, sender: str, beat: Heartbeat) -> None:
+    """Grant the heartbeat, unless another epoch than the sender's is known here."""
+    state = context.state.membership
+    note_beat(context, sender, beat)
+    granted = beat.epoch == state.current.epoch and is_member(context)
+    context.send(sender, HeartbeatAck(beat.epoch, beat.sent_at, granted, make_beat(context)))
+    _tell_newer(context, sender, beat)
+
+
+@receives(HeartbeatAck)
+def take_ack(context: Context, sender: str, ack: HeartbeatAck) -> None:
+    """Renew the right with a grant of the current epoch."""
+    state = context.state.membership
+    note_beat(context, sender, ack.beat)
+    if ack.is_granted and ack.epoch == state.current.epoch:
+        view = state.views[sender]
+        view.acked_sent_at = max(view.acked_sent_at, ack.sent_at)
+    _tell_newer(context, sender, ack.beat)
+
+
+def note_beat(context: Context, sender: str, beat: Heartbeat) -> None:
+    """Remember what a member said of itself."""
+    state = context.state.membership
+    view = state.views.setdefault(sender, PeerView(heard_at=context.now))
+    view.heard_at = context.now
+    view.epoch = max(view.epoch, beat.epoch)
+    view.suspects = tuple(beat.suspects)
+    view.is_leaving = beat.is_leaving
+    view.clean_epoch = max(view.clean_epoch, beat.clean_epoch)
+    view.load = beat.load
+    view.free = tuple(beat.free)
+    update_fences(context)
+
+
+def _tell_newer(context: Context, sender: str, beat: Heartbeat) -> None:
+    """Send the sender a newer member list, and ask it for newer resources."""
+    state = context.state
+    if beat.epoch < state.membership.current.epoch:
+        told = MembersTold(state.membership.current, state.membership.revision)
+        context.send(sender, told)
+    if beat.config_revision > state.intent.complete_to:
+        context.send(sender, ConfigAsked(state.intent.complete_to))
--- /dev/null
+++ b/wasabiramp/membership/state.py
@@ -0,0 +1,109 @@
+"""What a daemon knows of the members, the epochs and its own right to act."""
+
+from __future__ import annotations
+
+from dataclasses import field
+
+from wasabiramp.core.records import record
+
+
+@record
+class Member:
+    """One incarnation of a daemon: `id` is `<instance>#<incarnation>`.
+
+    `peer` is the IP number and port of its peer stream.
+    """
+
+    id: str
+    name: str
+    zone: str
+    peer: str
+
+
+@record
+class PastEpoch:
+    """An earlier epoch whose members may not all have stopped acting on it."""
+
+    epoch: int
+    members: list[Member]
+
+
+@record
+class MemberList:
+    """The value in the store that names the members; `epoch` only grows."""
+
+    epoch: int = 0
+    members: list[Member] = field(default_factory=list)
+    history: list[PastEpoch] = field(default_factory=list)
+
+
+@record
+class PeerView:
+    """What this daemon last heard from another member.
+
+    `acked_sent_at` is when we sent the newest heartbeat that the member granted in the current
+    epoch; all times are our own loop's seconds.
+    """
+
+    heard_at: float
+    epoch: int = 0
+    acked_sent_at: float = -1.0
+    suspects: tuple[str, ...] = ()
+    is_leaving: bool = False
+    clean_epoch: int = 0
+    load: dict[str, tuple[int, int]] = field(default_factory=dict)
+    free: tuple[float, float, int] = (0.0, 0.0, 0)
+
+
+class MembershipState:
+    """Members, epochs, rights and fences as this daemon sees them."""
+
+    __slots__ = (
+        "current",
+        "revision",
+        "learned_at",
+        "views",
+        "confirmed_at",
+        "fenced_at",
+        "first_seen",
+        "listed",
+        "listed_sent_at",
+        "swap_pending",
+        "read_due_at",
+        "beat_due_at",
+        "list_due_at",
+        "list_requested_at",
+        "join_due_at",
+        "propose_after",
+        "is_leaving",
+        "has_left",
+        "leave_deadline",
+        "had_right",
+        "is_confirming",
+        "handover_since",
+    )
+
+    def __init__(self) -> None:
+        """Start outside any member list."""
+        self.current = MemberList()
+        self.revision = 0
+        self.learned_at = 0.0
+        self.views: dict[str, PeerView] = {}
+        self.confirmed_at = -1e9
+        self.fenced_at: dict[int, float] = {}
+        self.first_seen: dict[str, float] = {}
+        self.listed: dict[str, str] = {}
+        self.listed_sent_at = -1e9
+        self.swap_pending = False
+        self.read_due_at = 0.0
+        self.beat_due_at = 0.0
+        self.list_due_at = 0.0
+        self.list_requested_at = -1e9
+        self.join_due_at = 0.0
+        self.propose_after = 0.0
+        self.is_leaving = False
+        self.has_left = False
+        self.leave_deadline = 0.0
+        self.had_right = False
+        self.is_confirming = False
+        self.handover_since = 0.0
--- /dev/null
+++ b/wasabiramp/metrics.py
@@ -0,0 +1,59 @@
+"""Metrics of one daemon, for Prometheus."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+from aioprometheus import REGISTRY, Counter, Gauge, Registry
+from aioprometheus.collectors import Histogram
+from aioprometheus.renderer import render
+
+WAIT_BUCKETS_S: Final = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5, 10]
+PREFIX: Final = "wasabiramp_"
+
+
+class Metrics:
+    """Counters and histograms by name, made when they are first used."""
+
+    def __init__(self) -> None:
+        """Start with an empty registry."""
+        self._registry = Registry()
+        self._collectors: dict[str, Counter | Histogram | Gauge] = {}
+
+    def note(self, name: str, value: float, labels: dict[str, str]) -> None:
+        """Add to a counter, or observe seconds where the name ends in `_seconds`."""
+        collector = self._collectors.get(name)
+        if collector is None:
+            collector = self._make(name)
+        if isinstance(collector, Histogram):
+            collector.observe(labels, value)
+        else:
+            collector.add(labels, value)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge without labels."""
+        collector = self._collectors.get(name)
+        if collector is None:
+            collector = Gauge(PREFIX + name, name.replace("_", " "), registry=self._registry)
+            self._collectors[name] = collector
+        collector.set({}, value)
+
+    def _make(self, name: str) -> Counter | Histogram:
+        """Make the collector that fits the name."""
+        doc = name.replace("_", " ")
+        if name.endswith("_seconds"):
+            made: Counter | Histogram = Histogram(
+                PREFIX + name, doc, buckets=WAIT_BUCKETS_S, registry=self._registry
+            )
+        else:
+            made = Counter(PREFIX + name, doc, registry=self._registry)
+        self._collectors[name] = made
+        return made
+
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the page and its headers."""
+        return render(self._registry, accepts)
+
+
+__all__ = ["Metrics", "REGISTRY"]
--- /dev/null
+++ b/wasabiramp/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and streams between daemons."""
--- /dev/null
+++ b/wasabiramp/peer/streams.py
@@ -0,0 +1,164 @@
+"""Streams between daemons: one to each peer, with messages in batches."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+from typing import Any, Final
+
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from wasabiramp.core.records import DecodeError, decode_message, encode_message, record
+
+METHOD: Final = "/wasabiramp.Peer/Exchange"
+RECONNECT_S: Final = 0.2
+QUEUE_LIMIT: Final = 20_000
+
+Receive = Callable[[str, Any], None]
+Lose = Callable[[str], None]
+
+
+@record
+class Batch:
+    """Messages from one incarnation to another, in order."""
+
+    sender: str
+    recipient: str
+    messages: list[Any]
+
+
+class BytesCodec(CodecBase):
+    """Passes bytes through; records are packed by the callers of the stream."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the bytes as they are."""
+        return message
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return the bytes as they are."""
+        return data
+
+
+class PeerServer:
+    """Takes batches from other daemons."""
+
+    def __init__(self, me: str, receive: Receive, lose: Lose) -> None:
+        """Hand messages for the member `me` to `receive`, and broken streams to `lose`."""
+        self._me = me
+        self._receive = receive
+        self._lose = lose
+        self._server = Server([self], codec=BytesCodec())
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers by method, as grpclib asks for them."""
+        return {METHOD: Handler(self._async_exchange, Cardinality.STREAM_STREAM, bytes, bytes)}
+
+    async def async_start(self, address: str) -> None:
+        """Listen; the exclusive bind proves that no earlier process has the address."""
+        host, _, port = address.rpartition(":")
+        await self._server.start(host, int(port), reuse_port=False)
+
+    async def async_stop(self) -> None:
+        """Stop listening and break the streams."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _async_exchange(self, stream: Stream[bytes, bytes]) -> None:
+        """Read one peer's batches until its stream ends."""
+        sender = ""
+        try:
+            async for data in stream:
+                batch = decode_message(data)
+                if not isinstance(batch, Batch) or batch.recipient != self._me:
+                    return
+                sender = batch.sender
+                for message in batch.messages:
+                    self._receive(sender, message)
+        except (DecodeError, StreamTerminatedError, GRPCError, ConnectionError):
+            return
+        finally:
+            if sender:
+                self._lose(sender)
+
+
+class PeerLink:
+    """The outgoing stream to one member; it reconnects by itself."""
+
+    def __init__(self, me: str, member: str, address: str, lose: Lose) -> None:
+        """Send from `me` to `member` at an IP number and port."""
+        self._me = me
+        self._member = member
+        self._address = address
+        self._lose = lose
+        self._queue: list[Any] = []
+        self._wake = asyncio.Event()
+        self.bytes_sent = 0
+        self._task = asyncio.get_running_loop().create_task(self._async_run())
+
+    def send(self, message: Any) -> None:
+        """Queue a message; all that is queued in one turn of the loop goes as one batch."""
+        if len(self._queue) >= QUEUE_LIMIT:
+            self._queue.clear()
+            self._lose(self._member)
+        self._queue.append(message)
+        self._wake.set()
+
+    async def async_close(self) -> None:
+        """End the stream."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _async_run(self) -> None:
+        """Connect, send, and connect again after a break."""
+        while True:
+            try:
+                await self._async_connected()
+            except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
+                self._queue.clear()
+                self._lose(self._member)
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _async_connected(self) -> None:
+        """Send batches on one connection until it breaks."""
+        host, _, port = self._address.rpartition(":")
+        channel = Channel(host, int(port), codec=BytesCodec())
+        method = StreamStreamMethod(channel, METHOD, bytes, bytes)
+        try:
+            async with method.open() as stream:
+                await asyncio.wait_for(stream.send_request(), 2.0)
+                watcher = asyncio.ensure_future(self._async_watch_end(stream))
+                try:
+                    await self._async_send(stream, watcher)
+                finally:
+                    watcher.cancel()
+        finally:
+            channel.close()
+
+    async def _async_watch_end(self, stream: Any) -> None:
+        """Wait until the other side ends the stream; it never sends on it."""
+        try:
+            await stream.recv_message()
+        finally:
+            self._wake.set()
+
+    async def _async_send(self, stream: Any, watcher: asyncio.Future[None]) -> None:
+        """Send what is queued whenever there is something."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if watcher.done():
+                raise ConnectionResetError("the peer ended the stream")
+            if not self._queue:
+                continue
+            messages, self._queue = self._queue, []
+            data = encode_message(Batch(self._me, self._member, messages))
+            self.bytes_sent += len(data)
+            await stream.send_message(data)
--- /dev/null
+++ b/wasabiramp/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/wasabiramp/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Registries of policies by class of work."""
--- /dev/null
+++ b/wasabiramp/policy/placement.py
@@ -0,0 +1,122 @@
+"""Placement policies: which worker with room a task goes to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, Final
+
+from wasabiramp.core.records import record
+
+SAMPLE: Final = 8
+"""How many random workers are looked at before all of them are."""
+
+EPSILON: Final = 1e-6
+
+
+@record
+class Need:
+    """What a task needs; memory is in megabytes."""
+
+    cores: float
+    memory_mb: float
+    accelerators: int
+
+
+@record
+class Candidate:
+    """A worker's free and total capacity; memory is in megabytes."""
+
+    name: str
+    cores: float
+    memory_mb: float
+    accelerators: int
+    total_cores: float
+    total_memory_mb: float
+    rack: str
+
+
+Score = Callable[[Need, Candidate], float]
+PLACEMENTS: Final[dict[str, Score]] = {}
+
+
+def placement(name: str) -> Callable[[Score], Score]:
+    """Register a placement policy; the worker with the lowest score wins."""
+
+    def register(policy: Score) -> Score:
+        PLACEMENTS[name] = policy
+        return policy
+
+    return register
+
+
+@placement("balanced")
+def score_balance(need: Need, candidate: Candidate) -> float:
+    """Keep free cores and memory in proportion, and prefer fuller workers.
+
+    A worker whose last cores go while memory is left over can take nothing more.
+    """
+    cores = (candidate.cores - need.cores) / max(candidate.total_cores, EPSILON)
+    memory = (candidate.memory_mb - need.memory_mb) / max(candidate.total_memory_mb, EPSILON)
+    # Accelerators are scarce: tasks that need none avoid workers that have some free.
+    waste = 0.5 if candidate.accelerators and not need.accelerators else 0.0
+    return abs(cores - memory) + 0.5 * (cores + memory) + waste
+
+
+@placement("best-fit")
+def score_fit(need: Need, candidate: Candidate) -> float:
+    """Prefer the worker with the least left over."""
+    cores = (candidate.cores - need.cores) / max(candidate.total_cores, EPSILON)
+    memory = (candidate.memory_mb - need.memory_mb) / max(candidate.total_memory_mb, EPSILON)
+    return cores + memory
+
+
+@placement("spread")
+def score_spread(need: Need, candidate: Candidate) -> float:
+    """Prefer the emptiest worker."""
+    return -score_fit(need, candidate)
+
+
+def has_room(need: Need, candidate: Candidate) -> bool:
+    """Tell whether the task fits into what is free."""
+    return (
+        need.cores <= candidate.cores + EPSILON
+        and need.memory_mb <= candidate.memory_mb + EPSILON
+        and need.accelerators <= candidate.accelerators
+    )
+
+
+def choose_worker(
+    policy: str,
+    need: Need,
+    workers: Sequence[Any],
+    view: Callable[[Any], Candidate],
+    random: Random,
+) -> Any | None:
+    """Return the best of a few random workers with room, else the best of all.
+
+    An unknown policy name gets "balanced".
+    """
+    score = PLACEMENTS.get(policy, score_balance)
+    if len(workers) > 2 * SAMPLE:
+        sample = random.sample(workers, SAMPLE)
+        chosen = _choose_best(score, need, sample, view)
+        if chosen is not None:
+            return chosen
+    return _choose_best(score, need, workers, view)
+
+
+def _choose_best(
+    score: Score, need: Need, workers: Sequence[Any], view: Callable[[Any], Candidate]
+) -> Any | None:
+    """Return the worker with the lowest score among those with room."""
+    best = None
+    best_score = 0.0
+    for worker in workers:
+        candidate = view(worker)
+        if not has_room(need, candidate):
+            continue
+        value = score(need, candidate)
+        if best is None or value < best_score:
+            best, best_score = worker, value
+    return best
--- /dev/null
+++ b/wasabiramp/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on service levels."""
--- /dev/null
+++ b/wasabiramp/resource/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' resources."""
--- /dev/null
+++ b/wasabiramp/runtime.py
@@ -0,0 +1,283 @@
+"""The runtime: events go into the reducer, and its effects are carried out on the loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+import secrets
+from typing import Any, Final, TextIO, TypeVar
+
+import aiohttp
+
+from wasabiramp.const import TICK_S
+from wasabiramp.core import effects as fx
+from wasabiramp.core.events import PeerLost, PeerReceived, StopRequested, Tick
+from wasabiramp.core.records import encode_json
+from wasabiramp.core.reducer import Reducer
+from wasabiramp.logs import log_event, log_failure
+from wasabiramp.metrics import Metrics
+from wasabiramp.peer.streams import PeerLink, PeerServer
+from wasabiramp.platform.http import make_session
+from wasabiramp.platform.store import StoreClient
+from wasabiramp.platform.targets import TargetClient
+from wasabiramp.settings.schema import Settings
+
+T = TypeVar("T")
+Runner = Callable[["Runtime", Any], None]
+RUNNERS: Final[dict[type, Runner]] = {}
+
+
+def runs(effect_type: type) -> Callable[[Runner], Runner]:
+    """Register how an effect is carried out."""
+
+    def register(runner: Runner) -> Runner:
+        RUNNERS[effect_type] = runner
+        return runner
+
+    return register
+
+
+class Runtime:
+    """One daemon's loop side: clients, streams, waiting callers and the reducer."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Prepare; nothing is opened before `async_start`."""
+        self.settings = settings
+        self.reducer = Reducer(settings, secrets.token_hex(4))
+        self.metrics = Metrics()
+        self.is_ready = False
+        self.has_failed = False
+        self.stopped = asyncio.Event()
+        self.session: aiohttp.ClientSession
+        self.store: StoreClient
+        self.targets: TargetClient
+        self._loop = asyncio.get_running_loop()
+        self._links: dict[str, PeerLink] = {}
+        self._waiting: dict[str, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._record: TextIO | None = None
+        self._listeners: set[Callable[[], None]] = set()
+        self._requests = 0
+
+    async def async_start(self) -> None:
+        """Open the peer port and the clients, and start to tick."""
+        self.session = make_session()
+        self.store = StoreClient(self.session, self.settings.store_address)
+        self.targets = TargetClient(self.session)
+        if self.settings.record_file:
+            path = Path(self.settings.record_file)
+            self._record = path.open("w", encoding="utf-8")  # noqa: SIM115
+        me = self.reducer.state.me.id
+        self._server = PeerServer(me, self._receive, self._lose)
+        await self._server.async_start(self.settings.peer_address)
+        self.is_ready = True
+        self.spawn(self._async_tick())
+        log_event("started", member=me, zone=self.settings.zone)
+
+    async def async_stop(self) -> None:
+        """Close everything."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._links.values():
+            await link.async_close()
+        await self._server.async_stop()
+        await self.session.close()
+        if self._record is not None:
+            self._record.close()
+
+    def spawn(self, work: Awaitable[None]) -> None:
+        """Run a coroutine until it ends or the runtime stops."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def apply(self, event: Any) -> None:
+        """Apply an event now and carry out its effects."""
+        now = self._loop.time()
+        if self._record is not None:
+            self._record.write(encode_json({"at": now, "event": event}) + "\n")
+        try:
+            effects = self.reducer.apply(event, now)
+        except Exception:
+            # A state that is half changed must not act: the process ends, its right lapses.
+            log_failure("reducer_failed")
+            self.has_failed = True
+            self.stopped.set()
+            raise
+        for effect in effects:
+            RUNNERS[type(effect)](self, effect)
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        self.apply(StopRequested())
+
+    def next_request_id(self) -> str:
+        """Return an id for a caller's request."""
+        self._requests += 1
+        return f"{self.reducer.state.me.id}-{self._requests}"
+
+    async def async_ask(self, request_id: str, event: Any, timeout_s: float) -> Any:
+        """Apply a caller's event and wait for the reducer's answer.
+
+        Raises TimeoutError when none comes in time.
+        """
+        future: asyncio.Future[Any] = self._loop.create_future()
+        self._waiting[request_id] = future
+        try:
+            self.apply(event)
+            return await asyncio.wait_for(future, timeout_s)
+        finally:
+            self._waiting.pop(request_id, None)
+
+    def answer(self, request_id: str, value: Any) -> None:
+        """Hand an answer to the caller who waits for it, if one still does."""
+        future = self._waiting.get(request_id)
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    def run_and_apply(self, work: Awaitable[Any]) -> None:
+        """Run a client call and apply the event that it returns."""
+
+        async def async_run() -> None:
+            event = await work
+            if event is not None:
+                self.apply(event)
+
+        self.spawn(async_run())
+
+    def send_peer(self, member: str, message: Any) -> None:
+        """Send a message on the member's stream, which is opened when first needed."""
+        link = self._links.get(member)
+        if link is None:
+            address = self._find_address(member)
+            if address is None:
+                return
+            link = PeerLink(self.reducer.state.me.id, member, address, self._lose)
+            self._links[member] = link
+        link.send(message)
+
+    def _find_address(self, member_id: str) -> str | None:
+        """Return the peer address of a member of this epoch or an earlier one."""
+        members = self.reducer.state.membership.current
+        for member in members.members:
+            if member.id == member_id:
+                return member.peer
+        for past in members.history:
+            for member in past.members:
+                if member.id == member_id:
+                    return member.peer
+        return None
+
+    def count_bytes(self) -> int:
+        """Return how many bytes went out to peers."""
+        return sum(link.bytes_sent for link in self._links.values())
+
+    def _receive(self, sender: str, message: Any) -> None:
+        """Apply a message from a peer."""
+        self.apply(PeerReceived(sender, message))
+
+    def _lose(self, member: str) -> None:
+        """Apply the loss of a stream, unless this daemon is closing it."""
+        if not self.stopped.is_set():
+            self.apply(PeerLost(member))
+
+    async def _async_tick(self) -> None:
+        """Apply a tick at a steady pace and close streams to members that are gone."""
+        while True:
+            self.apply(Tick())
+            await self._async_drop_links()
+            await asyncio.sleep(TICK_S)
+
+    async def _async_drop_links(self) -> None:
+        """Close streams to members that no epoch in memory names."""
+        for member in list(self._links):
+            if self._find_address(member) is None:
+                await self._links.pop(member).async_close()
+
+
+@runs(fx.StoreRead)
+def _run_read(runtime: Runtime, effect: fx.StoreRead) -> None:
+    """Read from the store."""
+    runtime.run_and_apply(runtime.store.async_read(effect, runtime._loop.time()))
+
+
+@runs(fx.StoreWatch)
+def _run_store_watch(runtime: Runtime, effect: fx.StoreWatch) -> None:
+    """Watch the store."""
+    runtime.run_and_apply(runtime.store.async_watch(effect, runtime._loop.time()))
+
+
+@runs(fx.StoreSwap)
+def _run_swap(runtime: Runtime, effect: fx.StoreSwap) -> None:
+    """Compare-and-swap in the store."""
+    runtime.run_and_apply(runtime.store.async_swap(effect, runtime._loop.time()))
+
+
+@runs(fx.SendPeer)
+def _run_send(runtime: Runtime, effect: fx.SendPeer) -> None:
+    """Send to a peer."""
+    runtime.send_peer(effect.member, effect.message)
+
+
+@runs(fx.AnswerCaller)
+def _run_answer(runtime: Runtime, effect: fx.AnswerCaller) -> None:
+    """Answer a caller."""
+    runtime.answer(effect.request_id, effect.answer)
+
+
+@runs(fx.CallExecutor)
+def _run_call(runtime: Runtime, effect: fx.CallExecutor) -> None:
+    """Call an executor."""
+    now = runtime._loop.time()
+    runtime.run_and_apply(runtime.targets.async_call_executor(effect, now))
+
+
+@runs(fx.ProbeExecutor)
+def _run_probe(runtime: Runtime, effect: fx.ProbeExecutor) -> None:
+    """Probe an executor."""
+    runtime.run_and_apply(runtime.targets.async_probe(effect, runtime._loop.time()))
+
+
+@runs(fx.SyncWorker)
+def _run_sync(runtime: Runtime, effect: fx.SyncWorker) -> None:
+    """Sync a worker."""
+    runtime.run_and_apply(runtime.targets.async_sync(effect, runtime._loop.time()))
+
+
+@runs(fx.WatchWorker)
+def _run_watch(runtime: Runtime, effect: fx.WatchWorker) -> None:
+    """Watch a worker."""
+    runtime.run_and_apply(runtime.targets.async_watch(effect, runtime._loop.time()))
+
+
+@runs(fx.ListInstances)
+def _run_list(runtime: Runtime, _effect: fx.ListInstances) -> None:
+    """Read the instance list."""
+    address = runtime.settings.instance_list_address
+    runtime.run_and_apply(runtime.targets.async_list(address, runtime._loop.time()))
+
+
+@runs(fx.SetReadiness)
+def _run_readiness(runtime: Runtime, effect: fx.SetReadiness) -> None:
+    """Pass or fail the readiness check."""
+    runtime.is_ready = effect.is_ready
+
+
+@runs(fx.LogEvent)
+def _run_log(_runtime: Runtime, effect: fx.LogEvent) -> None:
+    """Write an event."""
+    log_event(effect.event, **effect.fields)
+
+
+@runs(fx.CountMetric)
+def _run_count(runtime: Runtime, effect: fx.CountMetric) -> None:
+    """Note a metric."""
+    runtime.metrics.note(effect.name, effect.value, effect.labels)
+
+
+@runs(fx.ExitDaemon)
+def _run_exit(runtime: Runtime, _effect: fx.ExitDaemon) -> None:
+    """Let the daemon end."""
+    runtime.stopped.set()
--- /dev/null
+++ b/wasabiramp/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's own settings."""
