Check the reducer with random schedules on a virtual network

Cause: promises under failure need thousands of interleavings, which real processes cannot give. What it does: a world carries out the effects of several reducers with kills, freezes between a decision and its sending, cuts, black holes, lost and late answers, store outages and stale reads; an offline checker states each promise over ground-truth records.

--- /dev/null
+++ b/wasabiramp/check.py
@@ -0,0 +1,191 @@
+"""The offline checker: each promise over ground-truth records of targets and callers."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.records import record
+from wasabiramp.core.verdict import NOT_RUN, RAN
+
+LEAVING_GRACE_S: Final = 3.0
+EPSILON: Final = 1e-6
+
+
+@record
+class CallRecord:
+    """An executor started a request at a time in seconds; `body` names the request."""
+
+    executor: str
+    body: str
+    at: float
+
+
+@record
+class TaskRecord:
+    """A worker ran an attempt of a task from `start` to `end`, in seconds."""
+
+    worker: str
+    task: str
+    attempt: int
+    start: float
+    end: float
+
+
+@record
+class CallerRecord:
+    """A caller's request and the verdict it got, None where none came.
+
+    `body` is what it sent, and `answer` what it got back.
+    """
+
+    body: str
+    key: str
+    is_idempotent: bool
+    outcome: str | None
+    answer: str = ""
+
+
+@record
+class PeakRecord:
+    """The most that ever ran at once on a target, beside what it can hold."""
+
+    target: str
+    resource: str
+    peak: float
+    capacity: float
+
+
+@record
+class JobOutcome:
+    """An acknowledged job and the phase that it is found in at the end, None where lost."""
+
+    name: str
+    is_idempotent: bool
+    phase: str | None
+
+
+@record
+class Evidence:
+    """All that a run has left behind; `leaving` maps a target to when it began to leave."""
+
+    calls: list[CallRecord]
+    tasks: list[TaskRecord]
+    callers: list[CallerRecord]
+    peaks: list[PeakRecord]
+    jobs: list[JobOutcome]
+    leaving: dict[str, float]
+
+
+def check_all(evidence: Evidence) -> list[str]:
+    """Return every breach of a promise, in words; an empty list when all hold."""
+    return [
+        *check_capacity(evidence),
+        *check_one_place(evidence),
+        *check_verdicts(evidence),
+        *check_at_most_once(evidence),
+        *check_leaving(evidence),
+        *check_jobs(evidence),
+    ]
+
+
+def check_capacity(evidence: Evidence) -> list[str]:
+    """No target was ever given more than it can hold."""
+    return [
+        f"capacity: {item.target} held {item.peak:g} {item.resource} of {item.capacity:g}"
+        for item in evidence.peaks
+        if item.peak > item.capacity + EPSILON
+    ]
+
+
+def check_one_place(evidence: Evidence) -> list[str]:
+    """No task ran in two places at once."""
+    breaches = []
+    by_task: dict[str, list[TaskRecord]] = {}
+    for item in evidence.tasks:
+        by_task.setdefault(item.task, []).append(item)
+    for task, runs in by_task.items():
+        runs.sort(key=lambda item: item.start)
+        for first, second in zip(runs, runs[1:], strict=False):
+            if second.start < first.end - EPSILON:
+                breaches.append(
+                    f"one place: {task} ran on {first.worker} until {first.end:.3f}"
+                    f" and on {second.worker} from {second.start:.3f}"
+                )
+    return breaches
+
+
+def check_verdicts(evidence: Evidence) -> list[str]:
+    """Every caller got an answer, its own, and a true one."""
+    started = _count_calls(evidence)
+    breaches = []
+    for item in evidence.callers:
+        ran = started.get(item.body, 0)
+        if item.outcome is None:
+            breaches.append(f"answer: request {item.body} got no verdict")
+        elif item.outcome == NOT_RUN and ran:
+            breaches.append(f"not run: request {item.body} was told so and ran {ran} times")
+        elif item.outcome == RAN and not _is_own_answer(item):
+            breaches.append(f"answer: request {item.body} got {item.answer!r}")
+    return breaches
+
+
+def _is_own_answer(item: CallerRecord) -> bool:
+    """Tell whether the answer is complete and of the request, or of the first of its key."""
+    if item.key:
+        return item.answer.startswith("done:")
+    return item.answer == f"done:{item.body}"
+
+
+def _count_calls(evidence: Evidence) -> dict[str, int]:
+    """Return how often each request was started."""
+    started: dict[str, int] = {}
+    for item in evidence.calls:
+        started[item.body] = started.get(item.body, 0) + 1
+    return started
+
+
+def check_at_most_once(evidence: Evidence) -> list[str]:
+    """Non-idempotent requests, by key where they have one, and tasks ran at most once."""
+    started = _count_calls(evidence)
+    by_group: dict[str, int] = {}
+    for item in evidence.callers:
+        if not item.is_idempotent:
+            group = f"key {item.key}" if item.key else f"request {item.body}"
+            by_group[group] = by_group.get(group, 0) + started.get(item.body, 0)
+    breaches = [
+        f"at most once: {group} ran {count} times" for group, count in by_group.items() if count > 1
+    ]
+    once = {item.name for item in evidence.jobs if not item.is_idempotent}
+    runs: dict[str, int] = {}
+    for item in evidence.tasks:
+        if item.task.rpartition("/")[0] in once:
+            runs[item.task] = runs.get(item.task, 0) + 1
+    breaches.extend(
+        f"at most once: task {task} ran {count} times" for task, count in runs.items() if count > 1
+    )
+    return breaches
+
+
+def check_leaving(evidence: Evidence) -> list[str]:
+    """A leaving target got no new work after a few seconds."""
+    breaches = []
+    starts = [(item.executor, item.at) for item in evidence.calls]
+    starts += [(item.worker, item.start) for item in evidence.tasks]
+    for target, at in starts:
+        since = evidence.leaving.get(target)
+        if since is not None and at > since + LEAVING_GRACE_S:
+            breaches.append(
+                f"leaving: {target} got work {at - since:.3f} s after it began to leave"
+            )
+    return breaches
+
+
+def check_jobs(evidence: Evidence) -> list[str]:
+    """No acknowledged job was lost, and each came to an end."""
+    breaches = []
+    for item in evidence.jobs:
+        if item.phase is None:
+            breaches.append(f"lost: job {item.name} was acknowledged and is not known")
+        elif item.phase in ("Pending", "Running"):
+            breaches.append(f"lost: job {item.name} is still {item.phase}")
+    return breaches
--- /dev/null
+++ b/wasabiramp/model/carriers.py
@@ -0,0 +1,301 @@
+"""Carriers: how a virtual world carries out each effect, with its faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any, Final
+
+from wasabiramp.core import effects as fx
+from wasabiramp.core import events as ev
+from wasabiramp.core.records import decode_json, encode_json
+from wasabiramp.platform.targets import parse_report
+
+if TYPE_CHECKING:
+    from wasabiramp.model.world import Node, World
+
+Carrier = Callable[["World", "Node", Any], None]
+CARRIERS: Final[dict[type, Carrier]] = {}
+
+STORE: Final = "store"
+LIST: Final = "list"
+STORE_TIMEOUT_S: Final = 1.0
+TARGET_TIMEOUT_S: Final = 2.0
+LATE_S: Final = 4.0
+WATCH_STEP_S: Final = 0.05
+
+
+def carries(effect_type: type) -> Callable[[Carrier], Carrier]:
+    """Register how an effect is carried out."""
+
+    def register(carrier: Carrier) -> Carrier:
+        CARRIERS[effect_type] = carrier
+        return carrier
+
+    return register
+
+
+def _later(world: World, node: Node, delay_s: float, event: Any) -> None:
+    """Give the daemon an event after a delay."""
+    world.at(delay_s, lambda: world.apply(node, event))
+
+
+def _read_items(items: list[Any]) -> list[ev.StoreItem]:
+    """Return items of the store as a daemon reads them."""
+    return [
+        ev.StoreItem(item.key, decode_json(item.value) if item.value else None, item.revision)
+        for item in items
+    ]
+
+
+@carries(fx.StoreRead)
+def _carry_read(world: World, node: Node, effect: fx.StoreRead) -> None:
+    """Read, possibly from a lagging copy."""
+    sent_at = node.clock.read(world.now)
+    failed = ev.StoreAnswer(effect.purpose, effect.tag, ev.FAILED, sent_at)
+    if world.store.faults.down or world.is_cut(node.name, STORE):
+        _later(world, node, world.random.uniform(0.001, STORE_TIMEOUT_S), failed)
+        return
+
+    def serve() -> None:
+        items, revision = world.store.list_items(world.now, effect.key, effect.after)
+        if not effect.is_prefix:
+            items = [item for item in items if item.key == effect.key]
+        answer = ev.StoreAnswer(
+            effect.purpose, effect.tag, ev.OK, sent_at, revision, _read_items(items)
+        )
+        _later(world, node, world.delay(), answer)
+
+    world.at(world.delay(), serve)
+
+
+@carries(fx.StoreWatch)
+def _carry_watch(world: World, node: Node, effect: fx.StoreWatch) -> None:
+    """Poll for changes until there are some or the watch ends."""
+    sent_at = node.clock.read(world.now)
+    until = world.now + effect.timeout_s
+
+    def look() -> None:
+        if not node.is_alive:
+            return
+        if world.store.faults.down or world.is_cut(node.name, STORE):
+            failed = ev.StoreAnswer(effect.purpose, "", ev.FAILED, sent_at)
+            _later(world, node, world.delay(), failed)
+            return
+        stalled = world.store.faults.watch_stalled
+        found = [] if stalled else world.store.list_changes(effect.key, effect.after)
+        if not found and world.now < until:
+            world.at(WATCH_STEP_S, look)
+            return
+        revision = effect.after if stalled else world.store.revision
+        answer = ev.StoreAnswer(effect.purpose, "", ev.OK, sent_at, revision, _read_items(found))
+        _later(world, node, world.delay(), answer)
+
+    world.at(world.delay(), look)
+
+
+@carries(fx.StoreSwap)
+def _carry_swap(world: World, node: Node, effect: fx.StoreSwap) -> None:
+    """Compare and swap; the answer may be lost, before or after the write took effect."""
+    sent_at = node.clock.read(world.now)
+    value = None if effect.value is None else encode_json(effect.value)
+    failed = ev.StoreAnswer(effect.purpose, effect.tag, ev.FAILED, sent_at)
+    unknown = ev.StoreAnswer(effect.purpose, effect.tag, ev.UNKNOWN, sent_at)
+    if world.store.faults.down or world.is_cut(node.name, STORE):
+        _later(world, node, world.random.uniform(0.001, 0.01), failed)
+        return
+    is_lost = world.random.random() < max(world.lost_share, world.store.faults.lose_answers)
+    is_late = is_lost and world.random.random() < 0.3
+
+    def serve() -> None:
+        if world.store.faults.down:
+            return
+        done, item = world.store.swap(world.now, effect.key, value, effect.expect)
+        if is_lost:
+            return
+        status = ev.OK if done else ev.CONFLICT
+        answer = ev.StoreAnswer(
+            effect.purpose, effect.tag, status, sent_at, item.revision, _read_items([item])
+        )
+        _later(world, node, world.delay(), answer)
+
+    down_at_service = world.random.uniform(1.0, LATE_S) if is_late else world.delay()
+    if is_lost:
+        _later(world, node, STORE_TIMEOUT_S, unknown)
+    else:
+        # An outage that begins while the write is under way loses the answer.
+        def check() -> None:
+            if world.store.faults.down:
+                _later(world, node, STORE_TIMEOUT_S, unknown)
+
+        world.at(down_at_service, check)
+    world.at(down_at_service, serve)
+
+
+@carries(fx.SendPeer)
+def _carry_send(world: World, node: Node, effect: fx.SendPeer) -> None:
+    """Send to another daemon."""
+    world.send(node, effect.member, effect.message)
+
+
+@carries(fx.AnswerCaller)
+def _carry_answer(world: World, _node: Node, effect: fx.AnswerCaller) -> None:
+    """Keep the answer for the caller."""
+    if effect.request_id not in world.answers:
+        world.answers[effect.request_id] = (world.now, effect.answer)
+
+
+@carries(fx.CallExecutor)
+def _carry_call(world: World, node: Node, effect: fx.CallExecutor) -> None:
+    """Call an executor; the request or its answer may be late or lost."""
+    executor = world.executors[effect.executor]
+    clock = world.clocks[effect.executor]
+    sent_at = node.clock.read(world.now)
+    settled: list[bool] = []
+
+    def answer(status: str, body: bytes = b"", reason: str = "") -> None:
+        if settled:
+            return
+        settled.append(True)
+        reading = clock.read(world.now)
+        event = ev.ExecutorAnswered(
+            effect.executor, effect.call_id, status, body, reason, reading, sent_at
+        )
+        _later(world, node, world.delay(), event)
+
+    if world.is_cut(node.name, effect.executor):
+        world.at(world.delay(), lambda: answer(ev.FAILED, reason="no connection"))
+        return
+    world.at(effect.timeout_s, lambda: answer(ev.UNKNOWN, reason="timeout"))
+    is_late = world.random.random() < world.late_share
+    loses_answer = world.random.random() < world.lost_share
+
+    def arrive() -> None:
+        if executor.faults.down:
+            answer(ev.UNKNOWN, reason="broken")
+            return
+        reading = clock.read(world.now)
+        if not executor.start(reading, effect.call_id, effect.body, effect.start_by_s):
+            answer(ev.FAILED, reason="too late to start")
+            return
+        service_s = executor.service_s * world.random.uniform(0.5, 2.0)
+        world.at(service_s, finish)
+
+    def finish() -> None:
+        executor.finish(effect.call_id)
+        if loses_answer or world.is_cut(node.name, effect.executor):
+            answer(ev.UNKNOWN, reason="answer lost")
+            return
+        answer(ev.OK, b"done:" + effect.body)
+
+    world.at(world.random.uniform(0, LATE_S) if is_late else world.delay(), arrive)
+
+
+@carries(fx.ProbeExecutor)
+def _carry_probe(world: World, node: Node, effect: fx.ProbeExecutor) -> None:
+    """Ask an executor for its clock and its running calls."""
+    sent_at = node.clock.read(world.now)
+    executor = world.executors[effect.executor]
+
+    def serve() -> None:
+        reachable = not world.is_cut(node.name, effect.executor) and not executor.faults.down
+        report = ev.ExecutorReported(effect.executor, reachable, sent_at)
+        if reachable:
+            report.clock_s = world.clocks[effect.executor].read(world.now)
+            report.running = list(executor.running)
+        _later(world, node, world.delay(), report)
+
+    world.at(world.delay(), serve)
+
+
+@carries(fx.SyncWorker)
+def _carry_sync(world: World, node: Node, effect: fx.SyncWorker) -> None:
+    """Exchange a batch with a worker; the request or its answer may be late or lost."""
+    worker = world.workers[effect.worker]
+    clock = world.clocks[effect.worker]
+    sent_at = node.clock.read(world.now)
+    unreachable = ev.WorkerReported(effect.worker, False, sent_at)
+    if world.is_cut(node.name, effect.worker) or worker.faults.down:
+        _later(world, node, TARGET_TIMEOUT_S, unreachable)
+        return
+    request = asdict(effect)
+    is_late = world.random.random() < world.late_share
+    is_lost = is_late or world.random.random() < world.lost_share
+    if is_lost:
+        _later(world, node, TARGET_TIMEOUT_S, unreachable)
+
+    def serve() -> None:
+        raw = worker.sync(clock.read(world.now), request)
+        if not is_lost:
+            report = parse_report(effect.worker, raw, sent_at)
+            _later(world, node, world.delay(), report)
+
+    world.at(world.random.uniform(0, LATE_S) if is_late else world.delay(), serve)
+
+
+@carries(fx.WatchWorker)
+def _carry_worker_watch(world: World, node: Node, effect: fx.WatchWorker) -> None:
+    """Look at a worker until its inventory changes or the watch ends."""
+    worker = world.workers[effect.worker]
+    clock = world.clocks[effect.worker]
+    sent_at = node.clock.read(world.now)
+    until = world.now + effect.timeout_s
+
+    def look() -> None:
+        if not node.is_alive:
+            return
+        if world.is_cut(node.name, effect.worker) or worker.faults.down:
+            report = ev.WorkerReported(effect.worker, False, sent_at, is_watch=True)
+            _later(world, node, 0.5, report)
+            return
+        raw = worker.report(clock.read(world.now))
+        if raw["sequence"] == effect.sequence and world.now < until:
+            world.at(WATCH_STEP_S, look)
+            return
+        report = parse_report(effect.worker, raw, sent_at)
+        report.is_watch = True
+        _later(world, node, world.delay(), report)
+
+    world.at(world.delay(), look)
+
+
+@carries(fx.ListInstances)
+def _carry_list(world: World, node: Node, _effect: fx.ListInstances) -> None:
+    """Read the lagging list of instances."""
+    sent_at = node.clock.read(world.now)
+    if world.instances.down or world.is_cut(node.name, LIST):
+        return
+
+    def serve() -> None:
+        listed = [
+            ev.ListedInstance(name, state)
+            for name, state in world.instances.read(world.now).items()
+        ]
+        _later(world, node, world.delay(), ev.InstancesListed(sent_at, listed))
+
+    world.at(world.delay(), serve)
+
+
+@carries(fx.SetReadiness)
+def _carry_readiness(_world: World, node: Node, effect: fx.SetReadiness) -> None:
+    """Note whether the balancer sends callers here."""
+    node.is_ready = effect.is_ready
+
+
+@carries(fx.LogEvent)
+def _carry_log(world: World, node: Node, effect: fx.LogEvent) -> None:
+    """Keep the event with its time."""
+    world.logs.append((world.now, node.name, effect.event, effect.fields))
+
+
+@carries(fx.CountMetric)
+def _carry_count(world: World, _node: Node, effect: fx.CountMetric) -> None:
+    """Sum the metric over all daemons."""
+    world.metrics[effect.name] = world.metrics.get(effect.name, 0.0) + effect.value
+
+
+@carries(fx.ExitDaemon)
+def _carry_exit(_world: World, node: Node, _effect: fx.ExitDaemon) -> None:
+    """End the daemon, gracefully."""
+    node.has_exited = True
+    node.is_alive = False
--- /dev/null
+++ b/wasabiramp/model/schedule.py
@@ -0,0 +1,495 @@
+"""Random schedules: work and faults drawn from a seed, run in a world and then checked."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Final
+
+from wasabiramp.check import (
+    CallerRecord,
+    CallRecord,
+    Evidence,
+    JobOutcome,
+    PeakRecord,
+    TaskRecord,
+    check_all,
+)
+from wasabiramp.core.events import JobSubmitted, RequestArrived, ResourceWritten, StopRequested
+from wasabiramp.jobs.home import JobsReply
+from wasabiramp.jobs.schema import parse_job
+from wasabiramp.model.world import Node, World
+
+FAULT_S: Final = 20.0
+SETTLE_S: Final = 75.0
+DEADLINE_S: Final = 4.0
+ACCEPTED: Final = (200, 202)
+
+
+@dataclass(slots=True)
+class Plan:
+    """How large a schedule is."""
+
+    nodes: int = 3
+    executors: int = 3
+    workers: int = 4
+    requests: int = 60
+    jobs: int = 8
+    faults: int = 8
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a schedule found: breaches in words, and how much was done."""
+
+    seed: int
+    breaches: list[str]
+    events: int
+    faults: list[str] = field(default_factory=list)
+
+
+class Run:
+    """One cell in a world, with callers and operators that keep what they are told."""
+
+    def __init__(self, seed: int, plan: Plan | None = None, **changes: Any) -> None:
+        """Start the daemons and declare the cell."""
+        self.plan = plan or Plan()
+        self.random = Random(seed ^ 0x5EED)
+        self.world = World(seed)
+        self.changes = changes
+        self.faults: list[str] = []
+        self.requests: dict[str, tuple[str, str, bool]] = {}
+        self.jobs: dict[str, list[Any]] = {}
+        self.writes: dict[str, tuple[str, int]] = {}
+        self.breaches: list[str] = []
+        self._revisions: dict[tuple[str, str], int] = {}
+        self._sent = 0
+        for index in range(self.plan.nodes):
+            self.world.start_node(f"entry-{index + 1}", **changes)
+        for index in range(self.plan.executors):
+            self.world.add_executor(f"executor-{index + 1}", slots=2)
+        for index in range(self.plan.workers):
+            self.world.add_worker(f"worker-{index + 1}", 8, 8192)
+
+    def declare(self) -> None:
+        """Apply the resources of the cell and wait until everything is ready."""
+        self.world.run_for(6.0)
+        self.write("Team", "rims", {"cores": 1000})
+        self.write("Team", "gala", {"cores": 1000})
+        self.write("Service", "quotes", {})
+        for name in self.world.executors:
+            spec = {"role": "executor", "address": "127.0.0.1:9", "service": "quotes", "slots": 2}
+            self.write("Instance", name, spec)
+        for name in self.world.workers:
+            spec = {"role": "worker", "address": "127.0.0.1:9", "cores": 8, "memory_mb": 8192}
+            self.write("Instance", name, spec)
+        self.world.run_for(5.0)
+
+    def pick_node(self) -> Node | None:
+        """Return a daemon that the balancer would choose."""
+        live = [node for node in self.world.list_live() if node.is_ready]
+        return self.random.choice(live) if live else None
+
+    def replace(self, name: str) -> None:
+        """Start a new process in place of a dead one."""
+        if not self.world.nodes[name].is_alive:
+            self.world.start_node(name, **self.changes)
+
+    def next_id(self, kind: str) -> str:
+        """Return an id for a request."""
+        self._sent += 1
+        return f"{kind}{self._sent}"
+
+    def write(
+        self, kind: str, name: str, spec: dict[str, Any] | None, expected: int | None = None
+    ) -> str:
+        """Have an operator change a resource through some daemon."""
+        request_id = self.next_id("w")
+        node = self.pick_node()
+        if node is not None:
+            event = ResourceWritten(request_id, kind, name, spec, expected)
+            self.world.apply(node, event)
+        return request_id
+
+    def request(self, is_idempotent: bool, key: str = "", node: Node | None = None) -> str:
+        """Have a caller send a request."""
+        request_id = self.next_id("r")
+        chosen = node or self.pick_node()
+        if chosen is None:
+            return request_id
+        self.requests[request_id] = (request_id, key, is_idempotent)
+        event = RequestArrived(
+            request_id,
+            "quotes",
+            self.random.choice(("rims", "gala")),
+            request_id.encode(),
+            DEADLINE_S,
+            is_idempotent,
+            key,
+        )
+        if key:
+            event.team = "rims"
+        self.world.apply(chosen, event)
+        return request_id
+
+    def submit(self, spec: dict[str, Any], node: Node | None = None) -> str:
+        """Have a caller submit a job and return its name."""
+        request_id = self.next_id("j")
+        chosen = node or self.pick_node()
+        team = self.random.choice(("rims", "gala"))
+        if chosen is None:
+            return request_id
+        job = parse_job({"metadata": {"name": request_id, "team": team}, "spec": spec}).ok
+        self.jobs[request_id] = [job, request_id]
+        self.world.apply(chosen, JobSubmitted(request_id, [job], 8.0))
+        return request_id
+
+    def watch_revisions(self) -> None:
+        """Check that no daemon ever goes back to a lower revision."""
+        for node in self.world.list_live():
+            for (kind, name), item in node.reducer.state.intent.resources.items():
+                mark = (node.id, f"{kind}/{name}")
+                if item.revision < self._revisions.get(mark, 0):
+                    self.breaches.append(f"revision: {node.id} took {kind} {name} back")
+                self._revisions[mark] = item.revision
+        self.world.at(0.5, self.watch_revisions)
+
+    def find_job(self, job: Any) -> Any | None:
+        """Return an acknowledged job as its present home has it."""
+        key = f"{job.team}/{job.name}"
+        for node in self.world.list_live():
+            for state in node.reducer.state.jobs.partitions.values():
+                if key in state.jobs and not state.is_lost and state.journal.status == "ready":
+                    return state.jobs[key]
+        return None
+
+    def gather(self) -> Evidence:
+        """Return all that the run has left behind."""
+        world = self.world
+        return Evidence(
+            calls=_gather_calls(world),
+            tasks=_gather_tasks(world),
+            callers=self._gather_callers(),
+            peaks=_gather_peaks(world),
+            jobs=self._gather_jobs(),
+            leaving=dict(world.leaving_since),
+        )
+
+    def _gather_callers(self) -> list[CallerRecord]:
+        """Return what callers were told; those of dead daemons saw their connection break."""
+        records = []
+        for request_id, (body, key, is_idempotent) in self.requests.items():
+            told = self.world.answers.get(request_id)
+            if told is None:
+                # Its entry died: the caller's connection broke, which says "may have run".
+                records.append(CallerRecord(body, key, is_idempotent, "may-have-run"))
+                continue
+            verdict = told[1]
+            answer = verdict.body.decode()
+            records.append(CallerRecord(body, key, is_idempotent, verdict.outcome, answer))
+        return records
+
+    def _gather_jobs(self) -> list[JobOutcome]:
+        """Return the acknowledged jobs."""
+        outcomes = []
+        for request_id, (job, _name) in self.jobs.items():
+            told = self.world.answers.get(request_id)
+            if told is None or not isinstance(told[1], JobsReply):
+                continue
+            if told[1].status not in ACCEPTED:
+                continue
+            found = self.find_job(job)
+            name = f"{job.team}/{job.name}"
+            phase = found.phase if found is not None else None
+            outcomes.append(JobOutcome(name, job.is_idempotent, phase))
+        return outcomes
+
+
+def _gather_calls(world: World) -> list[CallRecord]:
+    """Return what executors started."""
+    return [
+        CallRecord(name, entry["body"], world.clocks[name].find(entry["at"]))
+        for name, executor in world.executors.items()
+        for entry in executor.log
+    ]
+
+
+def _gather_tasks(world: World) -> list[TaskRecord]:
+    """Return what workers ran."""
+    records = []
+    for name, worker in world.workers.items():
+        clock = world.clocks[name]
+        worker.advance(clock.read(world.now))
+        ends = {
+            (entry["end"], entry["attempt"]): entry["at"] for entry in worker.log if "end" in entry
+        }
+        for entry in worker.log:
+            if "start" not in entry:
+                continue
+            key = (entry["start"], entry["attempt"])
+            end = clock.find(ends[key]) if key in ends else world.now
+            records.append(TaskRecord(name, *key, clock.find(entry["at"]), end))
+    return records
+
+
+def _gather_peaks(world: World) -> list[PeakRecord]:
+    """Return the peaks of all targets."""
+    peaks = [
+        PeakRecord(name, "slots", executor.peak, executor.slots)
+        for name, executor in world.executors.items()
+    ]
+    for name, worker in world.workers.items():
+        capacity = (worker.cores, worker.memory_mb, worker.accelerators)
+        for resource, peak, total in zip(
+            ("cores", "megabytes", "accelerators"), worker.peak, capacity, strict=True
+        ):
+            peaks.append(PeakRecord(name, resource, peak, total))
+    return peaks
+
+
+Fault = Callable[[Run], str]
+FAULTS: Final[list[Fault]] = []
+
+
+def fault(action: Fault) -> Fault:
+    """Register a fault that schedules draw from; it returns what it did."""
+    FAULTS.append(action)
+    return action
+
+
+def _pick_live(run: Run) -> Node:
+    """Return any live daemon."""
+    return run.random.choice(run.world.list_live())
+
+
+@fault
+def kill_node(run: Run) -> str:
+    """Kill a daemon; a new process takes its place on the same instance."""
+    node = _pick_live(run)
+    run.world.kill(node.name)
+    back_s = run.random.uniform(0.1, 6.0)
+    run.world.at(back_s, lambda: run.replace(node.name))
+    return f"kill {node.name}, back after {back_s:.1f} s"
+
+
+@fault
+def freeze_node(run: Run) -> str:
+    """Pause a daemon, for longer than its right lasts in most cases."""
+    node = _pick_live(run)
+    seconds = run.random.uniform(0.5, 10.0)
+    run.world.freeze(node.name, seconds)
+    return f"freeze {node.name} for {seconds:.1f} s"
+
+
+@fault
+def freeze_in_decision(run: Run) -> str:
+    """Pause a daemon between a decision and the sending of it."""
+    node = _pick_live(run)
+    run.world.freeze_at_next_decision(node.name)
+    return f"freeze {node.name} in its next decision"
+
+
+@fault
+def cut_node(run: Run) -> str:
+    """Cut a daemon off from all peers and the store, while it still reaches its targets."""
+    node = _pick_live(run)
+    black = run.random.random() < 0.5
+    for other in run.world.nodes:
+        if other != node.name:
+            run.world.cut(node.name, other, black)
+    run.world.cut(node.name, "store")
+    seconds = run.random.uniform(1.0, 10.0)
+    run.world.at(seconds, run.world.heal)
+    return f"cut {node.name} off, black hole {black}, for {seconds:.1f} s"
+
+
+@fault
+def cut_pair(run: Run) -> str:
+    """Cut two daemons off from each other."""
+    names = list(run.world.nodes)
+    one, other = run.random.sample(names, 2)
+    run.world.cut(one, other, run.random.random() < 0.5)
+    seconds = run.random.uniform(0.5, 8.0)
+    run.world.at(seconds, run.world.heal)
+    return f"cut {one} from {other} for {seconds:.1f} s"
+
+
+@fault
+def cut_target(run: Run) -> str:
+    """Cut a daemon off from a target, for longer than a lease in some cases."""
+    node = _pick_live(run)
+    target = run.random.choice([*run.world.executors, *run.world.workers])
+    run.world.cut(node.name, target)
+    seconds = run.random.uniform(0.5, 20.0)
+    run.world.at(seconds, run.world.heal)
+    return f"cut {node.name} from {target} for {seconds:.1f} s"
+
+
+@fault
+def stop_store(run: Run) -> str:
+    """Take the store away."""
+    faults = run.world.store.faults
+    faults.down = True
+    seconds = run.random.uniform(1.0, 12.0)
+    run.world.at(seconds, lambda: setattr(faults, "down", False))
+    return f"store down for {seconds:.1f} s"
+
+
+@fault
+def age_store(run: Run) -> str:
+    """Have the store read from a lagging copy and stall its watches."""
+    faults = run.world.store.faults
+    faults.stale_s = run.random.uniform(0.5, 5.0)
+    faults.watch_stalled = run.random.random() < 0.5
+
+    def mend() -> None:
+        faults.stale_s = 0.0
+        faults.watch_stalled = False
+
+    run.world.at(run.random.uniform(2.0, 10.0), mend)
+    return f"store {faults.stale_s:.1f} s stale, watch stalled {faults.watch_stalled}"
+
+
+@fault
+def lose_answers(run: Run) -> str:
+    """Lose answers after they took effect, and deliver calls late."""
+    world = run.world
+    world.lost_share, world.late_share = 0.2, 0.1
+
+    def mend() -> None:
+        world.lost_share, world.late_share = 0.0, 0.0
+
+    world.at(run.random.uniform(2.0, 8.0), mend)
+    return "a fifth of answers lost, a tenth of calls late"
+
+
+@fault
+def replace_all(run: Run) -> str:
+    """Replace every daemon at once."""
+    names = [node.name for node in run.world.list_live()]
+    for name in names:
+        run.world.kill(name)
+        back_s = run.random.uniform(0.1, 2.0)
+        run.world.at(back_s, lambda name=name: run.replace(name))
+    return "replace all daemons"
+
+
+@fault
+def stop_gracefully(run: Run) -> str:
+    """Stop a daemon gracefully and start another in its place."""
+    node = _pick_live(run)
+    run.world.apply(node, StopRequested())
+
+    def replace() -> None:
+        if node.is_alive:
+            run.world.at(0.5, replace)
+            return
+        run.replace(node.name)
+
+    run.world.at(1.0, replace)
+    return f"stop {node.name} gracefully"
+
+
+@fault
+def leave_target(run: Run) -> str:
+    """Have the platform announce that a target leaves, and bring it back later."""
+    targets = [*run.world.executors][1:] + [*run.world.workers][1:]
+    free = [name for name in targets if name not in run.world.leaving_since]
+    if not free:
+        return "no target left to leave"
+    name = run.random.choice(free)
+    run.world.set_leaving(name)
+    return f"{name} leaves"
+
+
+@fault
+def break_worker(run: Run) -> str:
+    """Have a worker fail everything for a while."""
+    worker = run.random.choice(list(run.world.workers.values()))
+    worker.faults.fail_all = True
+    run.world.at(4.0, lambda: setattr(worker.faults, "fail_all", False))
+    return "a worker fails everything"
+
+
+def draw_work(run: Run) -> None:
+    """Draw requests and jobs over the time of the faults."""
+    plan = run.plan
+    for index in range(plan.requests):
+        is_idempotent = run.random.random() < 0.4
+        key = f"key-{index // 3}" if not is_idempotent and run.random.random() < 0.5 else ""
+        at = run.random.uniform(0, FAULT_S)
+
+        def send(is_idempotent: bool = is_idempotent, key: str = key) -> None:
+            run.request(is_idempotent, key)
+
+        run.world.at(at, send)
+        if key and run.random.random() < 0.5:
+            run.world.at(at + run.random.choice((0.0, 0.01, 1.0, 5.0)), send)
+    for _ in range(plan.jobs):
+        spec = {
+            "tasks": run.random.randint(1, 4),
+            "cores": run.random.choice((1, 2, 4)),
+            "memory_mb": run.random.choice((256, 1024, 4096)),
+            "gang": run.random.random() < 0.3,
+            "idempotent": run.random.random() < 0.6,
+            "work_class": run.random.choice(("batch", "urgent")),
+            "payload": {"run_s": round(run.random.uniform(0.1, 6.0), 2)},
+        }
+        run.world.at(run.random.uniform(0, FAULT_S), lambda spec=spec: run.submit(spec))
+
+
+def run_schedule(seed: int, plan: Plan | None = None) -> Outcome:
+    """Run one schedule and check every promise."""
+    run = Run(seed, plan, task_lease_s=5.0, drain_s=8.0)
+    run.declare()
+    run.watch_revisions()
+    draw_work(run)
+    start = run.world.now
+    for _ in range(run.plan.faults):
+        at = run.random.uniform(0, FAULT_S)
+        action = run.random.choice(FAULTS)
+
+        def strike(action: Fault = action) -> None:
+            if run.world.list_live():
+                run.faults.append(f"{run.world.now - start:.2f}: {action(run)}")
+
+        run.world.at(at, strike)
+    run.world.run_for(FAULT_S)
+    _settle(run)
+    breaches = run.breaches + check_all(run.gather()) + _check_answers(run)
+    return Outcome(seed, breaches, run.world.events_applied, run.faults)
+
+
+def _settle(run: Run) -> None:
+    """Mend everything and give the system time to finish."""
+    world = run.world
+    world.run_for(SETTLE_S / 3)
+    world.heal()
+    world.store.faults.down = False
+    world.store.faults.stale_s = 0.0
+    world.store.faults.watch_stalled = False
+    world.lost_share = world.late_share = 0.0
+
+    def is_busy() -> bool:
+        outcomes = run.gather().jobs
+        return any(item.phase not in ("Succeeded", "Failed", "Cancelled") for item in outcomes)
+
+    until = world.now + 2 * SETTLE_S / 3
+    while world.now < until:
+        world.run_for(2.0)
+        if not is_busy():
+            break
+    world.run_for(3.0)
+
+
+def _check_answers(run: Run) -> list[str]:
+    """Every caller whose entry still lives must have an answer."""
+    alive = {node.id for node in run.world.list_live()}
+    breaches = []
+    for node in run.world.list_live():
+        pending = len(node.reducer.state.dispatch.requests)
+        keyed = len(node.reducer.state.jobs.keyed)
+        if node.id in alive and (pending or keyed):
+            breaches.append(f"answer: {node.id} still holds {pending} + {keyed} requests")
+    return breaches
--- /dev/null
+++ b/wasabiramp/model/world.py
@@ -0,0 +1,315 @@
+"""A virtual network and clock that carries out the effects of many reducers in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+from random import Random
+from typing import Any, Final
+
+from stand_ins.executor import Executor
+from stand_ins.instances import InstanceList
+from stand_ins.store import Store
+from stand_ins.worker import Worker
+from wasabiramp.core import effects as fx
+from wasabiramp.core.events import PeerLost, PeerReceived, Tick
+from wasabiramp.core.records import decode_message, encode_message
+from wasabiramp.core.reducer import Reducer
+from wasabiramp.model import carriers
+from wasabiramp.settings.schema import Settings
+
+TICK_S: Final = 0.05
+RECONNECT_S: Final = 0.2
+MAX_CLOCK_ERROR: Final = 0.004
+
+
+class Clock:
+    """A clock that starts at its own offset and runs a little fast or slow."""
+
+    __slots__ = ("offset_s", "rate")
+
+    def __init__(self, random: Random) -> None:
+        """Choose the offset and the rate."""
+        self.offset_s = random.uniform(100, 1000)
+        self.rate = 1.0 + random.uniform(-MAX_CLOCK_ERROR, MAX_CLOCK_ERROR)
+
+    def read(self, now: float) -> float:
+        """Return the reading at the world's time `now`."""
+        return self.offset_s + now * self.rate
+
+    def find(self, reading: float) -> float:
+        """Return the world's time at which the clock shows the reading."""
+        return (reading - self.offset_s) / self.rate
+
+
+class Node:
+    """One incarnation of a daemon."""
+
+    __slots__ = (
+        "name",
+        "incarnation",
+        "reducer",
+        "clock",
+        "is_alive",
+        "frozen_until",
+        "backlog",
+        "holds_effects",
+        "has_exited",
+        "is_ready",
+        "applied",
+    )
+
+    def __init__(self, settings: Settings, incarnation: str, clock: Clock) -> None:
+        """Start with an empty state."""
+        self.name = settings.instance
+        self.incarnation = incarnation
+        self.reducer = Reducer(settings, incarnation)
+        self.clock = clock
+        self.is_alive = True
+        self.frozen_until = 0.0
+        self.backlog: list[Any] = []
+        self.holds_effects = False
+        self.has_exited = False
+        self.is_ready = True
+        self.applied: list[tuple[float, str, str, int]] = []
+
+    @property
+    def id(self) -> str:
+        """Return the member id."""
+        return self.reducer.state.me.id
+
+
+class World:
+    """Daemons, platform and network under one seed; time only moves in `run_until`."""
+
+    def __init__(self, seed: int) -> None:
+        """Start at time 0 with nothing in it."""
+        self.random = Random(seed)
+        self.now = 0.0
+        self.store = Store()
+        self.instances = InstanceList()
+        self.executors: dict[str, Executor] = {}
+        self.workers: dict[str, Worker] = {}
+        self.clocks: dict[str, Clock] = {}
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.held: dict[frozenset[str], list[Callable[[], None]]] = {}
+        self.blackholes: set[frozenset[str]] = set()
+        self.answers: dict[str, tuple[float, Any]] = {}
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.logs: list[tuple[float, str, str, dict[str, Any]]] = []
+        self.metrics: dict[str, float] = {}
+        self.leaving_since: dict[str, float] = {}
+        self.events_applied = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._arrivals: dict[tuple[str, str], float] = {}
+        self._lost_due: set[tuple[str, str]] = set()
+        self._incarnations = 0
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        self._count += 1
+        heapq.heappush(self._queue, (self.now + delay_s, self._count, action))
+
+    def run_until(self, until: float) -> None:
+        """Let time pass."""
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _count, action = heapq.heappop(self._queue)
+            action()
+        self.now = until
+
+    def run_for(self, seconds: float) -> None:
+        """Let so many seconds pass."""
+        self.run_until(self.now + seconds)
+
+    def run_while(self, is_waiting: Callable[[], bool], at_most_s: float) -> bool:
+        """Let time pass while a condition holds; tell whether it ended in time."""
+        until = self.now + at_most_s
+        while self.now < until:
+            if not is_waiting():
+                return True
+            self.run_for(0.02)
+        return not is_waiting()
+
+    def delay(self) -> float:
+        """Return a one-way delay in seconds."""
+        return self.random.uniform(0.0005, 0.003)
+
+    def add_executor(self, name: str, slots: int = 8, service_s: float = 0.1) -> Executor:
+        """Add an executor that the platform lists as live."""
+        self.executors[name] = Executor(slots, service_s)
+        self.clocks[name] = Clock(self.random)
+        self.instances.set_state(self.now, name, "live")
+        return self.executors[name]
+
+    def add_worker(
+        self, name: str, cores: float = 64, memory_mb: float = 131072, accelerators: int = 0
+    ) -> Worker:
+        """Add a worker that the platform lists as live."""
+        self.workers[name] = Worker(cores, memory_mb, accelerators)
+        self.clocks[name] = Clock(self.random)
+        self.instances.set_state(self.now, name, "live")
+        return self.workers[name]
+
+    def start_node(self, name: str, **changes: Any) -> Node:
+        """Start a daemon; one of the same name must have died."""
+        old = self.nodes.get(name)
+        if old is not None and old.is_alive:
+            raise ValueError(f"{name} still runs")
+        values = {
+            "instance": name,
+            "zone": "shubra",
+            "api_address": "127.0.0.1:1",
+            "peer_address": f"127.0.0.1:{sum(map(ord, name))}",
+            "store_address": "127.0.0.1:2",
+            "instance_list_address": "127.0.0.1:3",
+        }
+        self._incarnations += 1
+        settings = Settings(**{**values, **changes})
+        node = Node(settings, f"{self._incarnations:04d}", Clock(self.random))
+        self.nodes[name] = node
+        self.instances.set_state(self.now, name, "live")
+        self.at(self.random.uniform(0, TICK_S), lambda: self._tick(node))
+        return node
+
+    def _tick(self, node: Node) -> None:
+        """Tick a daemon as long as it lives."""
+        if not node.is_alive:
+            return
+        if self.now >= node.frozen_until:
+            self.apply(node, Tick())
+        self.at(TICK_S, lambda: self._tick(node))
+
+    def apply(self, node: Node, event: Any) -> None:
+        """Give a daemon an event, unless it is dead; a frozen one gets it when it wakes."""
+        if not node.is_alive:
+            return
+        if self.now < node.frozen_until:
+            node.backlog.append(event)
+            return
+        self.events_applied += 1
+        effects = node.reducer.apply(event, node.clock.read(self.now))
+        if node.holds_effects and effects:
+            # The process stops between its decision and the sending of it.
+            node.holds_effects = False
+            self._start_freeze(node, self.random.uniform(0.5, 8.0))
+            until = node.frozen_until - self.now
+            self.at(until, lambda: self._carry_all(node, effects))
+            return
+        self._carry_all(node, effects)
+
+    def _carry_all(self, node: Node, effects: list[Any]) -> None:
+        """Carry out the effects of one event."""
+        if not node.is_alive:
+            return
+        for effect in effects:
+            carriers.CARRIERS[type(effect)](self, node, effect)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Pause a daemon."""
+        self._start_freeze(self.nodes[name], seconds)
+
+    def freeze_at_next_decision(self, name: str) -> None:
+        """Pause a daemon between its next decision and the sending of it."""
+        self.nodes[name].holds_effects = True
+
+    def _start_freeze(self, node: Node, seconds: float) -> None:
+        """Pause and schedule the end of the pause."""
+        node.frozen_until = max(node.frozen_until, self.now + seconds)
+        self.at(node.frozen_until - self.now, lambda: self._thaw(node))
+
+    def _thaw(self, node: Node) -> None:
+        """Give a daemon what came while it was paused, in any mix of old and new."""
+        if not node.is_alive or self.now < node.frozen_until:
+            return
+        backlog, node.backlog = node.backlog, []
+        for event in backlog:
+            self.apply(node, event)
+
+    def kill(self, name: str) -> None:
+        """End a daemon at once; its peers see their streams break."""
+        node = self.nodes[name]
+        node.is_alive = False
+        for other in self.nodes.values():
+            if other is not node and other.is_alive:
+                self._lose_later(other, node.id)
+
+    def _lose_later(self, node: Node, member: str) -> None:
+        """Tell a daemon soon that its stream to a member broke."""
+        mark = (node.id, member)
+        if mark in self._lost_due:
+            return
+        self._lost_due.add(mark)
+
+        def tell() -> None:
+            self._lost_due.discard(mark)
+            self.apply(node, PeerLost(member))
+
+        self.at(self.random.uniform(0.0, RECONNECT_S), tell)
+
+    def cut(self, one: str, other: str, is_blackhole: bool = False) -> None:
+        """Cut two parties off from each other; a black hole keeps what is sent for later."""
+        pair = frozenset((one, other))
+        self.cuts.add(pair)
+        if is_blackhole:
+            self.blackholes.add(pair)
+
+    def heal(self) -> None:
+        """Mend all cuts; what black holes kept arrives now."""
+        self.cuts.clear()
+        self.blackholes.clear()
+        held, self.held = self.held, {}
+        for actions in held.values():
+            for action in actions:
+                self.at(self.delay(), action)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two parties cannot reach each other."""
+        return frozenset((one, other)) in self.cuts
+
+    def send(self, node: Node, member: str, message: Any) -> None:
+        """Carry a message between daemons in order, packed as on the wire."""
+        name = member.split("#", 1)[0]
+        data = encode_message(message)
+        pair = frozenset((node.name, name))
+        if pair in self.cuts:
+            if pair in self.blackholes:
+                held = self.held.setdefault(pair, [])
+                held.append(lambda: self._deliver(node.id, member, data))
+            else:
+                self._lose_later(node, member)
+            return
+        arrival = max(self.now + self.delay(), self._arrivals.get((node.id, member), 0.0))
+        self._arrivals[(node.id, member)] = arrival
+        self.at(arrival - self.now, lambda: self._arrive(node, member, data, pair))
+
+    def _arrive(self, node: Node, member: str, data: bytes, pair: frozenset[str]) -> None:
+        """Deliver, unless the connection broke on the way."""
+        if pair in self.cuts and pair not in self.blackholes:
+            self._lose_later(node, member)
+            return
+        target = self.nodes.get(member.split("#", 1)[0])
+        if target is None or not target.is_alive or target.id != member:
+            self._lose_later(node, member)
+            return
+        self._deliver(node.id, member, data)
+
+    def _deliver(self, sender: str, member: str, data: bytes) -> None:
+        """Apply a message at the incarnation it is meant for."""
+        target = self.nodes.get(member.split("#", 1)[0])
+        if target is not None and target.id == member:
+            self.apply(target, PeerReceived(sender, decode_message(data)))
+
+    def list_live(self) -> list[Node]:
+        """Return the daemons that live and have not left."""
+        return [node for node in self.nodes.values() if node.is_alive and not node.has_exited]
+
+    def set_leaving(self, name: str) -> None:
+        """Have the platform list an instance as leaving."""
+        self.leaving_since[name] = self.now
+        self.instances.set_state(self.now, name, "leaving")
+
+
+__all__ = ["Clock", "Node", "World", "fx"]
