--- a/wasabiramp/dispatch/executors.py
+++ b/wasabiramp/dispatch/executors.py
@@ -18,6 +18,9 @@
 MIN_START_S: Final = 0.05
 """The shortest time in which a call can reach its executor."""
 
+MAX_START_S: Final = 1.0
+"""The longest time for which a start may be under way."""
+
 FAILURES_TO_BLOCK: Final = 3
 BLOCK_S: Final = 2.0
 
@@ -26,9 +29,10 @@
     """Return the target's clock reading at which our right will not have lapsed yet.
 
     The target's clock showed `clock_s` no later than our time `clock_at`, and it may be slower or
-    faster than ours by the drift bound.
+    faster than ours by the drift bound. A start that is under way for longer than MAX_START_S is
+    refused too, so that a target which begins to leave is soon given nothing more.
     """
-    ahead = right_until(context) - clock_at
+    ahead = min(right_until(context), context.now + MAX_START_S) - clock_at
     return clock_s + ahead * (1 - 2 * CLOCK_DRIFT)
 
 
--- a/wasabiramp/jobs/admission.py
+++ b/wasabiramp/jobs/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
 from wasabiramp.core.context import Context
@@ -191,6 +192,7 @@
 def settle_gang(context: Context, sender: str, message: GangSettled) -> None:
     """Start the named tasks of a gang and give the rest of its room back."""
     starts = dict(zip(message.tasks, message.attempts, strict=True))
+    by_slot = dict(zip(message.slots, starts.items(), strict=False))
     allowed = _may_admit(context, sender, message.partition)
     jobs = context.state.jobs
     if jobs.hold is not None and jobs.hold.gang == message.gang and message.is_start:
@@ -200,8 +202,10 @@
             if reservation.gang != message.gang or reservation.round != message.round:
                 continue
             _drop(context, worker, key)
-            if message.is_start and allowed and starts.get(key[0]) == key[1]:
-                _put(context, worker, reservation.placement, PENDING)
+            if message.is_start and allowed and key[0] in by_slot:
+                task, attempt = by_slot[key[0]]
+                placement = replace(reservation.placement, task=task, attempt=attempt)
+                _put(context, worker, placement, PENDING)
     if message.is_start:
         _answer_starts(context, sender, message, starts)
     flush_dirty(context)
--- a/wasabiramp/jobs/gangs.py
+++ b/wasabiramp/jobs/gangs.py
@@ -30,6 +30,7 @@
 ROUND_TIMEOUT_S: Final = 1.0
 RESERVATION_S: Final = 3.0
 HOLD_AFTER: Final = 3
+FORGIVE_AFTER: Final = 4
 KIND_GANG: Final = "gang-attempt"
 
 
@@ -115,12 +116,24 @@
 
 
 def _assign(job: Job) -> dict[int, tuple[str, str]]:
-    """Choose an owner and a worker for each task out of what is reserved."""
+    """Choose reserved room for each waiting task: the owner, and the name of the room.
+
+    Owners reserve without knowing of one another, so the room of any task serves any other.
+    """
+    rooms = [
+        (owner, slot, worker)
+        for owner, reserved in job.gang.answered.items()
+        for slot, _attempt, worker in reserved
+    ]
     chosen: dict[int, tuple[str, str]] = {}
-    for owner, reserved in job.gang.answered.items():
-        for task_name, _attempt, worker in reserved:
-            _key, index = tasks.split_id(task_name)
-            chosen.setdefault(index, (owner, worker))
+    for task in job.tasks:
+        if task.state != WAITING:
+            continue
+        for room in rooms:
+            if room[2] not in task.excluded:
+                rooms.remove(room)
+                chosen[task.index] = (room[0], room[1])
+                break
     return chosen
 
 
@@ -152,7 +165,7 @@
     chosen = _assign(job)
     epoch = context.state.membership.current.epoch
     for owner in job.gang.owners:
-        mine = [index for index, (name, _worker) in chosen.items() if name == owner]
+        mine = [index for index, (name, _slot) in chosen.items() if name == owner]
         if not mine:
             settled = GangSettled(epoch, state.number, key, job.gang.round, False)
             context.send(owner, settled)
@@ -161,7 +174,10 @@
             _mark_started(context, state, job, job.tasks[index], owner)
         listed = [tasks.task_id(key, index) for index in mine]
         attempts = [job.tasks[index].attempt for index in mine]
-        settled = GangSettled(epoch, state.number, key, job.gang.round, True, listed, attempts)
+        slots = [chosen[index][1] for index in mine]
+        settled = GangSettled(
+            epoch, state.number, key, job.gang.round, True, listed, attempts, slots
+        )
         context.send(owner, settled)
     job.gang = None
 
@@ -185,6 +201,10 @@
         settled = GangSettled(epoch, state.number, key, job.gang.round, False)
         context.send(owner, settled)
     job.gang = None
+    if job.gang_rounds % FORGIVE_AFTER == 0:
+        # Every other worker may be gone: one that failed before is better than none.
+        for task in job.tasks:
+            task.excluded = []
     job.retry_at = context.now + backoff_s(min(job.gang_rounds, 4), context.random, 0.1)
 
 
--- a/wasabiramp/jobs/home.py
+++ b/wasabiramp/jobs/home.py
@@ -12,10 +12,7 @@
 from wasabiramp.jobs.limits import find_refusal
 from wasabiramp.jobs.state import (
     ENDED,
-    PHASE_CANCELLED,
-    PHASE_PENDING,
     RECOVERING,
-    RUNNING,
     Append,
     AttemptRecord,
     Job,
@@ -26,6 +23,7 @@
     PartitionState,
     Submission,
     Task,
+    TaskEndRecord,
 )
 from wasabiramp.membership.owners import choose_member, find_partition, partition_key
 from wasabiramp.peer.messages import JobActionForwarded, JobsAnswered, JobsForwarded
@@ -376,8 +374,13 @@
         if job.is_recorded_end:
             states = [task.state for task in job.tasks]
             records.append(JobEndRecord(key, job.phase, states, job.reason))
-        elif job.reason == "cancelled":
+            continue
+        if job.reason == "cancelled":
             records.append(JobCancelRecord(key))
+        ended = [task for task in job.tasks if task.state in ENDED]
+        if ended:
+            indexes = [task.index for task in ended]
+            records.append(TaskEndRecord(key, indexes, [task.state for task in ended]))
     return records
 
 
@@ -385,6 +388,3 @@
 def start_recovery(context: Context, state: PartitionState) -> None:
     """Ask every owner what runs, before any task of the partition is started."""
     barrier.start(context, state)
-
-
-__all__ = ["ENDED", "PHASE_CANCELLED", "PHASE_PENDING", "RUNNING", "describe", "job_key"]
--- a/wasabiramp/jobs/state.py
+++ b/wasabiramp/jobs/state.py
@@ -62,7 +62,11 @@
 
 @record
 class Task:
-    """One task at its job's home; `worker` is where it was last placed."""
+    """One task at its job's home; `worker` is where it was last placed.
+
+    `found` gathers what workers report of it while it is being recovered. `is_recorded` tells that
+    its end is in the journal.
+    """
 
     index: int
     state: str = WAITING
@@ -79,6 +83,8 @@
     reason: str = ""
     asked_at: float = 0.0
     has_intent: bool = False
+    is_recorded: bool = False
+    found: list[tuple[str, Any]] = field(default_factory=list)
 
 
 @record
@@ -101,6 +107,7 @@
     reason: str = ""
     accepted_at: float = 0.0
     is_recorded_end: bool = False
+    is_end_committed: bool = False
     gang: GangRound | None = None
     gang_rounds: int = 0
     retry_at: float = 0.0
@@ -124,6 +131,15 @@
     reason: str
 
 
+@record
+class TaskEndRecord:
+    """Journal: some tasks of a job that goes on have ended, in these states."""
+
+    key: str
+    tasks: list[int]
+    outcomes: list[str]
+
+
 @record
 class JobCancelRecord:
     """Journal: a job is to be cancelled."""
@@ -305,6 +321,7 @@
         "is_lapsed",
         "sequence",
         "owned_at",
+        "renewed_until",
         "told_due_at",
     )
 
@@ -325,6 +342,7 @@
         self.incarnation = ""
         self.sequence = -1
         self.owned_at = -1.0
+        self.renewed_until = -1.0
         self.told_due_at = 0.0
         self.clock_s = 0.0
         self.clock_at = -1.0
--- a/wasabiramp/jobs/tasks.py
+++ b/wasabiramp/jobs/tasks.py
@@ -41,6 +41,7 @@
     JobEndRecord,
     PartitionState,
     Task,
+    TaskEndRecord,
 )
 from wasabiramp.membership.owners import choose_member
 from wasabiramp.membership.rights import is_member
@@ -59,6 +60,7 @@
 END_PHASES: Final = frozenset({PHASE_SUCCEEDED, PHASE_FAILED, PHASE_CANCELLED})
 KIND_ATTEMPT: Final = "task-attempt"
 KIND_END: Final = "job-end"
+KIND_TASK_END: Final = "task-end"
 BATCH: Final = 128
 """How many tasks one step takes from the queue."""
 
@@ -68,6 +70,7 @@
 
 MEMORY_GROWTH: Final = 2.0
 MAX_LAPSES: Final = 20
+FORGIVE_AFTER: Final = 4
 
 
 def task_id(key: str, index: int) -> str:
@@ -233,6 +236,9 @@
     """Let a task wait after every owner has refused it."""
     task.asked = []
     task.tries = min(task.tries + 1, 5)
+    if task.tries >= FORGIVE_AFTER:
+        # Every other worker may be gone: one that failed before is better than none.
+        task.excluded = []
     task.retry_at = context.now + backoff_s(task.tries, context.random)
 
 
@@ -360,7 +366,7 @@
     for report in told.tasks:
         seen.add(report.task)
         _take_report(context, state, told, report)
-        if report.state != SEEN_RUNNING:
+        if report.state != SEEN_RUNNING and _is_kept(state, report):
             kept.append((report.task, report.attempt))
     if told.is_complete:
         _settle_missing(context, state, told, seen)
@@ -371,6 +377,20 @@
     place_waiting(context, state)
 
 
+def _is_kept(state: PartitionState, report: TaskReport) -> bool:
+    """Tell whether the worker may forget a result: the journal has it, or it no longer counts."""
+    key, index = split_id(report.task)
+    job = state.jobs.get(key)
+    if job is None:
+        return True
+    task = job.tasks[index]
+    if task.state == RECOVERING:
+        return False
+    if task.state in ENDED and task.attempt == report.attempt:
+        return task.is_recorded or job.is_end_committed
+    return True
+
+
 def _take_report(
     context: Context, state: PartitionState, told: WorkerTold, report: TaskReport
 ) -> None:
@@ -382,8 +402,12 @@
             stop_stray(context, told.worker, report)
         return
     job, task = found
-    if task.state == RECOVERING or (task.state == ASKED and report.attempt == task.attempt):
-        task.attempt = report.attempt
+    if task.state == RECOVERING:
+        # Another worker may have a later attempt, so nothing is decided before all have spoken.
+        task.found = [item for item in task.found if item[0] != told.worker]
+        task.found.extend((told.worker, item) for item in told.tasks if item.task == report.task)
+        return
+    if task.state == ASKED and report.attempt == task.attempt:
         set_state(state, job, task, PLACED)
         task.worker = told.worker
     if task.attempt != report.attempt or task.state in ENDED or task.state == WAITING:
@@ -496,6 +520,9 @@
             if not barrier.is_held(context, task) or task.epoch >= epoch:
                 continue
             count += 1
+            if task.found:
+                _settle_found(context, state, key, job, task)
+                continue
             if task.has_intent and not job.spec.is_idempotent and task.state == RECOVERING:
                 reason = "recorded before the start; its outcome was lost"
                 end_task(context, state, key, job, task, LOST, reason)
@@ -504,6 +531,24 @@
     context.log("partition_recovered", partition=state.number, released=count, epoch=epoch)
 
 
+def _settle_found(context: Context, state: PartitionState, key: str, job: Job, task: Task) -> None:
+    """Decide a recovered task by its finished attempt, or else by its latest one."""
+
+    def rank(item: tuple[str, TaskReport]) -> tuple[bool, int]:
+        return (item[1].state == SEEN_DONE, item[1].attempt)
+
+    found, task.found = sorted(task.found, key=rank), []
+    worker, chosen = found[-1]
+    for other, report in found[:-1]:
+        if report.state == SEEN_RUNNING:
+            stop_stray(context, other, report)
+    task.attempt = chosen.attempt
+    task.worker = worker
+    task.epoch = context.state.membership.current.epoch
+    set_state(state, job, task, PLACED)
+    _apply_report(context, state, key, job, task, chosen)
+
+
 def end_task(
     context: Context,
     state: PartitionState,
@@ -520,7 +565,12 @@
     context.count("tasks_ended_total", state=new)
     if job.spec.is_gang and new in (FAILED, LOST):
         stop_all(context, state, key, job)
+    # Stopping the rest may have ended the job already.
+    if job.is_recorded_end:
+        return
     if job.open_tasks > 0:
+        entry = TaskEndRecord(key, [task.index], [new])
+        journal.append(context, state, [entry], KIND_TASK_END, task_id(key, task.index))
         return
     states = {item.state for item in job.tasks}
     job.phase = PHASE_SUCCEEDED
@@ -532,10 +582,39 @@
     del state.active[key]
     job.is_recorded_end = True
     record = JobEndRecord(key, job.phase, [item.state for item in job.tasks], job.reason)
-    journal.append(context, state, [record], KIND_END)
+    journal.append(context, state, [record], KIND_END, key)
     context.log("job_ended", job=key, phase=job.phase, reason=job.reason)
 
 
+@journal.committed(KIND_TASK_END)
+def note_recorded(_context: Context, state: PartitionState, item: Append, outcome: str) -> None:
+    """Note that the end of a task is in the journal."""
+    key, index = split_id(item.reference)
+    if outcome == OK and key in state.jobs:
+        state.jobs[key].tasks[index].is_recorded = True
+
+
+@journal.committed(KIND_END)
+def note_end(_context: Context, state: PartitionState, item: Append, outcome: str) -> None:
+    """Note that the end of a job is in the journal."""
+    if outcome == OK and item.reference in state.jobs:
+        state.jobs[item.reference].is_end_committed = True
+
+
+@journal.replays(TaskEndRecord)
+def replay_task_ends(_context: Context, state: PartitionState, item: TaskEndRecord) -> None:
+    """Restore the ends of tasks of a job that goes on."""
+    job = state.jobs.get(item.key)
+    if job is None:
+        return
+    for index, outcome in zip(item.tasks, item.outcomes, strict=True):
+        task = job.tasks[index]
+        if task.state not in ENDED:
+            set_state(state, job, task, outcome)
+            job.open_tasks -= 1
+            task.is_recorded = True
+
+
 def restore_end(state: PartitionState, item: JobEndRecord, job: Job) -> None:
     """Apply the recorded end of a job."""
     for task, outcome in zip(job.tasks, item.outcomes, strict=True):
@@ -544,6 +623,7 @@
     job.reason = item.reason
     job.open_tasks = 0
     job.is_recorded_end = True
+    job.is_end_committed = True
     state.active.pop(item.key, None)
 
 
--- a/wasabiramp/jobs/workers.py
+++ b/wasabiramp/jobs/workers.py
@@ -25,7 +25,7 @@
     WorkerTask,
 )
 from wasabiramp.membership.owners import choose_member, find_partition, partition_key
-from wasabiramp.membership.rights import has_right, is_key_free
+from wasabiramp.membership.rights import has_right, is_key_free, right_until
 from wasabiramp.peer.messages import (
     Placement,
     ReportAsked,
@@ -75,12 +75,14 @@
     if worker.is_syncing or not has_right(context):
         return
     valid_until = 0.0
-    if worker.is_ready:
+    may_renew = worker.is_ready and not _is_silent(context, worker)
+    if may_renew:
+        worker.renewed_until = right_until(context)
         valid_until = target_deadline_s(context, worker.clock_s, worker.clock_at)
     sync = SyncWorker(
         worker.instance.name, worker.instance.address, context.settings.task_lease_s, valid_until
     )
-    if worker.is_ready:
+    if may_renew:
         _fill_sync(context, worker, sync)
     worker.is_syncing = True
     worker.is_dirty = False
@@ -88,6 +90,16 @@
     context.add(sync)
 
 
+def _is_silent(context: Context, worker: Worker) -> bool:
+    """Tell whether the worker has not answered for half a lease.
+
+    Syncs to such a worker only read. One whose answer is lost may still renew leases, so they
+    could otherwise never be known to have lapsed.
+    """
+    heard = max(worker.heard_at, worker.owned_at)
+    return context.now > heard + context.settings.task_lease_s / 2
+
+
 def _fill_sync(context: Context, worker: Worker, sync: SyncWorker) -> None:
     """Put starts, renewals, stops and forgotten results into a sync."""
     clock_now = worker.clock_s + (context.now - worker.clock_at)
@@ -134,8 +146,8 @@
 
 def _note_lapse(context: Context, worker: Worker) -> None:
     """Give up the tasks of a worker that has not been reached for as long as a lease lasts."""
-    heard = max(worker.heard_at, worker.owned_at)
-    if worker.is_lapsed or context.now < heard + lapse_s(context):
+    renewed = max(worker.heard_at, worker.owned_at, worker.renewed_until)
+    if worker.is_lapsed or context.now < renewed + lapse_s(context):
         return
     worker.is_lapsed = True
     worker.is_ready = True
--- a/wasabiramp/peer/messages.py
+++ b/wasabiramp/peer/messages.py
@@ -207,7 +207,11 @@
 
 @record
 class GangSettled:
-    """The home starts the reserved tasks of a gang, or gives the room back."""
+    """The home starts tasks of a gang in reserved room, or gives the room back.
+
+    The tasks of a gang are alike: `slots` names, for each of `tasks`, the task for which its room
+    was reserved. Without slots the message repeats an earlier one.
+    """
 
     epoch: int
     partition: int
@@ -216,6 +220,7 @@
     is_start: bool
     tasks: list[str] = field(default_factory=list)
     attempts: list[int] = field(default_factory=list)
+    slots: list[str] = field(default_factory=list)
 
 
 @record
