Place a task without looking at every worker

Cause: each placement built a list of all workers, searched all of them for a known task, summed all free capacity and looked for waiting syncs at all of them. Change: an index of tasks, a set of workers with something to send, a free sum kept for 50 ms, and up to three samples of eight before a scan.

--- /dev/null
+++ b/wasabiramp/bench/commands.py
@@ -0,0 +1,57 @@
+"""The bench commands: each prints its target beside its figure."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+import sys
+from typing import Annotated
+
+import typer
+
+from wasabiramp.bench.decisions import run_decisions
+from wasabiramp.cli.operate import Output, show
+
+bench = typer.Typer(help="Measures against baselines and targets.", no_args_is_help=True)
+Seed = Annotated[int, typer.Option(help="Seed of the random numbers.")]
+OutputOption = Annotated[Output, typer.Option("--output", "-o", help="Form of the output.")]
+
+TARGET_P99_US = 5000
+TARGET_PER_SECOND = 10_000
+TARGET_GROWTH = 1.5
+
+
+def tell(message: str) -> None:
+    """Report progress on standard error."""
+    print(message, file=sys.stderr, flush=True)
+
+
+@bench.command()
+def decisions(
+    seed: Seed = 1,
+    count: Annotated[int, typer.Option(min=500, max=200_000)] = 10_000,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Measure placements in the pure core on one core."""
+    results = run_decisions([24, 240, 2700], count, seed, tell)
+    rows = [["POLICY", "WORKERS", "TEAMS", "P50 US", "P99 US", "PER SECOND"]]
+    for item in results:
+        values = (item.policy, item.workers, item.teams, item.p50_us, item.p99_us, item.per_second)
+        rows.append([str(value) for value in values])
+    ours = [item for item in results if item.policy == "wasabiramp"]
+    growth = max(
+        large.per_second and small.per_second / large.per_second
+        for small in ours
+        for large in ours
+        if small.workers == 24 and large.workers == 2700 and small.teams == large.teams
+    )
+    worst = max(item.p99_us for item in ours)
+    slowest = min(item.per_second for item in ours)
+    rows.append(["worst p99", "", "", "", f"{worst}", f"target at most {TARGET_P99_US}"])
+    rows.append(["slowest", "", "", "", f"{slowest}", f"target at least {TARGET_PER_SECOND}"])
+    rows.append(["growth 24 to 2700", "", "", "", f"{growth:.2f}", f"target {TARGET_GROWTH}"])
+    value = {
+        "seed": seed,
+        "results": [asdict(item) for item in results],
+        "growth": round(growth, 3),
+    }
+    show(value, output, rows)
--- /dev/null
+++ b/wasabiramp/bench/decisions.py
@@ -0,0 +1,150 @@
+"""The cost of a placement in the pure core, against a full scan for the best fit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+import time
+from typing import Any, Final
+
+from wasabiramp.const import KEY_MEMBERS
+from wasabiramp.core.events import OK, StoreAnswer, StoreItem
+from wasabiramp.core.records import record
+from wasabiramp.core.reducer import Reducer
+from wasabiramp.jobs.capacity import view_worker
+from wasabiramp.membership.owners import choose_member, partition_key
+from wasabiramp.membership.state import MemberList
+from wasabiramp.membership.targets import refresh_owners
+from wasabiramp.peer.messages import PlaceAsked, Placement
+from wasabiramp.policy.placement import Need, choose_best, score_fit
+from wasabiramp.resource.state import Resource
+from wasabiramp.settings.schema import Settings
+
+CORES: Final = 64
+MEMORY_MB: Final = 262_144
+SHAPES: Final = ((1, 2048, 0), (2, 16384, 0), (4, 8192, 0), (8, 32768, 0), (16, 32768, 0))
+FILL: Final = 0.9
+MEAN_CORES: Final = sum(shape[0] for shape in SHAPES) / len(SHAPES)
+WARM_UP: Final = 200
+
+
+@record
+class DecisionResult:
+    """One line of the measure: times in microseconds, and placements a second."""
+
+    policy: str
+    workers: int
+    teams: int
+    decisions: int
+    p50_us: float
+    p99_us: float
+    per_second: float
+
+
+def make_owner(workers: int, teams: int) -> Reducer:
+    """Return a reducer that owns so many ready workers."""
+    settings = Settings("entry-1", "shubra", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "")
+    reducer = Reducer(settings, "bench")
+    state = reducer.state
+    for index in range(teams):
+        state.intent.apply(Resource("Team", f"team-{index}", {}, 1))
+    for index in range(workers):
+        spec = {
+            "role": "worker",
+            "address": "127.0.0.1:9",
+            "cores": CORES,
+            "memory_mb": MEMORY_MB,
+            "rack": f"rack-{index // 6}",
+        }
+        state.intent.apply(Resource("Instance", f"worker-{index}", spec, 1))
+    members = StoreItem(KEY_MEMBERS, MemberList(1, [state.me], []), 1)
+    reducer.apply(StoreAnswer("members.read", "", OK, 0.0, 1, [members]), 0.0)
+    refresh_owners(reducer.context)
+    for worker in state.jobs.workers.values():
+        worker.is_ready = True
+        worker.is_syncing = True
+    return reducer
+
+
+def measure_decisions(workers: int, teams: int, count: int, seed: int) -> DecisionResult:
+    """Measure admissions through the reducer, with tasks ending at the same rate."""
+    reducer = make_owner(workers, teams)
+    state = reducer.state
+    random = Random(seed)
+    partition = 0
+    assert choose_member(partition_key(partition), [state.me]) == state.me.id
+    live: list[tuple[Any, tuple[str, int]]] = []
+
+    def admit(index: int) -> None:
+        cores, memory_mb, accelerators = random.choice(SHAPES)
+        name = f"team-{index % teams}/job/{index}"
+        placement = Placement(name, 1, cores, memory_mb, accelerators, 0, {})
+        message = PlaceAsked(1, partition, [placement])
+        reducer.context.local.append(message)
+        start = time.perf_counter()
+        reducer.apply(None, 0.0)
+        times.append(time.perf_counter() - start)
+        worker = state.jobs.find_holder((name, 1))
+        if worker is not None:
+            live.append((worker, (name, 1)))
+
+    times: list[float] = []
+    capacity = workers * CORES * FILL
+    for index in range(count + WARM_UP):
+        admit(index)
+        if live and len(live) * MEAN_CORES > capacity:
+            worker, key = live.pop(random.randrange(len(live)))
+            worker.occupy(worker.tasks[key].placement, -1)
+            state.jobs.drop_task(worker, key)
+            state.jobs.version += 1
+    return _summarize("wasabiramp", workers, teams, times[WARM_UP:])
+
+
+def measure_scan(workers: int, teams: int, count: int, seed: int) -> DecisionResult:
+    """Measure the baseline: the best fit of a scan over all workers."""
+    reducer = make_owner(workers, teams)
+    random = Random(seed)
+    pool = list(reducer.state.jobs.workers.values())
+    live: list[tuple[Any, Placement]] = []
+    times: list[float] = []
+    for index in range(count):
+        shape = random.choice(SHAPES)
+        start = time.perf_counter()
+        chosen = choose_best(score_fit, Need(*shape), pool, view_worker)
+        times.append(time.perf_counter() - start)
+        if chosen is not None:
+            placement = Placement(f"t/j/{index}", 1, *shape, 0, {})
+            chosen.occupy(placement, 1)
+            live.append((chosen, placement))
+        if live and len(live) * MEAN_CORES > workers * CORES * FILL:
+            worker, placement = live.pop(random.randrange(len(live)))
+            worker.occupy(placement, -1)
+    return _summarize("full-scan best fit", workers, teams, times)
+
+
+def _summarize(policy: str, workers: int, teams: int, times: list[float]) -> DecisionResult:
+    """Return the percentiles of decision times."""
+    ordered = sorted(times)
+    total = sum(ordered)
+    return DecisionResult(
+        policy,
+        workers,
+        teams,
+        len(ordered),
+        round(ordered[len(ordered) // 2] * 1e6, 1),
+        round(ordered[int(len(ordered) * 0.99)] * 1e6, 1),
+        round(len(ordered) / total),
+    )
+
+
+def run_decisions(
+    sizes: list[int], count: int, seed: int, tell: Callable[[str], None]
+) -> list[DecisionResult]:
+    """Measure every size with 2 and with 460 teams, and the baseline."""
+    results = []
+    for workers in sizes:
+        for teams in (2, 460):
+            tell(f"decisions: {workers} workers, {teams} teams")
+            results.append(measure_decisions(workers, teams, count, seed))
+        results.append(measure_scan(workers, 2, min(count, 2000), seed))
+    return results
--- a/wasabiramp/cli/main.py
+++ b/wasabiramp/cli/main.py
@@ -9,6 +9,7 @@
 import typer
 import uvloop
 
+from wasabiramp.bench.commands import bench
 from wasabiramp.cli import operate
 from wasabiramp.daemon import async_run_daemon
 from wasabiramp.logs import set_up_logs
@@ -22,6 +23,7 @@
     pretty_exceptions_enable=False,
 )
 operate.add_commands(cli)
+cli.add_typer(bench, name="bench")
 
 
 @cli.command()
--- a/wasabiramp/jobs/admission.py
+++ b/wasabiramp/jobs/admission.py
@@ -52,7 +52,7 @@
     refused: list[tuple[str, int]] = []
     allowed = not message.is_repeat and _may_admit(context, sender, message.partition)
     for placement in message.placements:
-        worker = _find_known(context, placement)
+        worker = context.state.jobs.find_holder((placement.task, placement.attempt))
         if worker is None and allowed:
             worker = _admit(context, placement)
         if worker is None:
@@ -68,18 +68,9 @@
     """Send what waits for workers."""
     from wasabiramp.jobs.workers import flush_worker
 
-    for worker in context.state.jobs.workers.values():
-        if worker.is_dirty:
-            flush_worker(context, worker)
-
-
-def _find_known(context: Context, placement: Placement) -> Worker | None:
-    """Return the worker that has this task and attempt already."""
-    key = (placement.task, placement.attempt)
-    for worker in context.state.jobs.workers.values():
-        if worker.is_owned and key in worker.tasks:
-            return worker
-    return None
+    dirty, context.state.jobs.dirty = context.state.jobs.dirty, {}
+    for worker in dirty.values():
+        flush_worker(context, worker)
 
 
 def _admit(context: Context, placement: Placement) -> Worker | None:
@@ -98,9 +89,11 @@
 
 def _put(context: Context, worker: Worker, placement: Placement, state: str) -> None:
     """Count the task on the worker and have it sent."""
-    worker.tasks[(placement.task, placement.attempt)] = WorkerTask(placement, state)
+    key = (placement.task, placement.attempt)
+    context.state.jobs.put_task(worker, key, WorkerTask(placement, state))
     worker.occupy(placement, 1)
-    worker.is_dirty = worker.is_dirty or state == PENDING
+    if state == PENDING:
+        context.state.jobs.mark_dirty(worker)
     context.count("tasks_admitted_total")
 
 
@@ -120,7 +113,7 @@
     for victim in victims:
         victim.is_stopping = True
         worker.stops.append((victim.placement.task, victim.placement.attempt))
-    worker.is_dirty = True
+    context.state.jobs.mark_dirty(worker)
     _put(context, worker, placement, HELD)
     context.log("tasks_preempted", worker=worker.instance.name, count=len(victims))
     return worker
@@ -162,7 +155,7 @@
     for task in worker.tasks.values():
         if task.state == HELD:
             task.state = PENDING
-            worker.is_dirty = True
+            context.state.jobs.mark_dirty(worker)
 
 
 def _rank_hold(hold: GangHold) -> tuple[int, str]:
@@ -229,10 +222,9 @@
     placed: list[tuple[str, int, str]] = []
     lost: list[TaskReport] = []
     for task, attempt in starts.items():
-        for worker in context.state.jobs.workers.values():
-            if (task, attempt) in worker.tasks:
-                placed.append((task, attempt, worker.instance.name))
-                break
+        worker = context.state.jobs.find_holder((task, attempt))
+        if worker is not None:
+            placed.append((task, attempt, worker.instance.name))
         else:
             reason = "the reservation has lapsed"
             lost.append(TaskReport(task, attempt, SEEN_REFUSED, reason=reason))
--- a/wasabiramp/jobs/capacity.py
+++ b/wasabiramp/jobs/capacity.py
@@ -12,6 +12,7 @@
 from wasabiramp.policy.placement import Candidate, Need, choose_worker
 
 MISS_LASTS_S: Final = 0.5
+FREE_LASTS_S: Final = 0.05
 
 
 def is_placeable(context: Context, worker: Worker) -> bool:
@@ -36,16 +37,24 @@
 
 
 def summarize_free(context: Context) -> tuple[float, float, int]:
-    """Return the free cores, megabytes and accelerators of this daemon's workers."""
+    """Return the free cores, megabytes and accelerators of this daemon's workers.
+
+    The sum is made anew every FREE_LASTS_S, since it goes over all workers.
+    """
+    jobs = context.state.jobs
     if not has_right(context) or context.state.membership.is_leaving:
         return (0.0, 0.0, 0)
+    if context.now < jobs.free_until:
+        return jobs.free
     cores, memory_mb, accelerators = 0.0, 0.0, 0
-    for worker in context.state.jobs.workers.values():
+    for worker in jobs.pool:
         if is_placeable(context, worker):
             cores += worker.instance.cores - worker.used[0]
             memory_mb += worker.instance.memory_mb - worker.used[1]
             accelerators += worker.instance.accelerators - worker.used[2]
-    return (round(cores, 3), round(memory_mb, 3), int(accelerators))
+    jobs.free = (round(cores, 3), round(memory_mb, 3), int(accelerators))
+    jobs.free_until = context.now + FREE_LASTS_S
+    return jobs.free
 
 
 def find_worker(context: Context, placement: Placement, policy: str) -> Worker | None:
@@ -58,12 +67,11 @@
         if version == jobs.version and context.now < until:
             return None
     need = Need(*shape)
-    workers = [
-        worker
-        for name, worker in jobs.workers.items()
-        if name not in placement.exclude and is_placeable(context, worker)
-    ]
-    chosen = choose_worker(policy, need, workers, view_worker, context.random)
+
+    def may_take(worker: Worker) -> bool:
+        return worker.instance.name not in placement.exclude and is_placeable(context, worker)
+
+    chosen = choose_worker(policy, need, jobs.pool, view_worker, context.random, may_take)
     if chosen is None and not placement.exclude:
         # Room also comes back by itself, when an instance is listed or no longer blocked.
         jobs.misses[shape] = (jobs.version, context.now + MISS_LASTS_S)
--- a/wasabiramp/jobs/state.py
+++ b/wasabiramp/jobs/state.py
@@ -407,6 +407,11 @@
         "version",
         "keyed",
         "hold",
+        "holders",
+        "dirty",
+        "pool",
+        "free",
+        "free_until",
     )
 
     def __init__(self) -> None:
@@ -419,3 +424,35 @@
         self.version = 0
         self.keyed: dict[str, Any] = {}
         self.hold: GangHold | None = None
+        self.holders: dict[tuple[str, int], Worker] = {}
+        self.dirty: dict[str, Worker] = {}
+        self.pool: list[Worker] = []
+        self.free: tuple[float, float, int] = (0.0, 0.0, 0)
+        self.free_until = -1.0
+
+    def find_holder(self, key: tuple[str, int]) -> Worker | None:
+        """Return the owned worker that has a task and attempt, if any."""
+        worker = self.holders.get(key)
+        if worker is None or not worker.is_owned or key not in worker.tasks:
+            return None
+        return worker
+
+    def put_task(self, worker: Worker, key: tuple[str, int], task: WorkerTask) -> None:
+        """Note a task of a worker."""
+        worker.tasks[key] = task
+        self.holders[key] = worker
+
+    def drop_task(self, worker: Worker, key: tuple[str, int]) -> None:
+        """Forget a task of a worker."""
+        del worker.tasks[key]
+        self.holders.pop(key, None)
+
+    def mark_dirty(self, worker: Worker) -> None:
+        """Note that something waits to be sent to the worker."""
+        worker.is_dirty = True
+        self.dirty[worker.instance.name] = worker
+
+    def refresh_pool(self) -> None:
+        """List the owned workers, from which placement draws."""
+        self.pool = [worker for worker in self.workers.values() if worker.is_owned]
+        self.version += 1
--- a/wasabiramp/jobs/workers.py
+++ b/wasabiramp/jobs/workers.py
@@ -237,7 +237,7 @@
     if task is None:
         if key in worker.forget:
             return False
-        task = _adopt(worker, seen)
+        task = _adopt(context, worker, seen)
         if not task.is_ended:
             worker.occupy(task.placement, 1)
             return True
@@ -252,13 +252,13 @@
     return True
 
 
-def _adopt(worker: Worker, seen: TaskSeen) -> WorkerTask:
+def _adopt(context: Context, worker: Worker, seen: TaskSeen) -> WorkerTask:
     """Take in a task that an earlier owner started."""
     placement = Placement(
         seen.task, seen.attempt, seen.cores, seen.memory_mb, seen.accelerators, 0, {}
     )
     task = WorkerTask(placement, seen.state, 0.0, seen.exit_code, seen.reason)
-    worker.tasks[(seen.task, seen.attempt)] = task
+    context.state.jobs.put_task(worker, (seen.task, seen.attempt), task)
     return task
 
 
@@ -371,7 +371,7 @@
         key = (item[0], item[1])
         task = worker.tasks.get(key)
         if task is not None and task.is_ended:
-            del worker.tasks[key]
+            context.state.jobs.drop_task(worker, key)
             worker.forget.append(key)
 
 
@@ -391,7 +391,5 @@
             continue
         task.is_stopping = True
         worker.stops.append((task_name, attempt))
-        worker.is_dirty = True
-    for worker in context.state.jobs.workers.values():
-        if worker.is_dirty:
-            flush_worker(context, worker)
+        context.state.jobs.mark_dirty(worker)
+    admission.flush_dirty(context)
--- a/wasabiramp/policy/placement.py
+++ b/wasabiramp/policy/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 from typing import Any, Final
 
@@ -11,6 +11,9 @@
 SAMPLE: Final = 8
 """How many random workers are looked at before all of them are."""
 
+ROUNDS: Final = 3
+"""How many samples are drawn before all workers are looked at."""
+
 EPSILON: Final = 1e-6
 
 
@@ -92,22 +95,24 @@
     workers: Sequence[Any],
     view: Callable[[Any], Candidate],
     random: Random,
+    may_take: Callable[[Any], bool] = lambda worker: True,
 ) -> Any | None:
     """Return the best of a few random workers with room, else the best of all.
 
-    An unknown policy name gets "balanced".
+    An unknown policy name gets "balanced". Workers for which `may_take` is false are passed over.
     """
     score = PLACEMENTS.get(policy, score_balance)
     if len(workers) > 2 * SAMPLE:
-        sample = random.sample(workers, SAMPLE)
-        chosen = _choose_best(score, need, sample, view)
-        if chosen is not None:
-            return chosen
-    return _choose_best(score, need, workers, view)
+        for _ in range(ROUNDS):
+            sample = random.choices(workers, k=SAMPLE)
+            chosen = choose_best(score, need, filter(may_take, sample), view)
+            if chosen is not None:
+                return chosen
+    return choose_best(score, need, filter(may_take, workers), view)
 
 
-def _choose_best(
-    score: Score, need: Need, workers: Sequence[Any], view: Callable[[Any], Candidate]
+def choose_best(
+    score: Score, need: Need, workers: Iterable[Any], view: Callable[[Any], Candidate]
 ) -> Any | None:
     """Return the worker with the lowest score among those with room."""
     best = None
