--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Cells that a person starts by hand."""
--- a/features/processes.py
+++ b/examples/processes.py
@@ -5,6 +5,7 @@
 import json
 from pathlib import Path
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,35 +21,68 @@
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
+GROUP = 6
+"""How many targets share a process."""
+
+
+def pick_ports(count: int) -> int:
+    """Return the first of so many consecutive free ports."""
+    while True:
+        first = pick_port()
+        if first + count < 65_000 and all(is_free(first + offset) for offset in range(count)):
+            return first
+
+
+def is_free(port: int) -> bool:
+    """Tell whether a port can be bound now."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 class ProcessCell:
     """Stand-ins and daemons as separate processes on loopback."""
 
-    def __init__(self, executors: int, workers: int) -> None:
+    def __init__(
+        self, executors: int, workers: int, executor_options: tuple[str, ...] = ()
+    ) -> None:
         """Start the stand-ins."""
+        self.executor_options = executor_options
         self.folder = tempfile.TemporaryDirectory()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, dict[str, Any]] = {}
         self.addresses: dict[str, str] = {}
         self._start_stand_in("store")
         self._start_stand_in("instances")
-        for index in range(executors):
-            self._start_stand_in("executor", f"executor-{index + 1}")
-        for index in range(workers):
-            self._start_stand_in("worker", f"worker-{index + 1}")
-
-    def _start_stand_in(self, kind: str, name: str = "") -> None:
-        """Start one stand-in and wait until it listens."""
-        port = pick_port()
-        name = name or kind
+        self._start_group("executor", executors)
+        self._start_group("worker", workers)
+
+    def _start_group(self, kind: str, count: int) -> None:
+        """Start targets, a few to a process."""
+        for first in range(0, count, GROUP):
+            names = [f"{kind}-{index + 1}" for index in range(first, min(count, first + GROUP))]
+            self._start_stand_in(kind, names)
+
+    def _start_stand_in(self, kind: str, names: list[str] | None = None) -> None:
+        """Start one process of stand-ins and wait until it listens."""
+        names = names or [kind]
+        port = pick_ports(len(names))
         command = [sys.executable, "-m", "stand_ins", kind, "--port", str(port)]
-        self._spawn(name, command)
-        self.addresses[name] = f"{HOST}:{port}"
-        path = {"instances": "/instances", "store": "/calls"}.get(kind, "/log")
-        wait_until(lambda: call(f"http://{HOST}:{port}{path}")[0] == 200, READY_TIMEOUT_S)
         if kind in ("executor", "worker"):
-            self.list_instance(name, "live")
+            command += ["--count", str(len(names))]
+        if kind == "executor":
+            command += self.executor_options
+        self._spawn(names[0], command)
+        path = {"instances": "/instances", "store": "/calls"}.get(kind, "/log")
+        for offset, name in enumerate(names):
+            self.addresses[name] = address = f"{HOST}:{port + offset}"
+            url = f"http://{address}{path}"
+            wait_until(lambda url=url: call(url)[0] == 200, READY_TIMEOUT_S)
+            if kind in ("executor", "worker"):
+                self.list_instance(name, "live")
 
     def _spawn(self, name: str, command: list[str]) -> None:
         """Start a process with its output in a file."""
@@ -113,6 +147,7 @@
         """Apply the resources of the cell and return how many targets there are."""
         daemon = self.list_daemons()[0]
         self.apply(daemon, "Team", "rims", {})
+        self.apply(daemon, "Team", "gala", {})
         self.apply(daemon, "Service", "quotes", {})
         targets = 0
         for name, address in self.addresses.items():
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.processes import ProcessCell, wait_until
+from examples.processes import ProcessCell, wait_until
 
 JOB_TIMEOUT_S = 40.0
 LOAD_THREADS = 4
--- a/stand_ins/__main__.py
+++ b/stand_ins/__main__.py
@@ -70,9 +70,10 @@
     count: Count = 1,
     slots: int = 8,
     service_s: float = 0.1,
+    variation: float = 0.0,
 ) -> None:
     """Run executors."""
-    _run([lambda: make_executor_app(Executor(slots, service_s))] * count, host, port)
+    _run([lambda: make_executor_app(Executor(slots, service_s, variation))] * count, host, port)
 
 
 @cli.command()
--- a/stand_ins/executor.py
+++ b/stand_ins/executor.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+import math
+from random import Random
 from typing import Any
 
 
@@ -21,11 +23,14 @@
 class Executor:
     """The executor's logic; `now` is its own clock in seconds.
 
+    `variation` is the coefficient of variation of the service time.
+
     `log` has an entry for each start; `peak` is the most calls that ever ran at once.
     """
 
     slots: int = 8
     service_s: float = 0.1
+    variation: float = 0.0
     running: dict[str, float] = field(default_factory=dict)
     log: list[dict[str, Any]] = field(default_factory=list)
     peak: int = 0
@@ -44,6 +49,13 @@
         self.log.append({"call": call_id, "at": now, "body": body.decode("utf-8", "replace")})
         return True
 
+    def draw_service_s(self, body: bytes) -> float:
+        """Return how long a request runs, in seconds: lognormal, and the same for a body."""
+        if not self.variation:
+            return self.service_s
+        sigma = math.sqrt(math.log(1 + self.variation**2))
+        return self.service_s * Random(body).lognormvariate(-sigma * sigma / 2, sigma)
+
     def finish(self, call_id: str) -> None:
         """End a call."""
         self.running.pop(call_id, None)
--- a/stand_ins/http.py
+++ b/stand_ins/http.py
@@ -169,8 +169,7 @@
         if not executor.start(_now(), call_id, body, start_by_s):
             return _reply({"error": "too late to start"}, 409)
         try:
-            service_s = float(request.headers.get("X-Service-Time", executor.service_s))
-            await asyncio.sleep(service_s + faults.late_s)
+            await asyncio.sleep(executor.draw_service_s(body) + faults.late_s)
         finally:
             executor.finish(call_id)
         if random.random() < faults.truncate:
--- /dev/null
+++ b/wasabiramp/bench/control.py
@@ -0,0 +1,87 @@
+"""The cost of control for each daemon: processor time, memory, bytes and store calls."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any, Protocol
+import urllib.request
+
+import psutil
+
+from wasabiramp.core.records import record
+
+
+class MeasuredCell(Protocol):
+    """What the measure needs of a cell of processes."""
+
+    processes: dict[str, Any]
+    addresses: dict[str, str]
+
+    def list_daemons(self) -> list[str]:
+        """Return the names of the daemons."""
+
+    def status(self, daemon: str) -> dict[str, Any] | None:
+        """Return a daemon's status page."""
+
+
+@record
+class ControlResult:
+    """The mean over all daemons: a core's percent, megabytes, and per second."""
+
+    daemons: int
+    targets: int
+    core_percent: float
+    core_target: float
+    memory_mb: float
+    memory_target: float
+    peer_bytes_per_s: float
+    bytes_target: float
+    store_calls_per_s: dict[str, float]
+
+
+def _count_calls(cell: MeasuredCell) -> dict[str, int]:
+    """Return the calls that the store has counted."""
+    with urllib.request.urlopen(f"http://{cell.addresses['store']}/calls", timeout=5) as answer:
+        return json.loads(answer.read())
+
+
+def _sum_bytes(cell: MeasuredCell) -> float:
+    """Return the bytes that all daemons have sent to peers."""
+    total = 0.0
+    for name in cell.list_daemons():
+        status = cell.status(name)
+        total += status["gauges"]["peer_bytes_sent"] if status else 0
+    return total
+
+
+def run_control(cell: MeasuredCell, seconds: float) -> list[ControlResult]:
+    """Measure an idle cell for so many seconds."""
+    names = cell.list_daemons()
+    processes = [psutil.Process(cell.processes[name].pid) for name in names]
+    calls, sent = _count_calls(cell), _sum_bytes(cell)
+    used = [sum(process.cpu_times()[:2]) for process in processes]
+    time.sleep(seconds)
+    spent = sum(
+        sum(process.cpu_times()[:2]) - before
+        for process, before in zip(processes, used, strict=True)
+    )
+    later = _count_calls(cell)
+    count = len(names)
+    memory = sum(process.memory_info().rss for process in processes) / count / 1e6
+    return [
+        ControlResult(
+            count,
+            sum(name.startswith(("executor", "worker")) for name in cell.addresses),
+            round(100 * spent / seconds / count, 2),
+            3.1,
+            round(memory, 1),
+            256,
+            round((_sum_bytes(cell) - sent) / seconds / count),
+            4096,
+            {
+                kind: round((later[kind] - calls.get(kind, 0)) / seconds, 2)
+                for kind in sorted(later)
+            },
+        )
+    ]
--- /dev/null
+++ b/wasabiramp/bench/jobs.py
@@ -0,0 +1,117 @@
+"""Jobs on a running cell: starts a second, waits by class and store writes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Final
+
+import aiohttp
+
+from wasabiramp.core.records import record
+
+BATCH_JOBS: Final = 1000
+URGENT_JOBS: Final = 60
+GANG_JOBS: Final = 20
+CHUNK: Final = 100
+TIMEOUT_S: Final = 90.0
+
+
+@record
+class JobsResult:
+    """What a run of jobs showed; times are in seconds."""
+
+    jobs: int
+    tasks: int
+    seconds: float
+    tasks_per_second: float
+    urgent_p99_s: float
+    urgent_target_s: float
+    writes: int
+    writes_per_100_jobs: float
+    writes_target: float
+
+
+def _make_job(kind: str, index: int, spec: dict[str, Any]) -> dict[str, Any]:
+    """Return one job of a team."""
+    team = "rims" if index % 2 else "gala"
+    return {"metadata": {"name": f"{kind}-{index}", "team": team}, "spec": spec}
+
+
+async def _async_submit(
+    session: aiohttp.ClientSession, daemon: str, jobs: list[dict[str, Any]]
+) -> None:
+    """Submit jobs in one call; raises RuntimeError when one is refused."""
+    async with session.post(f"http://{daemon}/v1/jobs", json={"items": jobs}) as answer:
+        if answer.status not in (200, 202):
+            raise RuntimeError(await answer.text())
+
+
+async def _async_open(session: aiohttp.ClientSession, daemon: str) -> int:
+    """Return how many jobs of both teams have not ended."""
+    count = 0
+    for team in ("rims", "gala"):
+        async with session.get(f"http://{daemon}/v1/teams/{team}/jobs") as answer:
+            items = (await answer.json())["items"]
+        count += sum(item["status"]["phase"] in ("Pending", "Running") for item in items)
+    return count
+
+
+async def _async_writes(session: aiohttp.ClientSession, store: str) -> int:
+    """Return how many writes the store has counted."""
+    async with session.get(f"http://{store}/calls") as answer:
+        return (await answer.json()).get("write", 0)
+
+
+async def _async_time_urgent(session: aiohttp.ClientSession, daemon: str, index: int) -> float:
+    """Submit an urgent job and return the seconds until it runs."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    job = _make_job("urgent", index, {"work_class": "urgent", "payload": {"run_s": 0.05}})
+    await _async_submit(session, daemon, [job])
+    team, name = job["metadata"]["team"], job["metadata"]["name"]
+    while loop.time() < start + TIMEOUT_S:
+        async with session.get(f"http://{daemon}/v1/teams/{team}/jobs/{name}") as answer:
+            phase = (await answer.json())["status"]["phase"] if answer.status == 200 else ""
+        if phase not in ("", "Pending"):
+            return loop.time() - start
+        await asyncio.sleep(0.02)
+    return TIMEOUT_S
+
+
+async def async_run_jobs(daemons: list[str], store: str, seed: int) -> list[JobsResult]:
+    """Submit short batch jobs, some all-or-nothing jobs, and urgent ones among them."""
+    loop = asyncio.get_running_loop()
+    batch = {"cores": 1, "memory_mb": 1024, "payload": {"run_s": 0.5}}
+    gang = {"tasks": 8, "cores": 2, "memory_mb": 2048, "gang": True, "work_class": "gang"}
+    async with aiohttp.ClientSession() as session:
+        before = await _async_writes(session, store)
+        start = loop.time()
+        jobs = [_make_job("batch", index, batch) for index in range(BATCH_JOBS)]
+        jobs += [_make_job("gang", index, gang) for index in range(GANG_JOBS)]
+        for first in range(0, len(jobs), CHUNK):
+            daemon = daemons[(first // CHUNK + seed) % len(daemons)]
+            await _async_submit(session, daemon, jobs[first : first + CHUNK])
+        waits = [
+            await _async_time_urgent(session, daemons[index % len(daemons)], index)
+            for index in range(URGENT_JOBS)
+        ]
+        while await _async_open(session, daemons[0]) and loop.time() < start + TIMEOUT_S:
+            await asyncio.sleep(0.1)
+        seconds = loop.time() - start
+        writes = await _async_writes(session, store) - before
+    count = BATCH_JOBS + GANG_JOBS + URGENT_JOBS
+    tasks = BATCH_JOBS + GANG_JOBS * gang["tasks"] + URGENT_JOBS
+    ordered = sorted(waits)
+    return [
+        JobsResult(
+            count,
+            tasks,
+            round(seconds, 2),
+            round(tasks / seconds, 1),
+            round(ordered[int(len(ordered) * 0.99)], 3),
+            1.5,
+            writes,
+            round(100 * writes / count, 2),
+            2.0,
+        )
+    ]
--- /dev/null
+++ b/wasabiramp/bench/requests.py
@@ -0,0 +1,180 @@
+"""Waiting time of requests against an ideal central queue and against fixed shares."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from random import Random
+from typing import Any, Final
+
+import aiohttp
+
+from stand_ins.executor import Executor
+from wasabiramp.core.records import record
+
+SERVICE_S: Final = 0.1
+VARIATION: Final = 1.5
+BURST_FACTOR: Final = 3.0
+BURST_EVERY_S: Final = 4.0
+BURST_S: Final = 0.5
+WARM_UP_S: Final = 1.0
+
+
+@record
+class Arrival:
+    """One request: when it is sent, through which daemon and for which team."""
+
+    at: float
+    daemon: int
+    team: str
+    body: str
+
+
+@record
+class WaitResult:
+    """Waits in milliseconds at one load, and how many requests ran of those sent."""
+
+    load: float
+    spread: str
+    sent: int
+    ran: int
+    p50_ms: float
+    p99_ms: float
+    ideal_p99_ms: float
+    fixed_p99_ms: float
+    target_p99_ms: float
+
+
+def draw_arrivals(
+    load: float, slots: int, daemons: int, seconds: float, is_uneven: bool, seed: int
+) -> list[Arrival]:
+    """Draw arrivals of two teams, one of which sends in bursts."""
+    random = Random(seed)
+    rate = load * slots / SERVICE_S
+    weights = [4 if index == 0 and is_uneven else 1 for index in range(daemons)]
+    arrivals: list[Arrival] = []
+    now = 0.0
+    while now < seconds:
+        in_burst = now % BURST_EVERY_S < BURST_S
+        share = BURST_S / BURST_EVERY_S
+        # The bursting team sends a quarter of all, most of it in its bursts.
+        burst_rate = 0.25 * rate * (BURST_FACTOR if in_burst else _calm_factor(share))
+        total = 0.75 * rate + burst_rate
+        now += random.expovariate(total)
+        team = "gala" if random.random() < burst_rate / total else "rims"
+        daemon = random.choices(range(daemons), weights)[0]
+        arrivals.append(Arrival(now, daemon, team, f"{seed}-{load}-{len(arrivals)}"))
+    return arrivals
+
+
+def _calm_factor(share: float) -> float:
+    """Return the factor outside bursts that keeps the mean at one."""
+    return (1 - BURST_FACTOR * share) / (1 - share)
+
+
+def simulate_central(arrivals: list[Arrival], slots: int) -> list[float]:
+    """Return the waits, in seconds, with one ideal queue for all slots."""
+    model = Executor(service_s=SERVICE_S, variation=VARIATION)
+    free = [0.0] * slots
+    heapq.heapify(free)
+    waits = []
+    for item in arrivals:
+        start = max(item.at, heapq.heappop(free))
+        waits.append(start - item.at)
+        heapq.heappush(free, start + model.draw_service_s(item.body.encode()))
+    return waits
+
+
+def simulate_fixed(arrivals: list[Arrival], slots: int, daemons: int) -> list[float]:
+    """Return the waits, in seconds, when each daemon uses a fixed share of the slots."""
+    waits = []
+    for daemon in range(daemons):
+        own = [item for item in arrivals if item.daemon == daemon]
+        waits.extend(simulate_central(own, slots // daemons))
+    return waits
+
+
+def find_percentile(values: list[float], share: float) -> float:
+    """Return a percentile in milliseconds."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, int(len(ordered) * share))] * 1000, 2)
+
+
+async def async_measure(
+    daemons: list[str], executors: list[str], slots: int, arrivals: list[Arrival], load: float
+) -> tuple[list[float], int]:
+    """Send the arrivals; return the waits from sending to start, and how many ran."""
+    loop = asyncio.get_running_loop()
+    connector = aiohttp.TCPConnector(limit=0)
+    sent: dict[str, float] = {}
+    verdicts: list[str] = []
+    async with aiohttp.ClientSession(connector=connector) as session:
+        begin = loop.time() + 0.5
+
+        async def async_send(item: Arrival) -> None:
+            url = f"http://{daemons[item.daemon]}/v1/services/quotes/requests"
+            headers = {"X-Team": item.team, "X-Idempotent": "true"}
+            sent[item.body] = loop.time()
+            async with session.post(url, data=item.body.encode(), headers=headers) as answer:
+                verdicts.append(answer.headers.get("X-Verdict", ""))
+                await answer.read()
+
+        tasks = []
+        for item in arrivals:
+            pause = begin + item.at - loop.time()
+            if pause > 0:
+                await asyncio.sleep(pause)
+            tasks.append(loop.create_task(async_send(item)))
+        await asyncio.gather(*tasks)
+        starts = await _async_starts(session, executors)
+    warm = {item.body for item in arrivals if item.at >= WARM_UP_S}
+    waits = [starts[body] - at for body, at in sent.items() if body in starts and body in warm]
+    return waits, verdicts.count("ran")
+
+
+async def _async_starts(session: aiohttp.ClientSession, executors: list[str]) -> dict[str, float]:
+    """Return when each request first started, from the executors' logs."""
+    starts: dict[str, float] = {}
+    for address in executors:
+        async with session.get(f"http://{address}/log") as answer:
+            log: list[dict[str, Any]] = (await answer.json())["log"]
+        for entry in log:
+            starts[entry["body"]] = min(entry["at"], starts.get(entry["body"], entry["at"]))
+    return starts
+
+
+async def async_run_requests(
+    daemons: list[str],
+    executors: list[str],
+    slots: int,
+    loads: list[float],
+    seconds: float,
+    seed: int,
+) -> list[WaitResult]:
+    """Measure each load, with callers spread evenly and 4:1."""
+    results = []
+    for load in loads:
+        for is_uneven in (False, True):
+            own_seed = seed + int(load * 1000) + is_uneven
+            arrivals = draw_arrivals(load, slots, len(daemons), seconds, is_uneven, own_seed)
+            waits, ran = await async_measure(daemons, executors, slots, arrivals, load)
+            measured = [item for item in arrivals if item.at >= 0]
+            ideal = find_percentile(simulate_central(measured, slots), 0.99)
+            fixed = find_percentile(simulate_fixed(measured, slots, len(daemons)), 0.99)
+            target = ideal + 5 if load <= 0.7 else 2 * ideal + 10
+            results.append(
+                WaitResult(
+                    load,
+                    "4:1" if is_uneven else "even",
+                    len(arrivals),
+                    ran,
+                    find_percentile(waits, 0.5),
+                    find_percentile(waits, 0.99),
+                    ideal,
+                    fixed,
+                    round(target, 2),
+                )
+            )
+    return results
