Offer waiting requests by fresh counts of free slots, and keep their place in the queue

Cause: an entry whose own slots were busy queued every further request behind its queue and offered two of them a tick; a refused offer went to the back; summaries were up to 0.4 s old. The single sending process of the measure was also a bottleneck (78% of a core at 70% load). Ruled out: processor time of the daemons (33 to 45% of a core each). Owners are also uneven (2 to 7 executors a daemon), so that many requests need an offer. That is the next thing to change.

--- a/wasabiramp/bench/requests.py
+++ b/wasabiramp/bench/requests.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from concurrent.futures import ProcessPoolExecutor
 import heapq
 from random import Random
+import time
 from typing import Any, Final
 
 import aiohttp
+import uvloop
 
 from stand_ins.executor import Executor
 from wasabiramp.core.records import record
@@ -18,6 +21,8 @@
 BURST_EVERY_S: Final = 4.0
 BURST_S: Final = 0.5
 WARM_UP_S: Final = 1.0
+START_S: Final = 1.5
+SENDERS: Final = 3
 
 
 @record
@@ -73,14 +78,15 @@
 
 
 def simulate_central(arrivals: list[Arrival], slots: int) -> list[float]:
-    """Return the waits, in seconds, with one ideal queue for all slots."""
+    """Return the waits, in seconds, with one ideal queue for all slots, after the warm-up."""
     model = Executor(service_s=SERVICE_S, variation=VARIATION)
     free = [0.0] * slots
     heapq.heapify(free)
     waits = []
     for item in arrivals:
         start = max(item.at, heapq.heappop(free))
-        waits.append(start - item.at)
+        if item.at >= WARM_UP_S:
+            waits.append(start - item.at)
         heapq.heappush(free, start + model.draw_service_s(item.body.encode()))
     return waits
 
@@ -103,35 +109,60 @@
 
 
 async def async_measure(
-    daemons: list[str], executors: list[str], slots: int, arrivals: list[Arrival], load: float
+    daemons: list[str], executors: list[str], arrivals: list[Arrival]
 ) -> tuple[list[float], int]:
-    """Send the arrivals; return the waits from sending to start, and how many ran."""
+    """Send the arrivals; return the waits from sending to start, and how many ran.
+
+    Several processes send, since one alone would be the bottleneck.
+    """
+    loop = asyncio.get_running_loop()
+    begin = time.monotonic() + START_S
+    with ProcessPoolExecutor(SENDERS) as pool:
+        parts = [
+            loop.run_in_executor(pool, _send_part, daemons, arrivals[index::SENDERS], begin)
+            for index in range(SENDERS)
+        ]
+        done = await asyncio.gather(*parts)
+    sent = {body: at for part, _ran in done for body, at in part.items()}
+    async with aiohttp.ClientSession() as session:
+        starts = await _async_starts(session, executors)
+    warm = {item.body for item in arrivals if item.at >= WARM_UP_S}
+    waits = [starts[body] - at for body, at in sent.items() if body in starts and body in warm]
+    return waits, sum(ran for _part, ran in done)
+
+
+def _send_part(
+    daemons: list[str], arrivals: list[Arrival], begin: float
+) -> tuple[dict[str, float], int]:
+    """Send a part of the arrivals from a process of its own."""
+    return uvloop.run(_async_send_part(daemons, arrivals, begin))
+
+
+async def _async_send_part(
+    daemons: list[str], arrivals: list[Arrival], begin: float
+) -> tuple[dict[str, float], int]:
+    """Send each request at its time; return when it was sent, and how many ran."""
     loop = asyncio.get_running_loop()
-    connector = aiohttp.TCPConnector(limit=0)
     sent: dict[str, float] = {}
     verdicts: list[str] = []
-    async with aiohttp.ClientSession(connector=connector) as session:
-        begin = loop.time() + 0.5
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
 
         async def async_send(item: Arrival) -> None:
             url = f"http://{daemons[item.daemon]}/v1/services/quotes/requests"
             headers = {"X-Team": item.team, "X-Idempotent": "true"}
-            sent[item.body] = loop.time()
+            sent[item.body] = time.monotonic()
             async with session.post(url, data=item.body.encode(), headers=headers) as answer:
                 verdicts.append(answer.headers.get("X-Verdict", ""))
                 await answer.read()
 
         tasks = []
         for item in arrivals:
-            pause = begin + item.at - loop.time()
+            pause = begin + item.at - time.monotonic()
             if pause > 0:
                 await asyncio.sleep(pause)
             tasks.append(loop.create_task(async_send(item)))
         await asyncio.gather(*tasks)
-        starts = await _async_starts(session, executors)
-    warm = {item.body for item in arrivals if item.at >= WARM_UP_S}
-    waits = [starts[body] - at for body, at in sent.items() if body in starts and body in warm]
-    return waits, verdicts.count("ran")
+    return sent, verdicts.count("ran")
 
 
 async def _async_starts(session: aiohttp.ClientSession, executors: list[str]) -> dict[str, float]:
@@ -159,10 +190,9 @@
         for is_uneven in (False, True):
             own_seed = seed + int(load * 1000) + is_uneven
             arrivals = draw_arrivals(load, slots, len(daemons), seconds, is_uneven, own_seed)
-            waits, ran = await async_measure(daemons, executors, slots, arrivals, load)
-            measured = [item for item in arrivals if item.at >= 0]
-            ideal = find_percentile(simulate_central(measured, slots), 0.99)
-            fixed = find_percentile(simulate_fixed(measured, slots, len(daemons)), 0.99)
+            waits, ran = await async_measure(daemons, executors, arrivals)
+            ideal = find_percentile(simulate_central(arrivals, slots), 0.99)
+            fixed = find_percentile(simulate_fixed(arrivals, slots, len(daemons)), 0.99)
             target = ideal + 5 if load <= 0.7 else 2 * ideal + 10
             results.append(
                 WaitResult(
--- a/wasabiramp/dispatch/executors.py
+++ b/wasabiramp/dispatch/executors.py
@@ -52,6 +52,17 @@
     return best
 
 
+def count_free(context: Context, service: str) -> int:
+    """Return how many slots of the service are free here and may be used."""
+    if not has_right(context) or context.state.membership.has_left:
+        return 0
+    return sum(
+        max(0, executor.count_free())
+        for executor in context.state.dispatch.executors.values()
+        if executor.instance.service == service and is_usable(context, executor)
+    )
+
+
 def _can_start(context: Context, executor: Executor) -> bool:
     """Tell whether a call sent now can reach the executor before its start-by time."""
     start_by = target_deadline_s(context, executor.clock_s, executor.clock_at)
--- a/wasabiramp/dispatch/requests.py
+++ b/wasabiramp/dispatch/requests.py
@@ -17,6 +17,7 @@
 from wasabiramp.core.registry import handles, receives
 from wasabiramp.core.verdict import MAY_HAVE_RUN, NOT_RUN, RAN, Verdict
 from wasabiramp.dispatch.executors import (
+    count_free,
     find_free_executor,
     has_staying_executor,
     is_service_known,
@@ -83,6 +84,30 @@
             _offer(context, owner, request)
             return
     _enqueue(context, request)
+    _offer_waiting(context, request.service)
+
+
+def _offer_waiting(context: Context, service: str) -> None:
+    """Offer the first waiting request when another owner seems to have a free slot for it."""
+    queue = context.state.dispatch.queues.get(service)
+    if not queue or not _has_candidates(context, service):
+        return
+    request = _pop_waiting(context, queue)
+    if request is None:
+        return
+    owner = _find_owner(context, request)
+    if owner is None:
+        _enqueue(context, request)
+        return
+    _offer(context, owner, request)
+
+
+def _has_candidates(context: Context, service: str) -> bool:
+    """Tell whether any other owner wants work or showed free slots when last heard."""
+    if context.state.dispatch.wants.get(service):
+        return True
+    views = context.state.membership.views.values()
+    return any(view.load.get(service, (0, 0))[0] > 0 for view in views)
 
 
 def _run_here(context: Context, executor: Executor, request: Request) -> None:
@@ -105,31 +130,37 @@
         if slots > 1:
             wants[member] = (slots - 1, until)
         return member
-    if len(request.asked) >= OWNERS_ASKED:
-        return None
     views = context.state.membership.views
     free = {
         member.id: views[member.id].load[request.service][0]
         for member in context.state.membership.current.members
         if member.id in views
-        and member.id not in request.asked
         and not views[member.id].is_leaving
         and request.service in views[member.id].load
+        and views[member.id].load[request.service][0] > 0
     }
-    candidates = sorted(name for name, slots in free.items() if slots > 0)
-    if not candidates:
-        candidates = sorted(free)
-    if not candidates:
+    if not free:
         return None
-    picks = context.random.sample(candidates, min(2, len(candidates)))
+    picks = context.random.sample(sorted(free), min(2, len(free)))
     return max(picks, key=lambda name: free[name])
 
 
+def _note_free(context: Context, member: str, service: str, free: int) -> None:
+    """Remember how many slots a member has free, until it says otherwise."""
+    view = context.state.membership.views.get(member)
+    if view is not None:
+        waiting = view.load.get(service, (0, 0))[1]
+        view.load[service] = (max(0, free), waiting)
+
+
 def _offer(context: Context, owner: str, request: Request) -> None:
     """Offer the request to an owner, which runs it now or refuses it."""
     request.state = OFFERED
     request.offered_to = owner
-    request.asked.append(owner)
+    view = context.state.membership.views.get(owner)
+    if view is not None:
+        # Counted until the owner speaks, so that not all offers go to the same member.
+        _note_free(context, owner, request.service, view.load.get(request.service, (0, 0))[0] - 1)
     message = RequestOffered(
         request.request_id,
         request.service,
@@ -149,7 +180,7 @@
     queue = dispatch.queues.setdefault(request.service, FairQueue())
     view = QueueView(len(queue), context.settings.queue_limit, policy.priority)
     refusal = check_admission(policy.admission, view)
-    if refusal and not request.attempts:
+    if refusal and not request.attempts and not request.order:
         finish_request(context, request, Verdict.not_run(refusal, RETRY_AFTER_S))
         return
     request.state = QUEUED
@@ -158,7 +189,7 @@
     waiting = Waiting(
         request.request_id, request.team, policy.priority, request.deadline_at, weight
     )
-    queue.push(waiting, policy.ordering)
+    request.order = queue.push(waiting, policy.ordering, request.order)
 
 
 @receives(RequestOffered)
@@ -168,7 +199,7 @@
     queue = context.state.dispatch.queues.get(offer.service)
     if executor is None or queue or offer.deadline_s <= 0:
         verdict = Verdict.not_run("no slot is free")
-        context.send(sender, RequestAnswered(offer.request_id, verdict, is_full=True))
+        context.send(sender, RequestAnswered(offer.request_id, verdict, True, offer.service))
         return
     request = Request(
         f"{sender}/{offer.request_id}",
@@ -188,14 +219,18 @@
 @receives(RequestAnswered)
 def take_answer(context: Context, sender: str, answer: RequestAnswered) -> None:
     """Act on another owner's verdict, unless the request has moved on."""
+    _note_free(context, sender, answer.service, answer.free)
     request = context.state.dispatch.requests.get(answer.request_id)
     if request is None or request.state != OFFERED or request.offered_to != sender:
         return
     if answer.is_full:
         request.offered_to = ""
-        _place_request(context, request)
+        _enqueue(context, request)
+        serve_queue(context, request.service)
+        _offer_waiting(context, request.service)
         return
     _settle(context, request, answer.verdict)
+    _offer_waiting(context, answer.service)
 
 
 @handles(ExecutorAnswered)
@@ -247,7 +282,6 @@
         return
     request.state = QUEUED
     request.offered_to = ""
-    request.asked = []
     wait_s = backoff_s(request.attempts, context.random)
     request.retry_at = context.now + wait_s
     context.count("request_retries_total", work_class=request.work_class)
@@ -282,7 +316,9 @@
         queue.remove(request.request_id)
     if request.origin:
         inner_id = request.request_id.removeprefix(f"{request.origin}/")
-        context.send(request.origin, RequestAnswered(inner_id, verdict))
+        free = count_free(context, request.service)
+        answer = RequestAnswered(inner_id, verdict, False, request.service, free)
+        context.send(request.origin, answer)
         return
     context.count("requests_total", work_class=request.work_class, outcome=verdict.outcome)
     if request.key:
@@ -325,8 +361,8 @@
     dispatch = context.state.dispatch
     if context.now < dispatch.want_sent_at.get(service, -1.0) + WANT_INTERVAL_S:
         return
-    executor = find_free_executor(context, service)
-    if executor is None:
+    slots = count_free(context, service)
+    if slots == 0:
         return
     membership = context.state.membership
     others = [m.id for m in membership.current.members if m.id != context.state.me.id]
@@ -336,7 +372,7 @@
     context.random.shuffle(others)
     others.sort(key=lambda name: -_count_waiting(context, name, service))
     for name in others[:OWNERS_ASKED]:
-        context.send(name, WorkWanted(service, executor.count_free()))
+        context.send(name, WorkWanted(service, slots))
 
 
 def _count_waiting(context: Context, member: str, service: str) -> int:
@@ -349,6 +385,7 @@
 def give_work(context: Context, sender: str, wanted: WorkWanted) -> None:
     """Offer waiting requests to an owner with free slots, or remember that it has some."""
     dispatch = context.state.dispatch
+    _note_free(context, sender, wanted.service, wanted.slots)
     queue = dispatch.queues.get(wanted.service)
     left = wanted.slots
     while queue and left > 0:
@@ -388,27 +425,7 @@
     for service in list(dispatch.queues):
         if dispatch.queues[service]:
             serve_queue(context, service)
-            _reoffer(context, service)
-
-
-def _reoffer(context: Context, service: str) -> None:
-    """Offer the first waiting request when summaries show free slots elsewhere."""
-    dispatch = context.state.dispatch
-    queue = dispatch.queues[service]
-    if find_free_executor(context, service) is not None:
-        return
-    views = context.state.membership.views
-    free = sum(view.load.get(service, (0, 0))[0] for view in views.values())
-    for _ in range(min(free, len(queue), OWNERS_ASKED)):
-        request = _pop_waiting(context, queue)
-        if request is None:
-            return
-        request.asked = []
-        owner = _find_owner(context, request)
-        if owner is None:
-            _enqueue(context, request)
-            return
-        _offer(context, owner, request)
+            _offer_waiting(context, service)
 
 
 def _abandon_silent(context: Context) -> None:
--- a/wasabiramp/dispatch/state.py
+++ b/wasabiramp/dispatch/state.py
@@ -17,7 +17,8 @@
 class Request:
     """A request at the entry that answers its caller, or a guest at an owner.
 
-    `origin` is the member that offered it, empty at home. Times are loop seconds.
+    `origin` is the member that offered it, empty at home. `order` is its place in the queue once
+    it has waited there. Times are loop seconds.
     """
 
     request_id: str
@@ -33,9 +34,9 @@
     state: str = QUEUED
     offered_to: str = ""
     attempts: int = 0
-    asked: list[str] = field(default_factory=list)
     retry_at: float = 0.0
     may_have_run: bool = False
+    order: tuple[float, ...] = ()
 
 
 @record
--- a/wasabiramp/peer/messages.py
+++ b/wasabiramp/peer/messages.py
@@ -77,11 +77,16 @@
 
 @record
 class RequestAnswered:
-    """The owner's verdict on an offered request; `is_full` means that it had no free slot."""
+    """The owner's verdict on an offered request; `is_full` means that it had no free slot.
+
+    `free` is how many slots of the service the owner has free now.
+    """
 
     request_id: str
     verdict: Verdict
     is_full: bool = False
+    service: str = ""
+    free: int = 0
 
 
 @record
--- a/wasabiramp/policy/ordering.py
+++ b/wasabiramp/policy/ordering.py
@@ -71,12 +71,18 @@
         self._tags[waiting.team] = tag
         return tag
 
-    def push(self, waiting: Waiting, policy: str = "fair") -> None:
-        """Add an item under an ordering policy."""
-        order = ORDERINGS.get(policy, order_fairly)(self, waiting)
+    def push(
+        self, waiting: Waiting, policy: str = "fair", order: tuple[float, ...] = ()
+    ) -> tuple[float, ...]:
+        """Add an item under an ordering policy and return its place.
+
+        An item that waited here before keeps its place when that is given as `order`.
+        """
+        order = order or ORDERINGS.get(policy, order_fairly)(self, waiting)
         self._count += 1
         self._members[waiting.item] = waiting
         heapq.heappush(self._heap, (order, self._count, waiting.item, order[1]))
+        return order
 
     def pop(self) -> str | None:
         """Remove and return the first item, or None when none waits."""
