--- a/wasabiramp/cli/main.py
+++ b/wasabiramp/cli/main.py
@@ -10,7 +10,7 @@
 import uvloop
 
 from wasabiramp.bench.commands import bench
-from wasabiramp.cli import operate
+from wasabiramp.cli import checks, operate
 from wasabiramp.daemon import async_run_daemon
 from wasabiramp.logs import set_up_logs
 from wasabiramp.settings.schema import load_settings
@@ -23,6 +23,7 @@
     pretty_exceptions_enable=False,
 )
 operate.add_commands(cli)
+checks.add_commands(cli)
 cli.add_typer(bench, name="bench")
 
 
--- a/wasabiramp/jobs/journal.py
+++ b/wasabiramp/jobs/journal.py
@@ -18,6 +18,9 @@
 from wasabiramp.membership.rights import is_member
 
 RETRY_S: Final = 0.3
+LAZY_S: Final = 1.0
+"""How long records that nobody waits for may be held back."""
+
 COMPACT_SEGMENTS: Final = 6
 MAX_SNAPSHOT_BYTES: Final = 900_000
 
@@ -72,11 +75,20 @@
 
 
 def append(
-    context: Context, state: PartitionState, records: list[Any], kind: str, reference: str = ""
+    context: Context,
+    state: PartitionState,
+    records: list[Any],
+    kind: str,
+    reference: str = "",
+    wait_s: float = 0.0,
 ) -> None:
-    """Queue records for the next group write; the kind names who is told of the outcome."""
+    """Queue records for the next group write; the kind names who is told of the outcome.
+
+    Records that nobody waits for may let up to `wait_s` pass, so that more share a write.
+    """
     size = sum(len(encode_json(item)) for item in records)
-    state.journal.queue.append(Append(records, kind, reference, size))
+    due_at = context.now + wait_s
+    state.journal.queue.append(Append(records, kind, reference, size, due_at))
     _flush(context, state)
 
 
@@ -282,7 +294,7 @@
         return
     if len(journal.revisions) > COMPACT_SEGMENTS and _start_snapshot(context, state):
         return
-    if not journal.queue:
+    if all(context.now < item.due_at for item in journal.queue):
         return
     journal.in_flight = journal.queue
     journal.queue = []
--- a/wasabiramp/jobs/keys.py
+++ b/wasabiramp/jobs/keys.py
@@ -152,7 +152,8 @@
     for member, request_id in waiters:
         context.send(member, KeyedAnswered(request_id, verdict))
     if is_recorded and not state.is_lost:
-        journal.append(context, state, [KeyRecord(key, _trim(verdict))], KIND_VERDICT)
+        kept = KeyRecord(key, _trim(verdict))
+        journal.append(context, state, [kept], KIND_VERDICT, key, journal.LAZY_S)
 
 
 def _trim(verdict: Verdict) -> Verdict:
--- a/wasabiramp/jobs/state.py
+++ b/wasabiramp/jobs/state.py
@@ -188,12 +188,16 @@
 
 @record
 class Append:
-    """Records to be written together, and what is to be told once they are."""
+    """Records to be written together, and what is to be told once they are.
+
+    They wait for others until the loop time `due_at` at most.
+    """
 
     records: list[Any]
     kind: str
     reference: str
     size: int
+    due_at: float
 
 
 class Journal:
--- a/wasabiramp/jobs/tasks.py
+++ b/wasabiramp/jobs/tasks.py
@@ -570,7 +570,8 @@
         return
     if job.open_tasks > 0:
         entry = TaskEndRecord(key, [task.index], [new])
-        journal.append(context, state, [entry], KIND_TASK_END, task_id(key, task.index))
+        name = task_id(key, task.index)
+        journal.append(context, state, [entry], KIND_TASK_END, name, journal.LAZY_S)
         return
     states = {item.state for item in job.tasks}
     job.phase = PHASE_SUCCEEDED
@@ -582,7 +583,7 @@
     del state.active[key]
     job.is_recorded_end = True
     record = JobEndRecord(key, job.phase, [item.state for item in job.tasks], job.reason)
-    journal.append(context, state, [record], KIND_END, key)
+    journal.append(context, state, [record], KIND_END, key, journal.LAZY_S)
     context.log("job_ended", job=key, phase=job.phase, reason=job.reason)
 
 
