--- a/tests/model/test_guards.py
+++ b/tests/model/test_guards.py
@@ -11,7 +11,7 @@
 from wasabiramp.core.records import record
 from wasabiramp.core.verdict import Verdict
 from wasabiramp.dispatch import executors, requests
-from wasabiramp.jobs import admission, barrier, capacity, journal, keys, tasks, workers
+from wasabiramp.jobs import admission, barrier, capacity, journal, keys, outcomes, workers
 from wasabiramp.model.schedule import Plan, run_schedule
 
 MAX_SEEDS = 120
@@ -113,14 +113,14 @@
 
 def retry_non_idempotent(patch: Any) -> None:
     """Run interrupted non-idempotent tasks again."""
-    note = tasks._note_interrupted
+    note = outcomes._note_interrupted
 
     def run_again(context: Any, state: Any, key: str, job: Any, task: Any, seen: str) -> None:
         job.spec.is_idempotent, kept = True, job.spec.is_idempotent
         note(context, state, key, job, task, seen)
         job.spec.is_idempotent = kept
 
-    patch.setattr(tasks, "_note_interrupted", run_again)
+    patch.setattr(outcomes, "_note_interrupted", run_again)
 
 
 def trust_first_report(patch: Any) -> None:
--- a/wasabiramp/jobs/gangs.py
+++ b/wasabiramp/jobs/gangs.py
@@ -12,7 +12,7 @@
 
 from wasabiramp.core.context import Context
 from wasabiramp.core.registry import receives
-from wasabiramp.jobs import journal, tasks
+from wasabiramp.jobs import journal, outcomes, tasks
 from wasabiramp.jobs.limits import is_within_quota
 from wasabiramp.jobs.state import (
     ASKED,
@@ -211,5 +211,5 @@
 def fail(context: Context, state: PartitionState, key: str, job: Job, reason: str) -> None:
     """Stop what runs of a gang of which one task could not start; it is tried again whole."""
     context.log("gang_interrupted", job=key, reason=reason)
-    tasks.stop_running(context, key, job)
+    outcomes.stop_running(context, key, job)
     job.retry_at = context.now + backoff_s(min(job.gang_rounds, 6), context.random, 0.1)
--- a/wasabiramp/jobs/home.py
+++ b/wasabiramp/jobs/home.py
@@ -8,7 +8,7 @@
 from wasabiramp.core.events import OK, JobAsked, JobSubmitted, PeerLost, Tick
 from wasabiramp.core.records import record
 from wasabiramp.core.registry import handles, receives
-from wasabiramp.jobs import barrier, gangs, journal, tasks
+from wasabiramp.jobs import barrier, gangs, journal, outcomes, tasks
 from wasabiramp.jobs.limits import find_refusal
 from wasabiramp.jobs.state import (
     ENDED,
@@ -290,7 +290,7 @@
         body = HomeAnswer(message.partition, [], f"job {message.team}/{message.name} not found")
         context.send(sender, JobsAnswered(message.request_id, 404, body))
         return
-    if message.action == "cancel" and job.phase not in tasks.END_PHASES:
+    if message.action == "cancel" and job.phase not in outcomes.END_PHASES:
         _cancel(context, state, job)
     body = HomeAnswer(message.partition, [describe(job)])
     context.send(sender, JobsAnswered(message.request_id, 200, body))
@@ -320,7 +320,7 @@
     journal.append(context, state, [JobCancelRecord(key)], KIND_CANCEL, key)
     job.reason = "cancelled"
     gangs.release(context, state, key, job)
-    tasks.stop_all(context, state, key, job)
+    outcomes.stop_all(context, state, key, job)
 
 
 @journal.replays(JobRecord)
@@ -359,7 +359,7 @@
     job = state.jobs.get(item.key)
     if job is None:
         return
-    tasks.restore_end(state, item, job)
+    outcomes.restore_end(state, item, job)
 
 
 @journal.SNAPSHOTS.append
--- a/wasabiramp/model/schedule.py
+++ b/wasabiramp/model/schedule.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Final
@@ -16,9 +15,10 @@
     TaskRecord,
     check_all,
 )
-from wasabiramp.core.events import JobSubmitted, RequestArrived, ResourceWritten, StopRequested
+from wasabiramp.core.events import JobSubmitted, RequestArrived, ResourceWritten
 from wasabiramp.jobs.home import JobsReply
 from wasabiramp.jobs.schema import parse_job
+from wasabiramp.model.faults import FAULTS, Fault
 from wasabiramp.model.world import Node, World
 
 FAULT_S: Final = 20.0
@@ -248,173 +248,6 @@
     return peaks
 
 
-Fault = Callable[[Run], str]
-FAULTS: Final[list[Fault]] = []
-
-
-def fault(action: Fault) -> Fault:
-    """Register a fault that schedules draw from; it returns what it did."""
-    FAULTS.append(action)
-    return action
-
-
-def _pick_live(run: Run) -> Node:
-    """Return any live daemon."""
-    return run.random.choice(run.world.list_live())
-
-
-@fault
-def kill_node(run: Run) -> str:
-    """Kill a daemon; a new process takes its place on the same instance."""
-    node = _pick_live(run)
-    run.world.kill(node.name)
-    back_s = run.random.uniform(0.1, 6.0)
-    run.world.at(back_s, lambda: run.replace(node.name))
-    return f"kill {node.name}, back after {back_s:.1f} s"
-
-
-@fault
-def freeze_node(run: Run) -> str:
-    """Pause a daemon, for longer than its right lasts in most cases."""
-    node = _pick_live(run)
-    seconds = run.random.uniform(0.5, 10.0)
-    run.world.freeze(node.name, seconds)
-    return f"freeze {node.name} for {seconds:.1f} s"
-
-
-@fault
-def freeze_in_decision(run: Run) -> str:
-    """Pause a daemon between a decision and the sending of it."""
-    node = _pick_live(run)
-    run.world.freeze_at_next_decision(node.name)
-    return f"freeze {node.name} in its next decision"
-
-
-@fault
-def cut_node(run: Run) -> str:
-    """Cut a daemon off from all peers and the store, while it still reaches its targets."""
-    node = _pick_live(run)
-    black = run.random.random() < 0.5
-    for other in run.world.nodes:
-        if other != node.name:
-            run.world.cut(node.name, other, black)
-    run.world.cut(node.name, "store")
-    seconds = run.random.uniform(1.0, 10.0)
-    run.world.at(seconds, run.world.heal)
-    return f"cut {node.name} off, black hole {black}, for {seconds:.1f} s"
-
-
-@fault
-def cut_pair(run: Run) -> str:
-    """Cut two daemons off from each other."""
-    names = list(run.world.nodes)
-    one, other = run.random.sample(names, 2)
-    run.world.cut(one, other, run.random.random() < 0.5)
-    seconds = run.random.uniform(0.5, 8.0)
-    run.world.at(seconds, run.world.heal)
-    return f"cut {one} from {other} for {seconds:.1f} s"
-
-
-@fault
-def cut_target(run: Run) -> str:
-    """Cut a daemon off from a target, for longer than a lease in some cases."""
-    node = _pick_live(run)
-    target = run.random.choice([*run.world.executors, *run.world.workers])
-    run.world.cut(node.name, target)
-    seconds = run.random.uniform(0.5, 20.0)
-    run.world.at(seconds, run.world.heal)
-    return f"cut {node.name} from {target} for {seconds:.1f} s"
-
-
-@fault
-def stop_store(run: Run) -> str:
-    """Take the store away."""
-    faults = run.world.store.faults
-    faults.down = True
-    seconds = run.random.uniform(1.0, 12.0)
-    run.world.at(seconds, lambda: setattr(faults, "down", False))
-    return f"store down for {seconds:.1f} s"
-
-
-@fault
-def age_store(run: Run) -> str:
-    """Have the store read from a lagging copy and stall its watches."""
-    faults = run.world.store.faults
-    faults.stale_s = run.random.uniform(0.5, 5.0)
-    faults.watch_stalled = run.random.random() < 0.5
-
-    def mend() -> None:
-        faults.stale_s = 0.0
-        faults.watch_stalled = False
-
-    run.world.at(run.random.uniform(2.0, 10.0), mend)
-    return f"store {faults.stale_s:.1f} s stale, watch stalled {faults.watch_stalled}"
-
-
-@fault
-def lose_answers(run: Run) -> str:
-    """Lose answers after they took effect, and deliver calls late."""
-    world = run.world
-    world.lost_share, world.late_share = 0.2, 0.1
-
-    def mend() -> None:
-        world.lost_share, world.late_share = 0.0, 0.0
-
-    world.at(run.random.uniform(2.0, 8.0), mend)
-    return "a fifth of answers lost, a tenth of calls late"
-
-
-@fault
-def replace_all(run: Run) -> str:
-    """Replace every daemon at once."""
-    names = [node.name for node in run.world.list_live()]
-    for name in names:
-        run.world.kill(name)
-        back_s = run.random.uniform(0.1, 2.0)
-        run.world.at(back_s, lambda name=name: run.replace(name))
-    return "replace all daemons"
-
-
-@fault
-def stop_gracefully(run: Run) -> str:
-    """Stop a daemon gracefully and start another in its place."""
-    node = _pick_live(run)
-    run.world.apply(node, StopRequested())
-
-    def replace() -> None:
-        if node.is_alive:
-            run.world.at(0.5, replace)
-            return
-        run.replace(node.name)
-
-    run.world.at(1.0, replace)
-    return f"stop {node.name} gracefully"
-
-
-@fault
-def leave_target(run: Run) -> str:
-    """Have the platform announce that a target leaves, and bring it back later."""
-    leaving = run.world.leaving_since
-    targets = [name for name in [*run.world.executors][1:] if name not in leaving]
-    workers = [name for name in run.world.workers if name not in leaving]
-    # The largest all-or-nothing job needs two whole workers: with fewer it rightly waits.
-    free = targets + workers[1 : max(1, len(workers) - 1)]
-    if not free:
-        return "no target left to leave"
-    name = run.random.choice(free)
-    run.world.set_leaving(name)
-    return f"{name} leaves"
-
-
-@fault
-def break_worker(run: Run) -> str:
-    """Have a worker fail everything for a while."""
-    worker = run.random.choice(list(run.world.workers.values()))
-    worker.faults.fail_all = True
-    run.world.at(4.0, lambda: setattr(worker.faults, "fail_all", False))
-    return "a worker fails everything"
-
-
 def draw_work(run: Run) -> None:
     """Draw requests and jobs over the time of the faults."""
     plan = run.plan
