Drop the oldest ended jobs and settled keys when a partition is compacted

Ruled out: dropping by age, since loop clocks do not outlive a process. After: a base keeps the newest 1500, 400 or 100, the first that fits.

--- a/wasabiramp/jobs/home.py
+++ b/wasabiramp/jobs/home.py
@@ -363,8 +363,11 @@
 
 
 @journal.SNAPSHOTS.append
-def snapshot_jobs(state: PartitionState) -> list[Any]:
-    """Return the records that restore every job."""
+def snapshot_jobs(state: PartitionState, keep: int) -> list[Any]:
+    """Return the records that restore every job, after dropping the oldest ended over `keep`."""
+    ended = [key for key, job in state.jobs.items() if job.is_end_committed]
+    for key in ended[: max(0, len(ended) - keep)]:
+        del state.jobs[key]
     records: list[Any] = []
     for key, job in state.jobs.items():
         records.append(JobRecord(job.spec))
--- a/wasabiramp/jobs/journal.py
+++ b/wasabiramp/jobs/journal.py
@@ -23,6 +23,9 @@
 
 COMPACT_SEGMENTS: Final = 6
 MAX_SNAPSHOT_BYTES: Final = 900_000
+KEPT_ENDED: Final = (1500, 400, 100)
+"""How many ended jobs, and settled keys, a base keeps: the first number that fits is used."""
+
 
 NEW: Final = "new"
 LOADING: Final = "loading"
@@ -30,7 +33,7 @@
 
 Committed = Callable[[Context, PartitionState, Append, str], None]
 Replay = Callable[[Context, PartitionState, Any], None]
-Snapshot = Callable[[PartitionState], list[Any]]
+Snapshot = Callable[[PartitionState, int], list[Any]]
 
 COMMITTED: Final[dict[str, Committed]] = {}
 REPLAYS: Final[dict[type, Replay]] = {}
@@ -312,11 +315,18 @@
 
 
 def _start_snapshot(context: Context, state: PartitionState) -> bool:
-    """Write all that is alive as a new base segment; tell whether it was small enough."""
+    """Write all that is alive as a new base segment; tell whether it was small enough.
+
+    The oldest ended jobs and settled keys are dropped here, and nowhere else.
+    """
     journal = state.journal
-    records = [item for snapshot in SNAPSHOTS for item in snapshot(state)]
-    size = sum(len(encode_json(item)) for item in records)
-    if size > MAX_SNAPSHOT_BYTES:
+    for keep in KEPT_ENDED:
+        records = [item for snapshot in SNAPSHOTS for item in snapshot(state, keep)]
+        size = sum(len(encode_json(item)) for item in records)
+        if size <= MAX_SNAPSHOT_BYTES:
+            break
+    else:
+        context.log("snapshot_too_large", partition=state.number, bytes=size)
         return False
     journal.is_snapshot = True
     journal.rolls_to = journal.active + 1
--- a/wasabiramp/jobs/keys.py
+++ b/wasabiramp/jobs/keys.py
@@ -224,8 +224,11 @@
 
 
 @journal.SNAPSHOTS.append
-def snapshot_keys(state: PartitionState) -> list[KeyRecord]:
-    """Return a record for each key."""
+def snapshot_keys(state: PartitionState, keep: int) -> list[KeyRecord]:
+    """Return a record for each key, after dropping the oldest settled ones over `keep`."""
+    settled = [key for key, entry in state.keys.items() if entry.verdict is not None]
+    for key in settled[: max(0, len(settled) - keep)]:
+        del state.keys[key]
     return [
         KeyRecord(key, _trim(entry.verdict) if entry.verdict else None)
         for key, entry in state.keys.items()
