--- /dev/null
+++ b/wasabiramp/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry instance does: membership, admission, and owning a placement domain."""
--- /dev/null
+++ b/wasabiramp/entry/admission.py
@@ -0,0 +1,100 @@
+"""Admission: jobs are stored in groups by the daemon that took them, then announced."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from wasabiramp.entry.keys import key_job, key_progress
+from wasabiramp.entry.ports import (
+    Store,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.logs import log_event
+from wasabiramp.scheduling.model import JobDefinition
+from wasabiramp.scheduling.records import encode_definition
+
+JOBS_A_COMMIT: Final = 10
+"""Each job takes three of the store's 32 entries: two conditions and a write."""
+
+STORED: Final = "stored"
+REPEATED: Final = "repeated"
+REFUSED: Final = "refused"
+UNKNOWN: Final = "unknown"
+
+
+class Admission:
+    """Stores jobs, those that come together in one transaction.
+
+    A job is stored under the condition that neither a definition nor a progress record of its id
+    exists, so that a repeat, however late and at whichever daemon, stays one job.
+    """
+
+    def __init__(self, store: Store) -> None:
+        """Store into `store`."""
+        self._store = store
+        self._waiting: list[tuple[JobDefinition, asyncio.Future[str]]] = []
+        self._wake = asyncio.Event()
+
+    async def async_store(self, job: JobDefinition) -> str:
+        """Store one job and return the outcome; of `UNKNOWN` nobody knows yet."""
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._waiting.append((job, future))
+        self._wake.set()
+        return await future
+
+    async def async_run(self) -> None:
+        """Store what comes, one group after the other."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._waiting:
+                group = self._waiting[:JOBS_A_COMMIT]
+                del self._waiting[:JOBS_A_COMMIT]
+                await self._async_store_group(group)
+
+    async def _async_store_group(
+        self, group: list[tuple[JobDefinition, asyncio.Future[str]]]
+    ) -> None:
+        """Store a group; without those that exist already, if there are any."""
+        unique = {job.id: job for job, _future in group}
+        transaction = Transaction()
+        for job in unique.values():
+            transaction.expected[key_job(job.id)] = 0
+            transaction.expected[key_progress(job.id)] = 0
+            transaction.writes[key_job(job.id)] = (encode_definition(job), 0)
+        try:
+            await self._store.async_commit(transaction)
+        except StoreConflictError as err:
+            self._settle_conflict(group, err)
+        except StoreRefusedError as err:
+            log_event("admission_refused", jobs=len(unique), error=err)
+            _settle(group, REFUSED)
+        except StoreUnknownError as err:
+            log_event("admission_unanswered", jobs=len(unique), error=err)
+            _settle(group, UNKNOWN)
+        else:
+            _settle(group, STORED)
+
+    def _settle_conflict(
+        self, group: list[tuple[JobDefinition, asyncio.Future[str]]], err: StoreConflictError
+    ) -> None:
+        """Tell who exists already, and try the others again."""
+        rest = []
+        for job, future in group:
+            if key_job(job.id) in err.items or key_progress(job.id) in err.items:
+                _settle([(job, future)], REPEATED)
+            else:
+                rest.append((job, future))
+        self._waiting[:0] = rest
+        self._wake.set()
+
+
+def _settle(group: list[tuple[JobDefinition, asyncio.Future[str]]], outcome: str) -> None:
+    """Tell the waiting requests of a group."""
+    for _job, future in group:
+        if not future.done():
+            future.set_result(outcome)
--- /dev/null
+++ b/wasabiramp/entry/advisers.py
@@ -0,0 +1,66 @@
+"""Which daemon asks the adviser: it answers each caller's questions one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from wasabiramp.entry.peers import OK, AskAdviser, PeerCaller
+from wasabiramp.entry.ports import Adviser, NoAnswerError
+
+ANSWER_SLACK_S: Final = 1.0
+"""Time for an answer beyond the adviser's own; several round trips on a slow path."""
+
+QUICK_S: Final = 0.06
+"""Questions that cost the adviser less than this are asked by the owner itself."""
+
+AVOID_S: Final = 1.0
+"""Pause for a daemon through which a question had no answer."""
+
+LOCAL: Final = ""
+"""Address that stands for this daemon."""
+
+
+class AdviserPool:
+    """Spreads questions over all daemons by the time that those in front will take."""
+
+    def __init__(
+        self, adviser: Adviser, peers: PeerCaller, list_peers: Callable[[], list[str]]
+    ) -> None:
+        """Ask through this daemon, or through the addresses that `list_peers` returns."""
+        self._adviser = adviser
+        self._peers = peers
+        self._list_peers = list_peers
+        self._free_at: dict[str, float] = {}
+        self._avoid_until: dict[str, float] = {}
+
+    async def async_ask(
+        self, step: str, executors: list[str], cost_s: float
+    ) -> tuple[dict[str, str], float]:
+        """Return the good executors with their tickets, and how long those are valid."""
+        now = asyncio.get_running_loop().time()
+        address = self._choose(now, cost_s)
+        free_at = max(now, self._free_at.get(address, 0.0)) + cost_s
+        self._free_at[address] = free_at
+        timeout_s = free_at - now + ANSWER_SLACK_S
+        try:
+            if address == LOCAL:
+                return await self._adviser.async_ask(step, executors, timeout_s)
+            answer = await self._peers.async_call(
+                address, AskAdviser(step, executors, timeout_s), timeout_s + ANSWER_SLACK_S / 4
+            )
+            if answer.outcome != OK:
+                raise NoAnswerError(f"adviser through {address}: {answer.value}")
+            good, valid_s = answer.value
+            return good, valid_s
+        except NoAnswerError:
+            self._avoid_until[address] = now + AVOID_S
+            raise
+
+    def _choose(self, now: float, cost_s: float) -> str:
+        """Return the daemon that is free first; slow questions stay off this one."""
+        addresses = [a for a in self._list_peers() if self._avoid_until.get(a, 0.0) <= now]
+        if cost_s <= QUICK_S or not addresses:
+            addresses.append(LOCAL)
+        return min(addresses, key=lambda a: (max(now, self._free_at.get(a, 0.0)), a != LOCAL))
--- /dev/null
+++ b/wasabiramp/entry/daemon.py
@@ -0,0 +1,245 @@
+"""The daemon of an entry instance: serves callers, and owns the domain when it is its turn."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Any, Final
+
+from wasabiramp.core.records import DecodeError
+from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.answers import NOT_READY, Answer
+from wasabiramp.entry.desk import Desk
+from wasabiramp.entry.follow import Follower
+from wasabiramp.entry.membership import Membership, Tenure
+from wasabiramp.entry.owner import Owner
+from wasabiramp.entry.peers import (
+    FAILED,
+    OK,
+    AskAdviser,
+    PeerAnswer,
+    PeerCaller,
+    PeerListener,
+)
+from wasabiramp.entry.ports import (
+    Adviser,
+    Codec,
+    EntrySettings,
+    Executors,
+    Item,
+    NoAnswerError,
+    Store,
+    StoreRefusedError,
+    StoreUnknownError,
+)
+from wasabiramp.logs import log_event
+from wasabiramp.metrics import Metrics
+from wasabiramp.scheduling.model import CellConfig, Queue
+
+CONFIG_WATCH_S: Final = 1.0
+"""How long a watch of the configuration waits; a silent connection is noticed soon after."""
+
+CONTACT_S: Final = 2.5
+"""A daemon that has not reached the store for this long tells the balancer so."""
+
+BIND_RETRY_S: Final = 0.2
+BIND_TRIES: Final = 20
+"""Addresses may be held by an earlier process for a moment."""
+
+ROTATION_S: Final = 2.2
+"""After SIGTERM the balancer needs two checks, a second apart, to send callers elsewhere."""
+
+FLUSH_S: Final = 1.0
+"""Longest wait of a leaving owner for answers to its orders."""
+
+
+class EntryDaemon:
+    """One daemon: desk, membership, and the owner when it is its turn."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        store: Store,
+        executors: Executors,
+        adviser: Adviser,
+        codec: Codec,
+    ) -> None:
+        """Prepare; nothing is opened before `async_start`."""
+        self.settings = settings
+        self.metrics = Metrics()
+        self._store = store
+        self._executors = executors
+        self._adviser = adviser
+        self._codec = codec
+        self._peers = PeerCaller()
+        self._listener = PeerListener(self._async_serve_peer)
+        self._membership = Membership(
+            settings, store, self._take_tenure, self._lose_tenure, self._note_members
+        )
+        self._owner: Owner | None = None
+        self.desk = Desk(store, self._membership, self._peers, self._find_owner, self.metrics)
+        self.config = CellConfig(0, ())
+        self._config_follower = Follower(store, codec.config_key, CONFIG_WATCH_S, self._take_config)
+        self._reading_config: asyncio.Task[bool] | None = None
+        self._is_leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.stop_asked = asyncio.Event()
+        self._members: set[str] = set()
+
+    async def async_start(self) -> None:
+        """Open the port for other daemons, join, and follow the configuration."""
+        log_event("starting", member=self.settings.name, zone=self.settings.zone)
+        loop = asyncio.get_running_loop()
+        await _async_bind(lambda: self._listener.async_start(self.settings.peer_address))
+        self._membership.start()
+        self._tasks = [
+            loop.create_task(self._config_follower.async_run()),
+            loop.create_task(self.desk.admission.async_run()),
+            loop.create_task(self.desk.async_run_announcer()),
+        ]
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: log_event("reload_asked"))
+
+    async def async_hand_over(self) -> None:
+        """Leave the balancer's rotation, and give up ownership with all orders answered."""
+        self._is_leaving = True
+        log_event("leaving", member=self.settings.name, owner=self._owner is not None)
+        owner = self._owner
+        if owner is not None:
+            owner.stop_placing()
+            try:
+                async with asyncio.timeout(FLUSH_S):
+                    await owner.async_flush()
+            except TimeoutError:
+                log_event("flush_incomplete")
+            owner.stop()
+            self._owner = None
+        await self._membership.async_leave()
+
+    async def async_stop(self) -> None:
+        """Stop what runs and close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        await self._listener.async_stop()
+        self._peers.close()
+        log_event("stopped", member=self.settings.name)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        if self._is_leaving or not self.config.version:
+            return False
+        confirmed_at = self._config_follower.confirmed_at
+        now = asyncio.get_running_loop().time()
+        return confirmed_at is not None and now - confirmed_at < CONTACT_S
+
+    async def async_find_queue(self, host: str, path: str) -> Queue | Answer | None:
+        """Return the queue that a request means, or None once the store says there is none."""
+        queue = self.config.route(host, path)
+        if queue is not None:
+            return queue
+        if not await self._async_refresh_config():
+            reason = "the newest configuration is not known"
+            return Answer(NOT_READY, reason=reason, retry_after_s=1.0)
+        return self.config.route(host, path)
+
+    async def _async_refresh_config(self) -> bool:
+        """Read the newest configuration, once for all that wait; tell whether it is known."""
+        if self._reading_config is None or self._reading_config.done():
+            loop = asyncio.get_running_loop()
+            self._reading_config = loop.create_task(self._async_read_config())
+        return await asyncio.shield(self._reading_config)
+
+    async def _async_read_config(self) -> bool:
+        """Read the newest configuration."""
+        try:
+            item = await self._store.async_get(self._codec.config_key)
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("config_unread", error=err)
+            return False
+        if item is not None:
+            self._take_config(item.key, item)
+        return self.config.version > 0
+
+    def _take_config(self, key: str, item: Item | None) -> None:
+        """Take a configuration that is newer than the one in force."""
+        if item is None or key != self._codec.config_key:
+            return
+        try:
+            config = self._codec.decode_config(item.value)
+        except DecodeError as err:
+            log_event("config_unreadable", revision=item.revision, error=err)
+            return
+        if config.version <= self.config.version:
+            return
+        self.config = config
+        log_event("config_taken", version=config.version, queues=len(config.queues))
+        if self._owner is not None:
+            self._owner.take_config(config)
+
+    def _find_owner(self) -> Owner | None:
+        """Return the owner in this process, if there is one."""
+        return self._owner
+
+    def _take_tenure(self, tenure: Tenure) -> None:
+        """Begin to act for the domain, or go on in a new term."""
+        if self._is_leaving:
+            return
+        if self._owner is not None:
+            self._owner.renew(tenure)
+            return
+        pool = AdviserPool(self._adviser, self._peers, self._list_peers)
+        self._owner = Owner(
+            tenure,
+            self._store,
+            self._executors,
+            pool,
+            self._codec,
+            self.metrics,
+            self.settings.lease_limit_s,
+            self._membership.drop_tenure,
+        )
+        self._owner.start(self.config)
+
+    def _lose_tenure(self, reason: str) -> None:
+        """Stop acting for the domain."""
+        if self._owner is not None:
+            self._owner.stop()
+            self._owner = None
+
+    def _note_members(self) -> None:
+        """Look for jobs that a daemon which left may not have announced."""
+        members = set(self._membership.addresses)
+        if self._members - members and self._owner is not None:
+            self._owner.rescan_soon()
+        self._members = members
+
+    def _list_peers(self) -> list[str]:
+        """Return the addresses of the other daemons."""
+        addresses = self._membership.addresses
+        return [addresses[name] for name in sorted(addresses) if name != self.settings.name]
+
+    async def _async_serve_peer(self, message: Any) -> PeerAnswer:
+        """Answer a call of another daemon."""
+        if not isinstance(message, AskAdviser):
+            return await self.desk.async_serve(message)
+        try:
+            good, valid_s = await self._adviser.async_ask(
+                message.step, message.executors, message.timeout_s
+            )
+        except NoAnswerError as err:
+            return PeerAnswer(FAILED, str(err))
+        return PeerAnswer(OK, (good, valid_s))
+
+
+async def _async_bind(bind: Any) -> None:
+    """Open a port, also where an earlier process still holds it for a moment."""
+    for attempt in range(BIND_TRIES):
+        try:
+            await bind()
+            return
+        except OSError as err:
+            log_event("port_busy", attempt=attempt, error=err)
+            if attempt + 1 == BIND_TRIES:
+                raise
+            await asyncio.sleep(BIND_RETRY_S)
--- /dev/null
+++ b/wasabiramp/entry/desk.py
@@ -0,0 +1,286 @@
+"""The desk for callers: every daemon takes jobs, shows them and cancels them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Any, Final
+
+from wasabiramp.entry import admission as stored
+from wasabiramp.entry.admission import Admission
+from wasabiramp.entry.answers import (
+    ACCEPTED,
+    CANCELLED,
+    MAY_HAVE_RUN,
+    NO_SUCH_JOB,
+    NOT_READY,
+    NOT_RUN,
+    SHOWN,
+    Answer,
+)
+from wasabiramp.entry.keys import key_job, key_progress
+from wasabiramp.entry.membership import Membership
+from wasabiramp.entry.owner import Owner
+from wasabiramp.entry.peers import (
+    FAILED,
+    NOT_OWNER,
+    OK,
+    UNKNOWN_JOB,
+    AnnounceJobs,
+    CancelJob,
+    CountWaiting,
+    PeerAnswer,
+    PeerCaller,
+    ShowJob,
+    StoreJobs,
+)
+from wasabiramp.entry.ports import (
+    NoAnswerError,
+    Store,
+    StoreRefusedError,
+    StoreUnknownError,
+)
+from wasabiramp.logs import log_event
+from wasabiramp.metrics import Metrics
+from wasabiramp.scheduling.events import CancelAsked
+from wasabiramp.scheduling.model import CANCELLED as PHASE_CANCELLED
+from wasabiramp.scheduling.model import (
+    FINAL_PHASES,
+    PENDING,
+    JobDefinition,
+    Queue,
+)
+from wasabiramp.scheduling.records import (
+    decode_definition,
+    decode_progress,
+    encode_definition,
+)
+
+PEER_CALL_S: Final = 0.4
+"""Time for a short call to another daemon; many times a round trip."""
+
+CANCEL_CALL_S: Final = 1.2
+"""Time for a cancel at the owner, which waits for the store."""
+
+RETRY_S: Final = 0.08
+"""Pause before a call is tried again, so that a takeover is noticed soon."""
+
+ANSWER_RESERVE_S: Final = 0.25
+"""Kept of a caller's time for the answer's way back."""
+
+RETRY_AFTER_S: Final = 1.0
+"""Told to callers who find the store or the owner away: about the time of a takeover."""
+
+PEERS_TRIED: Final = 2
+"""Daemons that are asked to store a job when this one cannot."""
+
+
+class Desk:
+    """Carries out calls of callers at this daemon, and of other daemons at the owner."""
+
+    def __init__(
+        self,
+        store: Store,
+        membership: Membership,
+        peers: PeerCaller,
+        find_owner: Callable[[], Owner | None],
+        metrics: Metrics,
+    ) -> None:
+        """Use the owner in this process where there is one."""
+        self._store = store
+        self._membership = membership
+        self._peers = peers
+        self._find_owner = find_owner
+        self._metrics = metrics
+        self.admission = Admission(store)
+        self._unannounced: dict[str, JobDefinition] = {}
+        self._announce_wake = asyncio.Event()
+
+    async def async_submit(self, job: JobDefinition, patience_s: float) -> Answer:
+        """Store a job and announce it to the owner."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        give_up_at = started_at + max(0.1, patience_s - ANSWER_RESERVE_S)
+        may_be_stored = False
+        while True:
+            outcome = await self._async_store(job, give_up_at - loop.time())
+            if outcome in (stored.STORED, stored.REPEATED):
+                if outcome == stored.STORED:
+                    self._announce(job)
+                self._metrics.note("submit_seconds", loop.time() - started_at, {})
+                took_s = round(loop.time() - started_at, 4)
+                log_event("job_stored", job=job.id, queue=job.queue.name, how=outcome, s=took_s)
+                return Answer(ACCEPTED)
+            may_be_stored = may_be_stored or outcome == stored.UNKNOWN
+            if loop.time() + RETRY_S >= give_up_at:
+                break
+            await asyncio.sleep(RETRY_S)
+        outcome = MAY_HAVE_RUN if may_be_stored else NOT_RUN
+        log_event("job_not_stored", job=job.id, queue=job.queue.name, outcome=outcome)
+        return Answer(outcome, reason="the store does not answer", retry_after_s=RETRY_AFTER_S)
+
+    async def _async_store(self, job: JobDefinition, time_left_s: float) -> str:
+        """Store a job here, or through another daemon where the store turns this one away."""
+        try:
+            async with asyncio.timeout(max(0.05, time_left_s)):
+                outcome = await self.admission.async_store(job)
+        except TimeoutError:
+            return stored.UNKNOWN
+        if outcome in (stored.STORED, stored.REPEATED):
+            return outcome
+        message = StoreJobs([encode_definition(job)])
+        for address in self._list_peers()[:PEERS_TRIED]:
+            try:
+                answer = await self._peers.async_call(address, message, 2 * PEER_CALL_S)
+            except NoAnswerError:
+                outcome = stored.UNKNOWN
+                continue
+            if answer.value in (stored.STORED, stored.REPEATED):
+                return answer.value
+            if answer.value != stored.REFUSED:
+                outcome = stored.UNKNOWN
+        return outcome
+
+    def _list_peers(self) -> list[str]:
+        """Return the addresses of the other daemons, the owner's first."""
+        members = self._membership
+        others = [a for name, a in sorted(members.addresses.items()) if name != members.name]
+        return sorted(others, key=lambda address: address != members.owner_address)
+
+    def _announce(self, job: JobDefinition) -> None:
+        """Tell the owner of a stored job; again and again until it knows."""
+        owner = self._find_owner()
+        if owner is not None and owner.is_recovered:
+            owner.take_job(job)
+            return
+        self._unannounced[job.id] = job
+        self._announce_wake.set()
+
+    async def async_run_announcer(self) -> None:
+        """Announce jobs to the owner, whoever that is by then."""
+        while True:
+            await self._announce_wake.wait()
+            self._announce_wake.clear()
+            while self._unannounced:
+                batch = list(self._unannounced.values())[:50]
+                message = AnnounceJobs([encode_definition(job) for job in batch])
+                answer = await self._async_ask_owner(message, PEER_CALL_S)
+                if answer.outcome != OK:
+                    await asyncio.sleep(RETRY_S)
+                    continue
+                for job in batch:
+                    self._unannounced.pop(job.id, None)
+
+    async def _async_ask_owner(self, message: Any, timeout_s: float) -> PeerAnswer:
+        """Return the owner's answer, `NOT_OWNER` where no owner answers."""
+        if self._find_owner() is not None:
+            return await self.async_serve(message)
+        address = self._membership.owner_address
+        if not address:
+            return PeerAnswer(NOT_OWNER)
+        try:
+            return await self._peers.async_call(address, message, timeout_s)
+        except NoAnswerError as err:
+            log_event("owner_silent", address=address, error=err)
+            return PeerAnswer(NOT_OWNER)
+
+    async def async_serve(self, message: Any) -> PeerAnswer:
+        """Answer a call that is meant for the owner, or for any daemon that reaches the store."""
+        if isinstance(message, StoreJobs):
+            return await self._async_store_for_peer(message)
+        owner = self._find_owner()
+        if owner is None or not owner.is_recovered:
+            return PeerAnswer(NOT_OWNER)
+        if isinstance(message, AnnounceJobs):
+            for data in message.definitions:
+                owner.take_job(decode_definition(data))
+            return PeerAnswer(OK)
+        if isinstance(message, CountWaiting):
+            return PeerAnswer(OK, owner.count_waiting(message.queue))
+        if not isinstance(message, ShowJob | CancelJob):
+            return PeerAnswer(FAILED, f"unknown call {type(message).__name__}")
+        phase = owner.find_phase(message.job)
+        if phase is None:
+            return PeerAnswer(UNKNOWN_JOB)
+        if isinstance(message, CancelJob) and phase not in FINAL_PHASES:
+            owner.take_event(CancelAsked(message.job))
+            await owner.async_wait_stored()
+            phase = owner.find_phase(message.job)
+        return PeerAnswer(OK, phase)
+
+    async def _async_store_for_peer(self, message: StoreJobs) -> PeerAnswer:
+        """Store jobs of a daemon that the store turns away."""
+        outcome = stored.REFUSED
+        for data in message.definitions:
+            job = decode_definition(data)
+            outcome = await self.admission.async_store(job)
+            if outcome == stored.STORED:
+                self._announce(job)
+        return PeerAnswer(OK, outcome)
+
+    async def async_show(self, job_id: str, patience_s: float) -> Answer:
+        """Show a job's phase: from its owner, or from the store where no owner answers."""
+        answer = await self._async_ask_owner(ShowJob(job_id), min(PEER_CALL_S, patience_s / 2))
+        if answer.outcome == OK:
+            return Answer(SHOWN, answer.value)
+        return await self._async_show_stored(job_id)
+
+    async def _async_show_stored(self, job_id: str) -> Answer:
+        """Show what the store knows of a job.
+
+        The definition is read first: it goes away only together with a final progress record.
+        """
+        try:
+            item = await self._store.async_get(key_job(job_id))
+            record = await self._store.async_get(key_progress(job_id))
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("job_not_shown", job=job_id, error=err)
+            return Answer(NOT_READY, reason="the store is away", retry_after_s=RETRY_AFTER_S)
+        if record is not None:
+            phase = decode_progress(record.value).phase
+            if phase in FINAL_PHASES:
+                return Answer(SHOWN, phase)
+        if item is None and record is None:
+            log_event("job_unknown", job=job_id)
+            return Answer(NO_SUCH_JOB)
+        if item is not None:
+            self._announce(decode_definition(item.value))
+        return Answer(SHOWN, PENDING)
+
+    async def async_cancel(self, job_id: str, patience_s: float) -> Answer:
+        """Cancel a job at its owner; it is cancelled once that is stored."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + max(0.1, patience_s - ANSWER_RESERVE_S)
+        while True:
+            answer = await self._async_ask_owner(CancelJob(job_id), CANCEL_CALL_S)
+            if answer.outcome == OK and answer.value in FINAL_PHASES:
+                log_event("cancel_answered", job=job_id, phase=answer.value)
+                return Answer(CANCELLED, answer.value)
+            if answer.outcome == UNKNOWN_JOB:
+                shown = await self._async_show_stored(job_id)
+                if shown.outcome == NO_SUCH_JOB or shown.phase == PHASE_CANCELLED:
+                    return shown
+                if shown.phase in FINAL_PHASES:
+                    return Answer(CANCELLED, shown.phase)
+            if loop.time() + RETRY_S >= give_up_at:
+                log_event("cancel_unanswered", job=job_id, outcome=answer.outcome)
+                reason = "the owner does not answer"
+                return Answer(MAY_HAVE_RUN, reason=reason, retry_after_s=RETRY_AFTER_S)
+            await asyncio.sleep(RETRY_S)
+
+    async def async_count_waiting(self, queue: Queue, patience_s: float) -> Answer:
+        """Return how many jobs of a queue have not begun."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + max(0.1, patience_s - ANSWER_RESERVE_S)
+        while True:
+            answer = await self._async_ask_owner(CountWaiting(queue.name), PEER_CALL_S)
+            if answer.outcome == OK:
+                return Answer(SHOWN, waiting=answer.value)
+            if loop.time() + RETRY_S >= give_up_at:
+                return Answer(NOT_READY, reason="no owner", retry_after_s=RETRY_AFTER_S)
+            await asyncio.sleep(RETRY_S)
+
+    def read_wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return int(time.time() * 1000)
--- /dev/null
+++ b/wasabiramp/entry/keys.py
@@ -0,0 +1,24 @@
+"""Keys of the store that belong to the project."""
+
+from __future__ import annotations
+
+from typing import Final
+
+PREFIX_LIVE: Final = "wr/live/"
+PREFIX_MEMBER: Final = "wr/live/member/"
+KEY_OWNER: Final = "wr/live/owner"
+KEY_TERM: Final = "wr/live/term"
+PREFIX_JOB: Final = "wr/job/"
+PREFIX_PROGRESS: Final = "wr/progress/"
+KEY_ROSTER: Final = "wr/roster"
+KEY_COMMITS: Final = "wr/commits"
+
+
+def key_job(job_id: str) -> str:
+    """Return the key of a job's definition, which is there until the job is over."""
+    return PREFIX_JOB + job_id
+
+
+def key_progress(job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return PREFIX_PROGRESS + job_id
--- /dev/null
+++ b/wasabiramp/entry/membership.py
@@ -0,0 +1,287 @@
+"""Membership: a daemon's lease and entry in the store, and who owns the placement domain."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import msgpack
+
+from wasabiramp.entry.follow import Follower
+from wasabiramp.entry.keys import KEY_OWNER, KEY_TERM, PREFIX_LIVE, PREFIX_MEMBER
+from wasabiramp.entry.ports import (
+    EntrySettings,
+    Item,
+    LeaseEndedError,
+    Store,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.logs import log_event
+
+LEASE_TTL_S: Final = 1.5
+"""A daemon that is silent for this long has left; half the budget of a takeover."""
+
+RENEW_S: Final = 0.4
+"""Three renewals may be lost before the lease ends."""
+
+CLAIM_STEP_S: Final = 0.03
+"""Pause between the claims of one candidate and the next, so that few of them collide."""
+
+INCUMBENT_S: Final = 0.3
+"""Time that a living owner gets to claim again after its key was taken away."""
+
+WATCH_S: Final = 1.0
+"""How long a watch waits; also bounds how long a silent connection goes unnoticed."""
+
+
+class Tenure:
+    """Ownership of the domain: the fence number, and the key that its commits depend on."""
+
+    __slots__ = ("fence", "term")
+
+    def __init__(self, term: int, fence: int) -> None:
+        """Note a term; its fence number is the revision at which it was claimed."""
+        self.term = term
+        self.fence = fence
+
+
+class Membership:
+    """What a daemon knows of the others, and its own claim to ownership."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        store: Store,
+        on_tenure: Callable[[Tenure], None],
+        on_loss: Callable[[str], None],
+        on_members: Callable[[], None],
+    ) -> None:
+        """Report a claim that held, the loss of ownership, and changed members or owners."""
+        self._settings = settings
+        self._store = store
+        self._on_tenure = on_tenure
+        self._on_loss = on_loss
+        self._on_members = on_members
+        self._follower = Follower(store, PREFIX_LIVE, WATCH_S, self._take_change)
+        self._lease = 0
+        self._is_leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._claiming: asyncio.Task[None] | None = None
+        self._lost_claim = b""
+        self.tenure: Tenure | None = None
+        self.renewed_at: float | None = None
+        self.addresses: dict[str, str] = {}
+
+    @property
+    def name(self) -> str:
+        """Return this daemon's name."""
+        return self._settings.name
+
+    @property
+    def _member_key(self) -> str:
+        """Return the key of this daemon's entry."""
+        return PREFIX_MEMBER + self._settings.name
+
+    @property
+    def is_known(self) -> asyncio.Event:
+        """Return the event that the members are known."""
+        return self._follower.is_known
+
+    @property
+    def owner_name(self) -> str:
+        """Return the name of the owner, or of the last one that was seen."""
+        item = self._follower.items.get(KEY_OWNER) or self._follower.items.get(KEY_TERM)
+        return _read_name(item) if item is not None else ""
+
+    @property
+    def owner_address(self) -> str:
+        """Return the owner's address for calls between daemons, empty where none is known."""
+        return self.addresses.get(self.owner_name, "")
+
+    def start(self) -> None:
+        """Begin to follow the others and to renew the lease."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._follower.async_run()),
+            loop.create_task(self._async_renew()),
+        ]
+
+    async def async_leave(self) -> None:
+        """Give up ownership and the entry, so that others take over at once."""
+        self._is_leaving = True
+        self.tenure = None
+        for task in self._tasks:
+            task.cancel()
+        if not self._lease:
+            return
+        try:
+            await self._store.async_end(self._lease)
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("lease_not_ended", error=err)
+
+    def drop_tenure(self, reason: str) -> None:
+        """Stop being the owner."""
+        if self.tenure is None:
+            return
+        log_event("ownership_lost", term=self.tenure.term, reason=reason)
+        self.tenure = None
+        self._on_loss(reason)
+
+    def _take_change(self, key: str, item: Item | None) -> None:
+        """Note a member or an owner that came, changed or left."""
+        if key.startswith(PREFIX_MEMBER):
+            name = key.removeprefix(PREFIX_MEMBER)
+            if item is not None:
+                self.addresses[name] = _read_address(item)
+                log_event("member_joined", member=name)
+            else:
+                self.addresses.pop(name, None)
+                log_event("member_left", member=name)
+        elif key == KEY_OWNER and item is None:
+            log_event("owner_gone", last=self.owner_name)
+            self._claim_soon()
+        elif key == KEY_OWNER and item is not None:
+            log_event("owner_seen", owner=_read_name(item))
+        elif key == KEY_TERM and item is not None:
+            self._take_term(item)
+        self._on_members()
+
+    def _take_term(self, item: Item) -> None:
+        """Stop where another daemon claimed a term; adopt a claim whose answer was lost."""
+        if _read_name(item) != self._settings.name:
+            if self.tenure is not None and item.revision > self.tenure.fence:
+                self.drop_tenure(f"term taken by {_read_name(item)}")
+        elif item.value == self._lost_claim:
+            self._lost_claim = b""
+            self._take_tenure(Tenure(_read_term(item), item.revision))
+
+    async def _async_renew(self) -> None:
+        """Keep the lease, and join again after it ended."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started_at = loop.time()
+            try:
+                if not self._lease:
+                    await self._async_join()
+                    self._claim_soon()
+                else:
+                    await asyncio.wait_for(self._store.async_renew(self._lease), LEASE_TTL_S / 2)
+                self._claim_soon()
+                self.renewed_at = started_at
+            except LeaseEndedError:
+                log_event("lease_ended", lease=self._lease)
+                self._lease = 0
+                continue
+            except (StoreRefusedError, StoreUnknownError, TimeoutError) as err:
+                log_event("renewal_failed", error=err or type(err).__name__)
+            await asyncio.sleep(max(0.05, started_at + RENEW_S - loop.time()))
+
+    async def _async_join(self) -> None:
+        """Take a lease and write the daemon's entry under it."""
+        ttl_s = max(LEASE_TTL_S, self._settings.lease_least_s)
+        lease = await self._store.async_grant(ttl_s)
+        value = msgpack.packb((self._settings.name, self._settings.peer_address))
+        await self._store.async_commit(Transaction(writes={self._member_key: (value, lease)}))
+        self._lease = lease
+        log_event("joined", lease=lease)
+
+    def _claim_soon(self) -> None:
+        """Claim ownership after a pause that differs from candidate to candidate."""
+        if self._is_leaving or not self._lease or not self.is_known.is_set() or self._is_owned():
+            return
+        if self._claiming is None or self._claiming.done():
+            self._claiming = asyncio.get_running_loop().create_task(self._async_claim())
+
+    def _is_owned(self) -> bool:
+        """Tell whether an owner is there; an entry of this daemon's earlier process is none."""
+        item = self._follower.items.get(KEY_OWNER)
+        if item is None:
+            return False
+        return self.tenure is not None or _read_name(item) != self._settings.name
+
+    def _find_pause(self) -> float:
+        """Return the pause: the youngest daemon goes first, a living owner before all."""
+        term = self._follower.items.get(KEY_TERM)
+        last = _read_name(term) if term is not None else ""
+        if last == self._settings.name:
+            return 0.0
+        members = [key for key in self._follower.items if key.startswith(PREFIX_MEMBER)]
+        members.sort(key=lambda key: -self._follower.items[key].created)
+        rank = members.index(self._member_key) if self._member_key in members else len(members)
+        return rank * CLAIM_STEP_S + (INCUMBENT_S if last in self.addresses else 0.0)
+
+    async def _async_claim(self) -> None:
+        """Claim the next term, unless an owner is there by then."""
+        await asyncio.sleep(self._find_pause())
+        if self._is_owned() or self._is_leaving or not self._lease:
+            return
+        owner, known = self._follower.items.get(KEY_OWNER), self._follower.items.get(KEY_TERM)
+        term = _read_term(known) + 1 if known is not None else 1
+        value = msgpack.packb((self._settings.name, term))
+        transaction = Transaction(
+            expected={
+                KEY_OWNER: owner.revision if owner is not None else 0,
+                KEY_TERM: known.revision if known is not None else 0,
+            },
+            writes={KEY_OWNER: (value, self._lease), KEY_TERM: (value, 0)},
+        )
+        try:
+            revision = await self._store.async_commit(transaction)
+        except StoreConflictError as err:
+            log_event("claim_beaten", term=term, keys=len(err.items))
+        except LeaseEndedError:
+            self._lease = 0
+        except StoreUnknownError as err:
+            log_event("claim_unanswered", term=term, error=err)
+            self._lost_claim = value
+        except StoreRefusedError as err:
+            log_event("claim_refused", term=term, error=err)
+        else:
+            self._take_tenure(Tenure(term, revision))
+
+    def _take_tenure(self, tenure: Tenure) -> None:
+        """Become the owner, or go on as the owner in a new term."""
+        last = self.tenure
+        known = self._follower.items.get(KEY_TERM)
+        is_continued = (
+            last is not None
+            and known is not None
+            and known.revision
+            in (
+                last.fence,
+                tenure.fence,
+            )
+        )
+        if last is not None and not is_continued:
+            self.drop_tenure("the term changed in between")
+        self.tenure = tenure
+        log_event("ownership_taken", term=tenure.term, fence=tenure.fence, goes_on=is_continued)
+        self._on_tenure(tenure)
+
+
+def _read_name(item: Item) -> str:
+    """Return the daemon that a member's, owner's or term's entry names."""
+    try:
+        return str(msgpack.unpackb(item.value)[0])
+    except (ValueError, TypeError, IndexError):
+        return ""
+
+
+def _read_address(item: Item) -> str:
+    """Return the address in a member's entry."""
+    try:
+        return str(msgpack.unpackb(item.value)[1])
+    except (ValueError, TypeError, IndexError):
+        return ""
+
+
+def _read_term(item: Item) -> int:
+    """Return the number of a term."""
+    try:
+        return int(msgpack.unpackb(item.value)[1])
+    except (ValueError, TypeError, IndexError):
+        return 0
--- /dev/null
+++ b/wasabiramp/entry/owner.py
@@ -0,0 +1,488 @@
+"""The owner of the domain: runs the scheduler, carries out its effects, stores its changes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import time
+from typing import Any, Final
+
+import msgpack
+
+from wasabiramp.core.records import DecodeError
+from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.follow import Follower
+from wasabiramp.entry.keys import (
+    KEY_COMMITS,
+    KEY_ROSTER,
+    KEY_TERM,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+    key_job,
+    key_progress,
+)
+from wasabiramp.entry.membership import Tenure
+from wasabiramp.entry.ports import (
+    Codec,
+    Executors,
+    Item,
+    NoAnswerError,
+    Store,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.logs import log_event
+from wasabiramp.metrics import Metrics
+from wasabiramp.scheduling.effects import (
+    AskAdvice,
+    Effect,
+    GiveUpOwnership,
+    HoldExecutor,
+    NoteDecision,
+    StartTask,
+    StopTask,
+)
+from wasabiramp.scheduling.events import (
+    AdviceAnswered,
+    AdviceFailed,
+    Committed,
+    ConfigChanged,
+    ExecutorListed,
+    ExecutorUnlisted,
+    HoldAnswered,
+    HoldFailed,
+    JobAccepted,
+    JobsRecovered,
+    StartAnswered,
+    StopAnswered,
+    StoredJob,
+    TimePassed,
+)
+from wasabiramp.scheduling.model import (
+    FINAL_PHASES,
+    PENDING,
+    CellConfig,
+    ExecutorReport,
+    JobDefinition,
+)
+from wasabiramp.scheduling.records import (
+    decode_definition,
+    decode_progress,
+    encode_progress,
+)
+from wasabiramp.scheduling.scheduler import Changes, Scheduler
+
+TICK_S: Final = 0.05
+"""Interval of the checks that wait for time alone; decisions on events do not wait for it."""
+
+PLACE_PAUSE_S: Final = 0.002
+"""Events that come together are decided on together."""
+
+COMMIT_PAUSE_S: Final = 0.015
+"""Least time between two commits: ends that come together cost one call."""
+
+RETRY_S: Final = 0.2
+"""Pause after a call to the store that failed."""
+
+RESCAN_S: Final = 4.0
+"""How often stored jobs are listed, for those whose daemon died before it announced them."""
+
+ENTRIES_A_COMMIT: Final = 32
+"""Entries that the store takes in one transaction."""
+
+ENTRIES_OF_CONDITIONS: Final = 3
+"""Entries of the term and of the key of commits in each transaction."""
+
+LEASE_S: Final = 3.5
+"""Lease given to runs: above a takeover, low enough to go on soon where an executor is cut off."""
+
+LEASE_TOLERANCE: Final = 1.05
+"""Factor for an earlier owner's leases on clocks slower than ours, with the time to lapse."""
+
+PAUSED_S: Final = 0.8
+"""A loop that stood still for this long asks the store before it orders anything."""
+
+ADVICE_RETRY_S: Final = 0.2
+"""Pause before a question to the adviser that had no answer is asked again."""
+
+
+class Owner:
+    """Acts for the domain during one or more terms in a row."""
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        store: Store,
+        executors: Executors,
+        advisers: AdviserPool,
+        codec: Codec,
+        metrics: Metrics,
+        lease_limit_s: float,
+        on_loss: Any,
+    ) -> None:
+        """Prepare; nothing is sent before `start`."""
+        self.tenure = tenure
+        self._store = store
+        self._executors = executors
+        self._advisers = advisers
+        self._codec = codec
+        self._metrics = metrics
+        self._on_loss = on_loss
+        self._loop = asyncio.get_running_loop()
+        self._lease_s = min(LEASE_S, lease_limit_s)
+        offset_s = time.time() - self._loop.time()
+        self.scheduler = Scheduler(tenure.term, self._lease_s, offset_s)
+        self._follower = Follower(store, codec.executors_prefix, 1.0, self._take_entry)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._place_timer: asyncio.TimerHandle | None = None
+        self._commit_wake = asyncio.Event()
+        self._committed = asyncio.Event()
+        self._commit_count = 0
+        self._commit_number = 0
+        self._commits_revision = 0
+        self._is_stopped = False
+        self._is_placing = True
+        self._last_tick = self._loop.time()
+        self.is_recovered = False
+        self._rescan_at = self._loop.time() + RESCAN_S
+
+    def start(self, config: CellConfig) -> None:
+        """Recover what is stored, then act."""
+        self._reduce(ConfigChanged(config))
+        self._spawn(self._async_begin())
+
+    def stop(self) -> None:
+        """Send nothing any more."""
+        self._is_stopped = True
+        for task in self._tasks:
+            task.cancel()
+        if self._place_timer is not None:
+            self._place_timer.cancel()
+
+    def renew(self, tenure: Tenure) -> None:
+        """Go on in a new term."""
+        self.tenure = tenure
+        self.scheduler.state.term = tenure.term
+        self._commit_wake.set()
+
+    def stop_placing(self) -> None:
+        """Start nothing any more, while answers are still taken and stored."""
+        self._is_placing = False
+
+    async def async_flush(self) -> None:
+        """Wait until all orders are answered, and what they changed is stored."""
+        while any(task.get_name() == "order" for task in self._tasks):
+            await asyncio.sleep(0.01)
+        self._commit_wake.set()
+        while self.scheduler.has_changes():
+            await asyncio.sleep(0.01)
+
+    def take_config(self, config: CellConfig) -> None:
+        """Take a newer configuration."""
+        self._reduce(ConfigChanged(config))
+
+    def take_job(self, definition: JobDefinition) -> None:
+        """Take a job that a daemon stored."""
+        age_s = max(0.0, time.time() - definition.accepted_ms / 1000)
+        accepted_at = self._loop.time() - min(age_s, 3600.0)
+        self._reduce(JobAccepted(StoredJob(definition, accepted_at)))
+
+    def take_event(self, event: Any) -> None:
+        """Reduce an event from a caller."""
+        self._reduce(event)
+
+    def rescan_soon(self) -> None:
+        """List the stored jobs soon: a daemon left that may not have announced all of its own."""
+        self._rescan_at = min(self._rescan_at, self._loop.time() + 0.2)
+
+    async def async_wait_stored(self) -> None:
+        """Wait until all changes up to now are stored."""
+        if not self.scheduler.has_changes():
+            return
+        # A commit that is under way may not hold the newest change; the one after it does.
+        target = self._commit_count + (2 if self.scheduler.is_storing else 1)
+        self._commit_wake.set()
+        while self._commit_count < target and self.scheduler.has_changes():
+            self._committed.clear()
+            await self._committed.wait()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None], name: str = "") -> None:
+        """Run a coroutine until the owner stops."""
+        task = self._loop.create_task(coroutine, name=name or None)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _reduce(self, event: Any) -> None:
+        """Reduce an event, carry out its effects, and decide soon."""
+        if self._is_stopped:
+            return
+        self._carry_out(self.scheduler.apply(event, self._loop.time()))
+        self._commit_wake.set()
+        if self._place_timer is None:
+            self._place_timer = self._loop.call_later(PLACE_PAUSE_S, self._place)
+
+    def _place(self) -> None:
+        """Start what fits."""
+        self._place_timer = None
+        if self._is_stopped or not self.is_recovered or not self._is_placing:
+            return
+        started_at = self._loop.time()
+        self._carry_out(self.scheduler.place(started_at))
+        self._metrics.note("place_seconds", self._loop.time() - started_at, {})
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        """Carry out effects; each call runs on its own."""
+        for effect in effects:
+            if self._is_stopped:
+                return
+            if isinstance(effect, NoteDecision):
+                log_event(effect.event, **effect.fields)
+                self._metrics.note("decisions", 1, {"event": effect.event})
+            elif isinstance(effect, StartTask):
+                self._spawn(self._async_start(effect), "order")
+            elif isinstance(effect, StopTask):
+                self._spawn(self._async_stop(effect), "order")
+            elif isinstance(effect, HoldExecutor):
+                self._spawn(self._async_hold(effect))
+            elif isinstance(effect, AskAdvice):
+                self._spawn(self._async_ask(effect))
+            elif isinstance(effect, GiveUpOwnership):
+                self._on_loss(effect.reason)
+
+    async def _async_start(self, effect: StartTask) -> None:
+        """Send a start and take its answer."""
+        sent_at = self._loop.time()
+        answer = await self._executors.async_start(effect, self.tenure.fence)
+        self._metrics.note("start_seconds", self._loop.time() - sent_at, {})
+        self._reduce(
+            StartAnswered(
+                effect.executor, effect.task, effect.run, sent_at, answer.outcome, answer.clock_ms
+            )
+        )
+
+    async def _async_stop(self, effect: StopTask) -> None:
+        """Send a stop and take its answer."""
+        answer = await self._executors.async_stop(effect, self.tenure.fence)
+        self._reduce(StopAnswered(effect.executor, effect.task, effect.run, answer.outcome))
+
+    async def _async_hold(self, effect: HoldExecutor) -> None:
+        """Send a hold and take the report."""
+        sent_at = self._loop.time()
+        report = await self._executors.async_hold(effect, self.tenure.fence)
+        if isinstance(report, ExecutorReport):
+            self._reduce(HoldAnswered(effect.executor, sent_at, report))
+        else:
+            self._reduce(HoldFailed(effect.executor, sent_at, report))
+
+    async def _async_ask(self, effect: AskAdvice) -> None:
+        """Ask the adviser and take the answer."""
+        sent_at = self._loop.time()
+        try:
+            good, valid_s = await self._advisers.async_ask(
+                effect.step, effect.executors, effect.cost_s
+            )
+        except NoAnswerError as err:
+            log_event("adviser_silent", step=effect.step, error=err)
+            self._reduce(AdviceFailed(effect.step, ADVICE_RETRY_S))
+            return
+        self._metrics.note("advice_seconds", self._loop.time() - sent_at, {})
+        self._reduce(AdviceAnswered(effect.step, effect.executors, good, valid_s, sent_at))
+
+    def _take_entry(self, key: str, item: Item | None) -> None:
+        """Take a change of the list of executors."""
+        entry = self._codec.decode_executor(key, item.value) if item is not None else None
+        if entry is not None:
+            self._reduce(ExecutorListed(entry))
+        elif item is None:
+            self._reduce(ExecutorUnlisted(self._codec.name_executor(key)))
+        else:
+            log_event("executor_entry_unreadable", key=key, revision=item.revision)
+
+    async def _async_begin(self) -> None:
+        """Read what is stored, meet the executors, then run the loops."""
+        began_at = self._loop.time()
+        while not await self._async_recover():
+            await asyncio.sleep(RETRY_S)
+        self._spawn(self._follower.async_run())
+        self._spawn(self._async_commit_loop())
+        await self._follower.is_known.wait()
+        self.is_recovered = True
+        self._metrics.note("recovery_seconds", self._loop.time() - began_at, {})
+        log_event("owner_ready", term=self.tenure.term, took_s=self._loop.time() - began_at)
+        self._spawn(self._async_tick())
+
+    async def _async_recover(self) -> bool:
+        """Read jobs, progress and roster; tell whether the store answered."""
+        try:
+            (jobs, _), (progress, _), roster, commits = await asyncio.gather(
+                self._store.async_list(PREFIX_JOB),
+                self._store.async_list(PREFIX_PROGRESS),
+                self._store.async_get(KEY_ROSTER),
+                self._store.async_get(KEY_COMMITS),
+            )
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("recovery_read_failed", error=err)
+            return False
+        self._commits_revision = commits.revision if commits is not None else 0
+        rows = msgpack.unpackb(roster.value) if roster is not None else []
+        stored = self._read_jobs(jobs, progress)
+        left_s = self._lease_s * LEASE_TOLERANCE + 0.25
+        self._reduce(JobsRecovered(stored, [(row[0], row[1]) for row in rows], left_s))
+        return True
+
+    def _read_jobs(self, jobs: list[Item], progress: list[Item]) -> list[StoredJob]:
+        """Return the jobs that are not over, with their progress."""
+        kept: dict[str, Item] = {item.key.removeprefix(PREFIX_PROGRESS): item for item in progress}
+        stored = []
+        for item in jobs:
+            try:
+                definition = decode_definition(item.value)
+                record = kept.get(definition.id)
+                done = decode_progress(record.value) if record is not None else None
+            except DecodeError as err:
+                log_event("job_unreadable", key=item.key, error=err)
+                continue
+            if done is not None and done.phase in FINAL_PHASES:
+                continue
+            age_s = max(0.0, time.time() - definition.accepted_ms / 1000)
+            stored.append(StoredJob(definition, self._loop.time() - min(age_s, 3600.0), done))
+        return stored
+
+    async def _async_tick(self) -> None:
+        """Let time pass for the scheduler."""
+        while True:
+            now = self._loop.time()
+            if now - self._last_tick > PAUSED_S:
+                log_event("loop_stood_still", pause_s=now - self._last_tick)
+                await self._async_check_tenure()
+            self._last_tick = self._loop.time()
+            self._reduce(TimePassed())
+            if self._last_tick >= self._rescan_at:
+                self._rescan_at = self._last_tick + RESCAN_S
+                self._spawn(self._async_rescan())
+            await asyncio.sleep(TICK_S)
+
+    async def _async_check_tenure(self) -> None:
+        """Ask the store whether another daemon took over; without an answer, go on."""
+        try:
+            item = await self._store.async_get(KEY_TERM)
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("tenure_unchecked", error=err)
+            return
+        if item is None or item.revision > self.tenure.fence:
+            self._on_loss("another daemon claimed a term while this one stood still")
+
+    async def _async_rescan(self) -> None:
+        """Take stored jobs that nobody announced."""
+        try:
+            items, _ = await self._store.async_list(PREFIX_JOB)
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("rescan_failed", error=err)
+            return
+        for item in items:
+            job_id = item.key.removeprefix(PREFIX_JOB)
+            if job_id in self.scheduler.state.jobs:
+                continue
+            try:
+                definition = decode_definition(item.value)
+            except DecodeError as err:
+                log_event("job_unreadable", key=item.key, error=err)
+                continue
+            log_event("job_found", job=job_id)
+            self.take_job(definition)
+
+    async def _async_commit_loop(self) -> None:
+        """Store changes, one group after the other."""
+        while True:
+            await self._commit_wake.wait()
+            self._commit_wake.clear()
+            changes = self.scheduler.take_changes()
+            if changes is None:
+                continue
+            if await self._async_store(changes):
+                self._reduce(Committed())
+            else:
+                self.scheduler.restore_changes()
+                self._commit_wake.set()
+                await asyncio.sleep(RETRY_S)
+            self._commit_count += 1
+            self._committed.set()
+            await asyncio.sleep(COMMIT_PAUSE_S)
+
+    async def _async_store(self, changes: Changes) -> bool:
+        """Write changes, each group after the one before; tell whether all are stored."""
+        for transaction in self._make_transactions(changes):
+            if not await self._async_commit(transaction):
+                return False
+        return True
+
+    async def _async_commit(self, transaction: Transaction) -> bool:
+        """Commit one group while the term is this owner's.
+
+        Each commit also replaces the key of commits, so that one whose answer was lost cannot
+        take effect after a later one.
+        """
+        self._commit_number += 1
+        mark = f"{self.tenure.fence}.{self._commit_number}".encode()
+        transaction.expected[KEY_TERM] = self.tenure.fence
+        transaction.expected[KEY_COMMITS] = self._commits_revision
+        transaction.writes[KEY_COMMITS] = (mark, 0)
+        while not self._is_stopped:
+            try:
+                self._commits_revision = await self._store.async_commit(transaction)
+                return True
+            except StoreConflictError as err:
+                return self._settle_conflict(err, mark)
+            except StoreRefusedError as err:
+                log_event("commit_refused", entries=transaction.size, error=err)
+                return False
+            except StoreUnknownError as err:
+                log_event("commit_unanswered", entries=transaction.size, error=err)
+                await asyncio.sleep(RETRY_S / 4)
+        return False
+
+    def _settle_conflict(self, err: StoreConflictError, mark: bytes) -> bool:
+        """Tell whether a commit that conflicts had held before, when its answer was lost."""
+        last, term = err.items.get(KEY_COMMITS), err.items.get(KEY_TERM)
+        if last is not None and last.value == mark:
+            self._commits_revision = last.revision
+            return True
+        if term is None or term.revision != self.tenure.fence:
+            self._on_loss("the store holds another term")
+            return False
+        self._commits_revision = last.revision if last is not None else 0
+        log_event("commit_conflict", revision=self._commits_revision)
+        return False
+
+    def _make_transactions(self, changes: Changes) -> list[Transaction]:
+        """Return the writes in groups that the store takes."""
+        transactions: list[Transaction] = []
+        if changes.is_empty:
+            return transactions
+        current = Transaction()
+        if changes.roster is not None:
+            current.writes[KEY_ROSTER] = (msgpack.packb(changes.roster), 0)
+        for job in changes.jobs:
+            if current.size + 2 > ENTRIES_A_COMMIT - ENTRIES_OF_CONDITIONS:
+                transactions.append(current)
+                current = Transaction()
+            job_id = job.definition.id
+            current.writes[key_progress(job_id)] = (encode_progress(job.progress), 0)
+            if job.progress.phase in FINAL_PHASES:
+                current.removed.append(key_job(job_id))
+        transactions.append(current)
+        return transactions
+
+    def find_phase(self, job_id: str) -> str | None:
+        """Return the phase that callers may be shown, or None for an unknown job."""
+        job = self.scheduler.state.jobs.get(job_id)
+        return job.find_phase() if job is not None else None
+
+    def count_waiting(self, queue: str) -> int:
+        """Return the number of a queue's jobs of which no task has started."""
+        return sum(
+            job.definition.queue.name == queue and job.find_phase() == PENDING and not job.is_ended
+            for job in self.scheduler.state.jobs.values()
+        )
--- /dev/null
+++ b/wasabiramp/entry/peers.py
@@ -0,0 +1,155 @@
+"""Calls between daemons: one unary method over grpclib, with records as messages."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from wasabiramp.core.records import DecodeError, decode_message, encode_message, record
+from wasabiramp.entry.ports import NoAnswerError
+from wasabiramp.logs import log_event
+from wasabiramp.peer.streams import BytesCodec
+
+METHOD: Final = "/wasabiramp.Entry/Call"
+
+OK: Final = "ok"
+NOT_OWNER: Final = "not-owner"
+UNKNOWN_JOB: Final = "unknown-job"
+FAILED: Final = "failed"
+
+
+@record
+class AnnounceJobs:
+    """Jobs that the sender stored, as the bytes of their definitions."""
+
+    definitions: list[bytes]
+
+
+@record
+class StoreJobs:
+    """Jobs that the sender cannot store itself, as the bytes of their definitions."""
+
+    definitions: list[bytes]
+
+
+@record
+class ShowJob:
+    """Ask the owner for a job's phase."""
+
+    job: str
+
+
+@record
+class CancelJob:
+    """Ask the owner to cancel a job; the answer comes once that is stored."""
+
+    job: str
+
+
+@record
+class CountWaiting:
+    """Ask the owner how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+@record
+class AskAdviser:
+    """Ask the adviser on the sender's behalf."""
+
+    step: str
+    executors: list[str]
+    timeout_s: float
+
+
+@record
+class PeerAnswer:
+    """The answer to any call; `value` depends on the call."""
+
+    outcome: str
+    value: Any = None
+
+
+Serve = Callable[[Any], Awaitable[PeerAnswer]]
+
+
+class PeerListener:
+    """Takes calls from other daemons."""
+
+    def __init__(self, serve: Serve) -> None:
+        """Answer each call with what `serve` returns."""
+        self._serve = serve
+        self._server = Server([self], codec=BytesCodec())
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers by method, as grpclib asks for them."""
+        return {METHOD: Handler(self._async_call, Cardinality.UNARY_UNARY, bytes, bytes)}
+
+    async def async_start(self, address: str) -> None:
+        """Listen."""
+        host, _, port = address.rpartition(":")
+        await self._server.start(host, int(port))
+
+    async def async_stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _async_call(self, stream: Stream[bytes, bytes]) -> None:
+        """Answer one call."""
+        data = await stream.recv_message()
+        try:
+            message = decode_message(data or b"")
+        except DecodeError as err:
+            log_event("peer_call_unreadable", error=err)
+            await stream.send_message(encode_message(PeerAnswer(FAILED, str(err))))
+            return
+        await stream.send_message(encode_message(await self._serve(message)))
+
+
+class PeerCaller:
+    """Calls other daemons, over one connection to each."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._channels: dict[tuple[str, bool], Channel] = {}
+
+    async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+        """Return the answer; raises NoAnswerError where it is missing.
+
+        A connection on which a call had no answer in time is closed, as it may be silent for good.
+        Calls to the adviser take long, so they have a connection of their own.
+        """
+        key = (address, isinstance(message, AskAdviser))
+        channel = self._channels.get(key)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), codec=BytesCodec())
+            self._channels[key] = channel
+        method = UnaryUnaryMethod(channel, METHOD, bytes, bytes)
+        try:
+            data = await asyncio.wait_for(method(encode_message(message)), timeout_s)
+            return decode_message(data)
+        except (
+            TimeoutError,
+            OSError,
+            GRPCError,
+            StreamTerminatedError,
+            DecodeError,
+        ) as err:
+            if self._channels.get(key) is channel:
+                del self._channels[key]
+            channel.close()
+            raise NoAnswerError(f"{address}: {type(err).__name__}") from err
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
--- /dev/null
+++ b/wasabiramp/platform/callers.py
@@ -0,0 +1,174 @@
+"""The callers' side: jobs over HTTP, and the readiness check of the platform's balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import Any, Final
+
+from aiohttp import web
+import orjson
+
+from wasabiramp.entry.answers import (
+    ACCEPTED,
+    CANCELLED,
+    MAY_HAVE_RUN,
+    NO_SUCH_JOB,
+    NO_SUCH_QUEUE,
+    NOT_READY,
+    NOT_RUN,
+    OVERLOADED,
+    SHOWN,
+    Answer,
+)
+from wasabiramp.entry.ports import WasabirampError
+from wasabiramp.logs import log_event, log_failure
+from wasabiramp.platform.wire import InputError, decode_job
+from wasabiramp.scheduling.model import Queue
+
+JOB_ID: Final = re.compile(r"[0-9a-f]{16}")
+HEADER_PATIENCE: Final = "Deadline-Ms"
+DEFAULT_PATIENCE_S: Final = 3.0
+"""How long a caller waits that does not say so: the time budget of the present queues."""
+
+READY_PATH: Final = "/v1/readyz"
+METRICS_PATH: Final = "/metrics"
+SERVER_BACKLOG: Final = 1024
+HEADER_LIMIT: Final = 16_384
+STATUSES: Final = {
+    ACCEPTED: 200,
+    SHOWN: 200,
+    CANCELLED: 200,
+    NO_SUCH_JOB: 410,
+    NO_SUCH_QUEUE: 404,
+    OVERLOADED: 429,
+    NOT_RUN: 503,
+    NOT_READY: 503,
+    MAY_HAVE_RUN: 504,
+}
+
+
+class CallerServer:
+    """Serves callers at one address, and the readiness check at another."""
+
+    def __init__(self, desk: Any) -> None:
+        """Answer what the desk, the daemon's side for callers, decides."""
+        self._desk = desk
+        self._runners: list[web.ServerRunner] = []
+        self.open_requests = 0
+
+    async def async_start(self, caller_address: str, ready_address: str, metrics: str) -> None:
+        """Open the ports."""
+        await self._async_open(self._async_serve, caller_address)
+        await self._async_open(self._async_tell_ready, ready_address)
+        await self._async_open(self._async_tell_metrics, metrics)
+
+    async def async_stop(self, timeout_s: float) -> None:
+        """Close the ports once what is being answered is answered, or the time is over."""
+        for runner in self._runners:
+            runner.shutdown_timeout = timeout_s  # type: ignore[attr-defined]
+            await runner.cleanup()
+
+    async def _async_open(self, handler: Any, address: str) -> None:
+        """Listen at an address."""
+        host, _, port = address.rpartition(":")
+        server = web.Server(handler, max_line_size=HEADER_LIMIT, max_field_size=HEADER_LIMIT)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=SERVER_BACKLOG).start()
+        self._runners.append(runner)
+
+    async def _async_tell_ready(self, request: web.BaseRequest) -> web.Response:
+        """Answer the balancer."""
+        return web.Response(status=200 if self._desk.is_ready() else 503)
+
+    async def _async_tell_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Show counters and histograms."""
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        body, headers = self._desk.metrics.render(request.headers.getall("Accept", []))
+        return web.Response(body=body, headers=headers)
+
+    async def _async_serve(self, request: web.BaseRequest) -> web.Response:
+        """Answer one request of a caller."""
+        self.open_requests += 1
+        try:
+            return _make_response(await self._async_route(request))
+        except InputError as err:
+            log_event("request_invalid", path=request.path, error=err)
+            return web.Response(status=400, body=orjson.dumps({"error": str(err)}))
+        except web.HTTPRequestEntityTooLarge:
+            return web.Response(status=413, body=orjson.dumps({"error": "body: too large"}))
+        except asyncio.CancelledError:
+            raise
+        except WasabirampError as err:
+            log_event("request_failed", path=request.path, error=err)
+            return web.Response(status=504)
+        except Exception:
+            log_failure("request_failed")
+            return web.Response(status=504)
+        finally:
+            self.open_requests -= 1
+
+    async def _async_route(self, request: web.BaseRequest) -> Answer:
+        """Find the queue and the call that a request means."""
+        host = request.headers.get("Host", "").partition(":")[0]
+        queue = await self._desk.async_find_queue(host, request.path)
+        if queue is None:
+            return Answer(NO_SUCH_QUEUE)
+        if isinstance(queue, Answer):
+            return queue
+        rest = request.path[len(queue.prefix) :]
+        patience_s = _read_patience(request)
+        if not rest and request.method == "GET":
+            return await self._desk.async_count_waiting(queue, patience_s)
+        if not JOB_ID.fullmatch(rest):
+            raise InputError("path: expected a queue's prefix and 16 hexadecimal digits")
+        return await self._async_job(request, queue, rest, patience_s)
+
+    async def _async_job(
+        self, request: web.BaseRequest, queue: Queue, job_id: str, patience_s: float
+    ) -> Answer:
+        """Carry out a call for one job."""
+        if request.method == "POST":
+            body = await _read_body(request, self._desk.max_body_bytes)
+            job = decode_job(body, job_id, queue, self._desk.read_wall_ms())
+            return await self._desk.async_submit(job, patience_s)
+        if request.method == "GET":
+            return await self._desk.async_show(job_id, patience_s)
+        if request.method == "DELETE":
+            return await self._desk.async_cancel(job_id, patience_s)
+        raise InputError("method: expected GET, POST or DELETE")
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
+    """Return the whole body, or raise HTTPRequestEntityTooLarge."""
+    parts = []
+    size = 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > limit:
+            raise web.HTTPRequestEntityTooLarge(limit, size)
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _read_patience(request: web.BaseRequest) -> float:
+    """Return how long the caller waits for an answer, in seconds."""
+    raw = request.headers.get(HEADER_PATIENCE, "")
+    return int(raw) / 1000 if raw.isdigit() and int(raw) > 0 else DEFAULT_PATIENCE_S
+
+
+def _make_response(answer: Answer) -> web.Response:
+    """Return an answer as HTTP."""
+    headers = {"Content-Type": "application/json"}
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(answer.retry_after_s)))
+    body: dict[str, Any] = {}
+    if answer.phase:
+        body["state"] = answer.phase
+    if answer.waiting is not None:
+        body["waiting"] = answer.waiting
+    if answer.reason:
+        body["error"] = answer.reason
+    return web.Response(status=STATUSES[answer.outcome], body=orjson.dumps(body), headers=headers)
--- /dev/null
+++ b/wasabiramp/platform/calls.py
@@ -0,0 +1,328 @@
+"""The one HTTP client for the platform: its store, its executors and its adviser."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import aiohttp
+import orjson
+
+from wasabiramp.core.records import DecodeError
+from wasabiramp.entry.ports import (
+    Change,
+    HistoryLostError,
+    Item,
+    LeaseEndedError,
+    NoAnswerError,
+    OrderAnswer,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.logs import log_event
+from wasabiramp.platform.wire import decode_report
+from wasabiramp.scheduling import events
+from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.model import ExecutorReport
+
+KEEPALIVE_S: Final = 90.0
+"""Idle connections are kept this long: each new one to an executor has a price."""
+
+CONNECTIONS_PER_EXECUTOR: Final = 6
+"""One waits in a hold; the others carry orders side by side."""
+
+CONNECT_S: Final = 0.5
+STORE_CALL_S: Final = 1.0
+ORDER_S: Final = 0.6
+HOLD_SLACK_S: Final = 0.7
+WATCH_SLACK_S: Final = 0.7
+"""Time-outs: several times a slow answer, and short enough to see a silent connection."""
+
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
+REFUSALS: Final = {
+    "fence": events.REFUSED_FENCE,
+    "old": events.REFUSED_OLD,
+    "late": events.REFUSED_LATE,
+    "room": events.REFUSED_ROOM,
+    "ticket": events.REFUSED_TICKET,
+}
+STATUSES: Final = {
+    400: events.REFUSED_INPUT,
+    421: events.OTHER_LIFE,
+    429: events.REFUSED_BUSY,
+    503: events.REFUSED_BUSY,
+}
+
+
+class NotSentError(Exception):
+    """No connection could be made, so the other side did nothing."""
+
+
+class HttpCalls:
+    """A session for all calls to the platform."""
+
+    def __init__(self) -> None:
+        """Open the session; it belongs to the running loop."""
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=CONNECTIONS_PER_EXECUTOR, keepalive_timeout=KEEPALIVE_S
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
+        )
+
+    async def async_send(
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Return the status and the whole body of an answer.
+
+        Raises NotSentError where no connection was made, and NoAnswerError where one was and the
+        answer is missing or cut.
+        """
+        data = orjson.dumps(body) if body is not None else None
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_S)
+        try:
+            async with self._session.request(
+                method, url, data=data, headers=headers or JSON_HEADERS, timeout=timeout
+            ) as answer:
+                return answer.status, await answer.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as err:
+            raise NotSentError(f"no connection: {err}") from err
+        except (TimeoutError, aiohttp.ClientError, OSError) as err:
+            raise NoAnswerError(f"no answer: {type(err).__name__}") from err
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
+class StoreClient:
+    """The platform's store."""
+
+    def __init__(self, calls: HttpCalls, address: str) -> None:
+        """Use the store at an address."""
+        self._calls = calls
+        self._base = f"http://{address}/v1/"
+
+    async def async_get(self, key: str) -> Item | None:
+        """Return an item, or None."""
+        query = urlencode({"key": key})
+        status, raw = await self._async_call("GET", f"kv-key?{query}")
+        return None if status == 404 else _parse_item(raw)
+
+    async def async_list(self, prefix: str) -> tuple[list[Item], int]:
+        """Return all items under a prefix, and a revision from which a watch misses nothing."""
+        items: list[Item] = []
+        as_of = 0
+        while True:
+            query = {"prefix": prefix}
+            if items:
+                query["after"] = items[-1].key
+            _status, raw = await self._async_call("GET", f"kv-range?{urlencode(query)}")
+            items += [_parse_item(row) for row in raw["items"]]
+            as_of = as_of or int(raw["asOf"])
+            if not raw.get("hasMore") or not raw["items"]:
+                return items, as_of
+
+    async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+        """Wait for changes; return them and the revision to go on from."""
+        query = urlencode({"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)})
+        status, raw = await self._async_call(
+            "GET", f"kv-watch?{query}", timeout_s=wait_s + WATCH_SLACK_S
+        )
+        if status == 410:
+            raise HistoryLostError(prefix)
+        return [_parse_change(row) for row in raw["events"]], int(raw["asOf"])
+
+    async def async_commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction and return its revision."""
+        body = {
+            "expectRev": [{"key": key, "rev": rev} for key, rev in transaction.expected.items()],
+            "writes": [
+                _make_write(key, value, lease) for key, (value, lease) in transaction.writes.items()
+            ],
+            "remove": transaction.removed,
+        }
+        status, raw = await self._async_call("POST", "kv-txn", body)
+        if status == 412:
+            rows = [row for row in raw.get("items") or [] if row and row.get("rev")]
+            raise StoreConflictError({row["key"]: _parse_item(row) for row in rows})
+        if status == 404:
+            raise LeaseEndedError("the transaction names a lease that has ended")
+        return int(raw["rev"])
+
+    async def async_grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        _status, raw = await self._async_call("POST", "kv-lease", {"ttlMs": int(ttl_s * 1000)})
+        return int(raw["lease"])
+
+    async def async_renew(self, lease: int) -> None:
+        """Renew a lease."""
+        status, _raw = await self._async_call("POST", f"kv-keep/{lease}")
+        if status == 404:
+            raise LeaseEndedError(str(lease))
+
+    async def async_end(self, lease: int) -> None:
+        """End a lease, which removes its keys."""
+        await self._async_call("DELETE", f"kv-lease-end/{lease}")
+
+    async def _async_call(
+        self, method: str, path: str, body: Any = None, timeout_s: float = STORE_CALL_S
+    ) -> tuple[int, Any]:
+        """Call the store; return the statuses that mean something to the caller."""
+        try:
+            status, data = await self._calls.async_send(method, self._base + path, timeout_s, body)
+        except NotSentError as err:
+            raise StoreRefusedError(str(err)) from err
+        except NoAnswerError as err:
+            raise StoreUnknownError(str(err)) from err
+        if status in (200, 404, 410, 412):
+            try:
+                return status, orjson.loads(data) if data else {}
+            except ValueError as err:
+                raise StoreUnknownError("the answer is not JSON") from err
+        if status in (400, 403, 429, 503):
+            raise StoreRefusedError(f"status {status}")
+        raise StoreUnknownError(f"status {status}")
+
+
+def _make_write(key: str, value: bytes, lease: int) -> dict[str, Any]:
+    """Return a write as the store takes it."""
+    row: dict[str, Any] = {"key": key, "value": base64.b64encode(value).decode()}
+    if lease:
+        row["lease"] = lease
+    return row
+
+
+def _parse_item(row: dict[str, Any]) -> Item:
+    """Return an item of the store."""
+    value = base64.b64decode(row.get("value") or "")
+    return Item(row["key"], value, int(row["rev"]), int(row.get("created", 0)))
+
+
+def _parse_change(row: dict[str, Any]) -> Change:
+    """Return a change that a watch saw."""
+    item = None if row.get("removed") else _parse_item(row)
+    return Change(row["key"], int(row["rev"]), item)
+
+
+class ExecutorClient:
+    """The executors, which take one order a call."""
+
+    def __init__(self, calls: HttpCalls) -> None:
+        """Share the session."""
+        self._calls = calls
+
+    async def async_start(self, effect: StartTask, fence: int) -> OrderAnswer:
+        """Start a run."""
+        body: dict[str, Any] = {
+            "task": effect.task,
+            "run": effect.run,
+            "spec": effect.spec,
+            "untilMs": effect.until_ms,
+            "fencingToken": fence,
+        }
+        if effect.saved:
+            body["saved"] = effect.saved
+        if effect.ticket:
+            body["ticket"] = effect.ticket
+        return await self._async_order(effect, "run-start", body)
+
+    async def async_stop(self, effect: StopTask, fence: int) -> OrderAnswer:
+        """Stop a run."""
+        body = {"task": effect.task, "run": effect.run, "fencingToken": fence}
+        return await self._async_order(effect, "run-stop", body)
+
+    async def async_hold(self, effect: HoldExecutor, fence: int) -> ExecutorReport | str:
+        """Renew the lease and return the executor's report, or the outcome of a failure."""
+        body: dict[str, Any] = {"fencingToken": fence, "lastSeen": effect.last_seen}
+        if effect.until_ms is not None:
+            body["untilMs"] = effect.until_ms
+        if effect.wait_s > 0:
+            body["waitMs"] = int(effect.wait_s * 1000)
+        timeout_s = effect.wait_s + HOLD_SLACK_S
+        try:
+            status, data = await self._async_post(effect, "hold", body, timeout_s)
+        except NotSentError:
+            return events.NOT_SENT
+        except NoAnswerError:
+            return events.UNKNOWN
+        if status != 200:
+            return _read_refusal(status, data).outcome
+        try:
+            return decode_report(data)
+        except DecodeError as err:
+            log_event("report_unreadable", executor=effect.executor, error=err)
+            return events.UNKNOWN
+
+    async def _async_post(
+        self,
+        effect: StartTask | StopTask | HoldExecutor,
+        verb: str,
+        body: dict[str, Any],
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        """Call an executor; the header keeps another process at its address from answering."""
+        headers = {**JSON_HEADERS, "Expect-Instance": effect.executor}
+        url = f"http://{effect.address}/v1/{verb}"
+        return await self._calls.async_send("POST", url, timeout_s, body, headers)
+
+    async def _async_order(
+        self, effect: StartTask | StopTask, verb: str, body: dict[str, Any]
+    ) -> OrderAnswer:
+        """Send an order and return its outcome."""
+        try:
+            status, data = await self._async_post(effect, verb, body, ORDER_S)
+        except NotSentError:
+            return OrderAnswer(events.NOT_SENT)
+        except NoAnswerError:
+            return OrderAnswer(events.UNKNOWN)
+        return _read_refusal(status, data)
+
+
+def _read_refusal(status: int, data: bytes) -> OrderAnswer:
+    """Return the outcome of an answered order; only an odd status leaves it open."""
+    try:
+        raw = orjson.loads(data) if data else {}
+    except ValueError:
+        raw = {}
+    clock = raw.get("clockMs") if isinstance(raw, dict) else None
+    if status == 200:
+        return OrderAnswer(events.STARTED, clock)
+    if status == 409:
+        return OrderAnswer(REFUSALS.get(raw.get("reason", ""), events.REFUSED_BUSY), clock)
+    return OrderAnswer(STATUSES.get(status, events.UNKNOWN), clock)
+
+
+class AdviserClient:
+    """The service that knows which executors may run a step."""
+
+    def __init__(self, calls: HttpCalls, address: str) -> None:
+        """Use the adviser at an address."""
+        self._calls = calls
+        self._url = f"http://{address}/v1/advise"
+
+    async def async_ask(
+        self, step: str, executors: list[str], timeout_s: float
+    ) -> tuple[dict[str, str], float]:
+        """Return the good executors with their tickets, and how long those are valid."""
+        body = {"step": step, "workers": executors}
+        try:
+            status, data = await self._calls.async_send("POST", self._url, timeout_s, body)
+        except NotSentError as err:
+            raise NoAnswerError(str(err)) from err
+        if status != 200:
+            raise NoAnswerError(f"status {status}")
+        try:
+            raw = orjson.loads(data)
+            good = {row[0]: row[1] for row in raw["good"]}
+            return good, float(raw["validMs"]) / 1000
+        except (ValueError, KeyError, TypeError, IndexError) as err:
+            raise NoAnswerError(f"advice cannot be read: {err}") from err
--- /dev/null
+++ b/wasabiramp/platform/entry.py
@@ -0,0 +1,81 @@
+"""The entry point on the users' platform: one daemon with the adapter's clients."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Final
+
+import uvloop
+
+from wasabiramp.entry.daemon import ROTATION_S, EntryDaemon
+from wasabiramp.entry.ports import EntrySettings
+from wasabiramp.logs import log_event, set_up_logs
+from wasabiramp.platform.callers import CallerServer
+from wasabiramp.platform.calls import AdviserClient, ExecutorClient, HttpCalls, StoreClient
+from wasabiramp.platform.node import load_node
+from wasabiramp.platform.wire import PlatformCodec
+
+EXIT_SETTINGS: Final = 2
+CLOSE_S: Final = 1.0
+"""Time that answers in the making get once callers are sent elsewhere."""
+
+
+class CallerDesk:
+    """What the callers' server needs of a daemon."""
+
+    def __init__(self, daemon: EntryDaemon) -> None:
+        """Serve for a daemon."""
+        self.metrics = daemon.metrics
+        self.is_ready = daemon.is_ready
+        self.async_find_queue = daemon.async_find_queue
+        self.async_submit = daemon.desk.async_submit
+        self.async_show = daemon.desk.async_show
+        self.async_cancel = daemon.desk.async_cancel
+        self.async_count_waiting = daemon.desk.async_count_waiting
+        self.read_wall_ms = daemon.desk.read_wall_ms
+        self._daemon = daemon
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the limit of a caller's body in bytes."""
+        return self._daemon.config.max_body_bytes
+
+
+async def async_run_entry(settings: EntrySettings) -> None:
+    """Run a daemon until SIGTERM, then leave in order."""
+    calls = HttpCalls()
+    daemon = EntryDaemon(
+        settings,
+        StoreClient(calls, settings.store_address),
+        ExecutorClient(calls),
+        AdviserClient(calls, settings.adviser_address),
+        PlatformCodec(),
+    )
+    server = CallerServer(CallerDesk(daemon))
+    await daemon.async_start()
+    await server.async_start(
+        settings.caller_address, settings.ready_address, settings.metrics_address
+    )
+    await daemon.stop_asked.wait()
+    leaving_at = asyncio.get_running_loop().time()
+    await daemon.async_hand_over()
+    taken_s = asyncio.get_running_loop().time() - leaving_at
+    await asyncio.sleep(max(0.0, ROTATION_S - taken_s))
+    await server.async_stop(CLOSE_S)
+    await daemon.async_stop()
+    await calls.async_close()
+
+
+def run() -> None:
+    """Run the daemon of this process's settings file."""
+    set_up_logs()
+    loaded = load_node()
+    if loaded.is_error():
+        log_event("settings_refused", error=loaded.error)
+        sys.exit(EXIT_SETTINGS)
+    uvloop.run(async_run_entry(loaded.ok))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/wasabiramp/platform/wire.py
@@ -0,0 +1,242 @@
+"""The users' platform on the wire: paths, fields, and how bodies become our types."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import orjson
+
+from wasabiramp.core.records import DecodeError
+from wasabiramp.scheduling.jobs import check_steps
+from wasabiramp.scheduling.model import (
+    AdvicePolicy,
+    CellConfig,
+    EndReport,
+    ExecutorEntry,
+    ExecutorReport,
+    JobDefinition,
+    Queue,
+    Resources,
+    RunReport,
+    Step,
+)
+
+CONFIG_KEY: Final = "op/config"
+EXECUTORS_PREFIX: Final = "servers/"
+
+MAX_SPEC_BYTES: Final = 4_000
+"""The platform's limit of a job's text."""
+
+MAX_STEPS: Final = 200
+MAX_TASKS: Final = 20_000
+"""Our limits for one job: what one record in the store holds with room to spare."""
+
+
+class InputError(ValueError):
+    """A caller's body that names no job; the text names the field."""
+
+
+def parse_json(data: bytes) -> Any:
+    """Return the JSON value; raises DecodeError."""
+    try:
+        return orjson.loads(data)
+    except ValueError as err:
+        raise DecodeError("the body is not JSON") from err
+
+
+def decode_config(data: bytes) -> CellConfig:
+    """Return a configuration; raises DecodeError."""
+    raw = parse_json(data)
+    try:
+        limits = raw.get("limits") or {}
+        queues = tuple(_decode_queue(row) for row in raw.get("routes") or [])
+        return CellConfig(int(raw["version"]), queues, int(limits.get("maxBodyBytes", 262_144)))
+    except (KeyError, TypeError, ValueError, AttributeError) as err:
+        raise DecodeError(f"configuration cannot be read: {err}") from err
+
+
+def _decode_queue(raw: dict[str, Any]) -> Queue:
+    """Return a queue; the platform calls it a route."""
+    advice = raw.get("advice")
+    return Queue(
+        name=raw["name"],
+        host=raw["host"],
+        prefix=raw["prefix"],
+        service=raw.get("service", ""),
+        priority=int(raw.get("priority", 0)),
+        max_attempts=int(raw.get("maxAttempts", 0)) or 1,
+        stretch=float(raw.get("stretch", 0)) or 1.0,
+        target_s=float(raw.get("targetLatencyMs", 0)) / 1000,
+        timeout_s=float(raw.get("timeoutMs", 0)) / 1000 or 3.0,
+        advice=_decode_advice(advice) if advice else None,
+    )
+
+
+def _decode_advice(raw: dict[str, Any]) -> AdvicePolicy:
+    """Return the cost of the adviser's decisions."""
+    return AdvicePolicy(
+        float(raw.get("decideMs", 0)) / 1000,
+        float(raw.get("eachMs", 0)) / 1000,
+        float(raw.get("validMs", 0)) / 1000,
+    )
+
+
+def decode_executor(key: str, data: bytes) -> ExecutorEntry | None:
+    """Return the entry of an executor, or None for what another writer left there."""
+    executor_id = key.removeprefix(EXECUTORS_PREFIX)
+    try:
+        raw = parse_json(data)
+        service, address, state = raw["service"], raw["address"], raw["state"]
+        labels = raw.get("labels") or []
+        texts = [service, address, state, raw.get("zone", ""), *labels]
+        if not all(isinstance(text, str) for text in texts) or not executor_id:
+            return None
+        host, _, port = address.rpartition(":")
+        if state not in ("ready", "draining") or not host or not port.isdigit():
+            return None
+        remaining = raw.get("remainingMs")
+        return ExecutorEntry(
+            id=executor_id,
+            address=address,
+            service=service,
+            zone=raw.get("zone", ""),
+            is_draining=state == "draining",
+            capacity=_decode_resources(raw["capacity"]),
+            labels=tuple(labels),
+            born_ms=_read_number(raw.get("born", 0)),
+            remaining_s=None if remaining is None else _read_number(remaining) / 1000,
+        )
+    except (DecodeError, KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
+def _decode_resources(raw: dict[str, Any]) -> Resources:
+    """Return an amount of resources; `cpu` is in thousandths of a core."""
+    return Resources(
+        _read_number(raw.get("cpu", 0)),
+        _read_number(raw.get("memMb", 0)),
+        _read_number(raw.get("gpu", 0)),
+    )
+
+
+def _read_number(value: Any) -> int:
+    """Return a number that is not negative; raises ValueError for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError(f"expected a number, got {type(value).__name__}")
+    return int(value)
+
+
+def decode_report(data: bytes) -> ExecutorReport:
+    """Return an executor's answer to a hold; raises DecodeError."""
+    raw = parse_json(data)
+    try:
+        running = tuple(_decode_run(row) for row in raw.get("running") or [])
+        # `lastSeen` and N number the ends of one life; `how` tells what ended the run.
+        ended = tuple(
+            EndReport(int(row[0]), row[1], int(row[2]), row[3], row[4] if len(row) > 4 else "")
+            for row in raw.get("ended") or []
+        )
+        return ExecutorReport(int(raw["clockMs"]), int(raw.get("born", 0)), running, ended)
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as err:
+        raise DecodeError(f"report cannot be read: {err}") from err
+
+
+def _decode_run(row: list[Any]) -> RunReport:
+    """Return a run; the fifth entry is a response time or the processors in use."""
+    percent = float(row[3]) if len(row) > 3 else 100.0
+    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return RunReport(row[0], int(row[1]), row[2] or "", percent, figure)
+
+
+def decode_job(data: bytes, job_id: str, queue: Queue, accepted_ms: int) -> JobDefinition:
+    """Return the job that a caller hands in; raises InputError that names the field."""
+    try:
+        raw = orjson.loads(data)
+    except ValueError as err:
+        raise InputError("body: expected JSON") from err
+    if not isinstance(raw, dict):
+        raise InputError("body: expected an object")
+    spec = raw.get("spec", "")
+    if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
+        raise InputError(f"spec: expected a text of at most {MAX_SPEC_BYTES} bytes")
+    rows = raw.get("steps")
+    if not isinstance(rows, list) or len(rows) > MAX_STEPS:
+        raise InputError(f"steps: expected a list of at most {MAX_STEPS} steps")
+    steps = tuple(_decode_step(row, index) for index, row in enumerate(rows))
+    problem = check_steps(steps)
+    if problem:
+        raise InputError(problem)
+    if sum(step.count for step in steps) > MAX_TASKS:
+        raise InputError(f"steps: expected at most {MAX_TASKS} tasks")
+    return JobDefinition(
+        id=job_id,
+        queue=queue,
+        spec=spec,
+        steps=steps,
+        accepted_ms=accepted_ms,
+        repeat_count=_read_field(raw, "repeatCount", "body"),
+        first_ms=_read_field(raw, "firstMs", "body"),
+        interval_ms=_read_field(raw, "intervalMs", "body"),
+    )
+
+
+def _read_field(raw: dict[str, Any], name: str, where: str) -> int:
+    """Return a number of a caller's body, 0 where it is missing."""
+    try:
+        return _read_number(raw.get(name, 0) or 0)
+    except ValueError as err:
+        raise InputError(f"{where}.{name}: expected a number that is not negative") from err
+
+
+def _read_text(raw: dict[str, Any], name: str, where: str) -> str:
+    """Return a text of a caller's body, empty where it is missing."""
+    value = raw.get(name) or ""
+    if not isinstance(value, str):
+        raise InputError(f"{where}.{name}: expected a text")
+    return value
+
+
+def _decode_step(raw: Any, index: int) -> Step:
+    """Return a step of a job."""
+    where = f"steps[{index}]"
+    if not isinstance(raw, dict):
+        raise InputError(f"{where}: expected an object")
+    after = raw.get("after") or []
+    if not isinstance(after, list) or not all(type(number) is int for number in after):
+        raise InputError(f"{where}.after: expected a list of numbers")
+    # `fills` means that the step takes only what others leave, so its processors do not count.
+    cpu = 0 if raw.get("fills") else _read_field(raw, "cpu", where)
+    return Step(
+        count=_read_field(raw, "count", where),
+        demand=Resources(cpu, _read_field(raw, "memMb", where), _read_field(raw, "gpu", where)),
+        estimate_s=_read_field(raw, "estimateMs", where) / 1000,
+        after=tuple(after),
+        is_gang=bool(raw.get("gang")),
+        wants_one_rack=bool(raw.get("sameRack")),
+        label=_read_text(raw, "requires", where),
+        rack=_read_text(raw, "affinity", where),
+        max_per_executor=_read_field(raw, "antiAffinity", where),
+        may_copy=bool(raw.get("speculative")),
+        is_lasting=bool(raw.get("longRunning")),
+        saves_progress=bool(raw.get("checkpoints")),
+        may_miss=_read_field(raw, "mayMiss", where),
+    )
+
+
+class PlatformCodec:
+    """Decodes what the platform keeps in its store."""
+
+    config_key = CONFIG_KEY
+    executors_prefix = EXECUTORS_PREFIX
+
+    def decode_config(self, value: bytes) -> CellConfig:
+        """Return a configuration."""
+        return decode_config(value)
+
+    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry | None:
+        """Return an executor's entry, or None for what names no executor to use."""
+        return decode_executor(key, value)
+
+    def name_executor(self, key: str) -> str:
+        """Return the id of the executor under a key."""
+        return key.removeprefix(EXECUTORS_PREFIX)
--- /dev/null
+++ b/wasabiramp/scheduling/advice.py
@@ -0,0 +1,101 @@
+"""Advice: which executors may run a step, asked early enough and not for all that waits."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.registry import handles
+from wasabiramp.scheduling.effects import AskAdvice
+from wasabiramp.scheduling.events import AdviceAnswered, AdviceFailed
+from wasabiramp.scheduling.model import AdvicePolicy
+from wasabiramp.scheduling.state import ExecutorState, SchedulerState, StepRun, Ticket
+
+TICKET_MARGIN_S: Final = 0.1
+"""A ticket counts as expired this much early: the time of an order on a slow path."""
+
+ASKED_LEAST: Final = 24
+ASKED_MOST: Final = 100
+"""Executors to ask about: at least a small site's, at most what the adviser takes."""
+
+ASKED_EACH_TASK: Final = 4.5
+"""Executors to ask about for each task of a step, as a third of them may be good."""
+
+LOAD_SHARE: Final = 0.8
+"""Share of one caller's time at the adviser that refreshing one queue's tickets may take."""
+
+
+def has_ticket(state: SchedulerState, step: StepRun, executor: ExecutorState) -> bool:
+    """Tell whether the step may run on this life of the executor for long enough to start."""
+    ticket = step.tickets.get(executor.id)
+    return (
+        ticket is not None
+        and ticket.born_ms == executor.born_ms
+        and ticket.expires_at > state.now + TICKET_MARGIN_S
+    )
+
+
+def limit_waiting(policy: AdvicePolicy, executors: int) -> int:
+    """Return how many waiting steps of a queue are kept supplied with tickets."""
+    cost_s = policy.decide_s + policy.each_s * min(executors, ASKED_LEAST) / 2
+    return max(2, min(40, int(LOAD_SHARE * policy.valid_s / max(0.001, cost_s))))
+
+
+def plan_question(
+    state: SchedulerState,
+    step: StepRun,
+    policy: AdvicePolicy,
+    candidates: list[ExecutorState],
+    waiting: int,
+) -> None:
+    """Ask about executors that are not known, or whose tickets expire during a new decision."""
+    if step.is_asking or state.now < step.ask_at:
+        return
+    horizon = state.now + policy.decide_s + TICKET_MARGIN_S
+    fresh, known_good, unknown = 0, [], []
+    for executor in candidates:
+        verdict = step.verdicts.get((executor.id, executor.born_ms))
+        ticket = step.tickets.get(executor.id)
+        if verdict is None:
+            unknown.append(executor)
+        elif verdict and (ticket is None or ticket.expires_at < horizon):
+            known_good.append(executor)
+        elif verdict:
+            fresh += 1
+    wanted = min(ASKED_MOST, max(ASKED_LEAST, int(ASKED_EACH_TASK * waiting)))
+    known = len(step.verdicts)
+    unknown = unknown[: max(0, wanted - known)] if known else unknown[:wanted]
+    if not unknown and (fresh or not known_good):
+        return
+    asked = (known_good + unknown)[:ASKED_MOST]
+    step.is_asking = True
+    cost_s = policy.decide_s + policy.each_s * len(asked)
+    state.effects.append(AskAdvice(step.name, [executor.id for executor in asked], cost_s))
+
+
+@handles(AdviceAnswered)
+def take_advice(state: SchedulerState, event: AdviceAnswered) -> None:
+    """Keep the verdicts and tickets of a step."""
+    step = state.open_steps.get(event.step)
+    if step is None:
+        return
+    step.is_asking = False
+    expires_at = state.now + event.valid_s - TICKET_MARGIN_S
+    for executor_id in event.asked:
+        executor = state.executors.get(executor_id)
+        if executor is None:
+            continue
+        ticket = event.good.get(executor_id)
+        step.verdicts[(executor_id, executor.born_ms)] = ticket is not None
+        if ticket is not None:
+            step.tickets[executor_id] = Ticket(ticket, executor.born_ms, expires_at)
+    state.note("advice", step=event.step, asked=len(event.asked), good=len(event.good))
+
+
+@handles(AdviceFailed)
+def note_lost_advice(state: SchedulerState, event: AdviceFailed) -> None:
+    """Ask again later."""
+    step = state.open_steps.get(event.step)
+    if step is not None:
+        step.is_asking = False
+        step.ask_at = state.now + event.retry_s
+        state.note("advice_lost", step=event.step, retry_s=event.retry_s)
--- /dev/null
+++ b/wasabiramp/scheduling/executors.py
@@ -0,0 +1,240 @@
+"""Executors: how they are listed, held, lost and found again."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.registry import handles
+from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    OTHER_LIFE,
+    REFUSED_FENCE,
+    ExecutorListed,
+    ExecutorUnlisted,
+    HoldAnswered,
+    HoldFailed,
+    TimePassed,
+)
+from wasabiramp.scheduling.model import ExecutorReport
+from wasabiramp.scheduling.orders import find_lapse, release_run, send_hold, send_stop
+from wasabiramp.scheduling.runs import give_up, take_end, take_running
+from wasabiramp.scheduling.state import ExecutorState, SchedulerState
+
+HOLD_WAIT_S: Final = 1.0
+"""How long a hold waits for an end; a third of a lease, so that a lost one does no harm."""
+
+HOLD_RETRY_S: Final = 0.3
+"""Pause after a hold that failed."""
+
+ENDS_PAUSE_S: Final = 0.04
+"""Pause after ends were read: several that come together cost one look."""
+
+STORE_RETRY_S: Final = 0.3
+"""Pause between looks while ends that were read are not stored yet."""
+
+ENDS_A_PAGE: Final = 500
+"""Ends that an executor lists at a time."""
+
+RELIST_S: Final = 2.0
+"""How long an entry that vanished may take to come back, by the platform's promise."""
+
+
+@handles(ExecutorListed)
+def list_executor(state: SchedulerState, event: ExecutorListed) -> None:
+    """Take a new or changed entry; a later birth under the same id is a new life."""
+    entry = event.entry
+    executor = state.executors.get(entry.id)
+    if executor is None:
+        state.executors[entry.id] = ExecutorState(entry)
+        state.is_roster_dirty = True
+        state.note("executor_listed", executor=entry.id, service=entry.service, rack=entry.rack)
+        return
+    if entry.born_ms < executor.born_ms:
+        return
+    if entry.born_ms > executor.born_ms and executor.born_ms:
+        begin_life(state, executor, entry.born_ms)
+    if entry.is_draining and not executor.entry.is_draining:
+        state.note("executor_draining", executor=entry.id, runs=len(executor.runs))
+    executor.born_ms = entry.born_ms
+    executor.entry = entry
+    executor.is_listed = True
+
+
+@handles(ExecutorUnlisted)
+def unlist_executor(state: SchedulerState, event: ExecutorUnlisted) -> None:
+    """Note that an entry is gone; what the executor may run stays counted."""
+    executor = state.executors.get(event.id)
+    if executor is None or not executor.is_listed:
+        return
+    executor.is_listed = False
+    executor.unlisted_at = state.now
+    state.note("executor_unlisted", executor=event.id, runs=len(executor.runs))
+
+
+def begin_life(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
+    """Release all runs of an earlier life, which ended with it."""
+    state.note("executor_reborn", executor=executor.id, runs=len(executor.runs))
+    for run in list(executor.runs.values()):
+        release_run(state, run)
+    must_answer = executor.must_answer
+    executor.reset(born_ms)
+    executor.must_answer = must_answer
+
+
+@handles(HoldAnswered)
+def take_report(state: SchedulerState, event: HoldAnswered) -> None:
+    """Compare what an executor lists with what is counted."""
+    executor = state.executors.get(event.executor)
+    if executor is None:
+        return
+    report = event.report
+    executor.is_holding = False
+    if report.born_ms < executor.born_ms:
+        return
+    if report.born_ms > executor.born_ms:
+        if executor.born_ms:
+            begin_life(state, executor, report.born_ms)
+        executor.born_ms = report.born_ms
+    executor.clock_ms = report.clock_ms
+    executor.clock_at = state.now
+    executor.is_fenced = True
+    executor.must_answer = False
+    if executor.silent_since is not None:
+        state.note("executor_answers", executor=executor.id)
+        executor.silent_since = None
+    listed = _take_lists(state, executor, report, event.sent_at)
+    if len(report.ended) < ENDS_A_PAGE:
+        _drop_vanished(state, executor, listed, event.sent_at)
+    plan_hold(state, executor)
+
+
+def _take_lists(
+    state: SchedulerState, executor: ExecutorState, report: ExecutorReport, sent_at: float
+) -> set[tuple[str, int]]:
+    """Take the ends that are new, then what runs; return the runs that are listed as running."""
+    executor.new_ends = False
+    for end in report.ended:
+        if end.number > executor.read_end:
+            executor.read_end = end.number
+            executor.new_ends = True
+            take_end(state, executor, end)
+    listed = set()
+    for row in report.running:
+        listed.add((row.task, row.run))
+        take_running(state, executor, row, sent_at)
+    return listed
+
+
+def _drop_vanished(
+    state: SchedulerState, executor: ExecutorState, listed: set[tuple[str, int]], sent_at: float
+) -> None:
+    """Release runs that a hold, sent after their order was settled, does not list."""
+    for key, run in list(executor.runs.items()):
+        if key in listed:
+            continue
+        settled_at = run.stop_confirmed_at if run.wants_stop else run.confirmed_at
+        if settled_at is not None and settled_at < sent_at:
+            release_run(state, run)
+
+
+def plan_hold(state: SchedulerState, executor: ExecutorState) -> None:
+    """Choose when to look again: after a pause where there is something to store first."""
+    if executor.read_end > executor.last_seen:
+        executor.hold_at = state.now + (ENDS_PAUSE_S if executor.new_ends else STORE_RETRY_S)
+    else:
+        executor.hold_at = state.now
+
+
+@handles(HoldFailed)
+def take_hold_failure(state: SchedulerState, event: HoldFailed) -> None:
+    """Note an executor that does not answer; it gets no new work until it does."""
+    executor = state.executors.get(event.executor)
+    if executor is None:
+        return
+    executor.is_holding = False
+    if event.outcome == REFUSED_FENCE:
+        give_up(state, f"{event.executor} refused a hold as fenced")
+        return
+    if executor.silent_since is None:
+        executor.silent_since = state.now
+        state.note("executor_silent", executor=executor.id, why=event.outcome)
+    executor.hold_at = state.now + HOLD_RETRY_S
+    has_left = not executor.is_listed and executor.entry.is_draining
+    if event.outcome == OTHER_LIFE or (has_left and event.outcome == NOT_SENT):
+        lapse_runs(state, executor, "another process answers, or none")
+        executor.must_answer = False
+
+
+def lapse_runs(state: SchedulerState, executor: ExecutorState, why: str) -> None:
+    """Release all runs of an executor whose leases have ended."""
+    if executor.runs:
+        state.note("runs_lapsed", executor=executor.id, runs=len(executor.runs), why=why)
+    for key, run in list(executor.runs.items()):
+        executor.lapsed.add(key)
+        release_run(state, run)
+
+
+@handles(TimePassed)
+def watch_executors(state: SchedulerState, event: TimePassed) -> None:
+    """Send holds and stops that are due, and release runs whose leases have ended."""
+    for executor in list(state.executors.values()):
+        is_silent = executor.silent_since is not None and executor.is_fenced
+        if executor.runs and is_silent and state.now > find_lapse(executor):
+            lapse_runs(state, executor, "lease ended")
+        if not executor.is_holding and state.now >= executor.hold_at:
+            _hold_if_needed(state, executor)
+        for run in list(executor.runs.values()):
+            if run.wants_stop:
+                send_stop(state, run)
+        _forget_if_gone(state, executor)
+    if state.recovered_until and not _awaits_answers(state):
+        state.recovered_until = 0.0
+        for job in state.jobs.values():
+            job.is_accounted = True
+        state.note("recovery_complete")
+
+
+def _hold_if_needed(state: SchedulerState, executor: ExecutorState) -> None:
+    """Hold an executor that runs something, has something to tell, or has not been met."""
+    if executor.read_end > executor.last_seen and not executor.runs:
+        return
+    if executor.clock_ms is None or not executor.is_fenced:
+        send_hold(state, executor, 0.0)
+    elif executor.runs or executor.silent_since is not None:
+        is_settled = executor.read_end <= executor.last_seen and executor.silent_since is None
+        send_hold(state, executor, HOLD_WAIT_S if is_settled else 0.0)
+    elif executor.last_seen > executor.noted_end or not executor.is_listed:
+        send_hold(state, executor, 0.0)
+    else:
+        return
+    executor.noted_end = executor.last_seen
+
+
+def _forget_if_gone(state: SchedulerState, executor: ExecutorState) -> None:
+    """Forget an executor that left the list and can run nothing any more."""
+    if executor.is_listed or executor.runs or executor.must_answer:
+        return
+    if state.now > executor.unlisted_at + RELIST_S and executor.silent_since is not None:
+        del state.executors[executor.id]
+        state.is_roster_dirty = True
+        state.note("executor_forgotten", executor=executor.id)
+
+
+def _awaits_answers(state: SchedulerState) -> bool:
+    """Tell whether runs of an earlier owner may live on executors that have not answered."""
+    if state.now >= state.recovered_until:
+        for executor in state.executors.values():
+            executor.must_answer = False
+        return False
+    return any(executor.must_answer for executor in state.executors.values())
+
+
+def is_usable(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Tell whether an executor may get new work now."""
+    if executor.entry.is_draining or not executor.is_fenced or not executor.is_stored:
+        return False
+    if executor.clock_ms is None or executor.silent_since is not None:
+        return False
+    if not executor.is_listed and state.now > executor.unlisted_at + RELIST_S:
+        return False
+    return state.now >= executor.resting_until
--- /dev/null
+++ b/wasabiramp/scheduling/orders.py
@@ -0,0 +1,123 @@
+"""Orders to executors: leases, starts and stops."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.state import (
+    ExecutorState,
+    Run,
+    SchedulerState,
+    StepRun,
+    TaskState,
+)
+
+STOP_RETRY_S: Final = 0.5
+"""Pause before a stop without an answer is sent again; a little above its time-out."""
+
+CLOCK_SLOWNESS: Final = 0.02
+"""How much slower an executor's clock may run than ours, by the platform's promise."""
+
+LAPSE_MARGIN_S: Final = 0.25
+"""Added to the end of a lease for the executor's own delay in ending what it runs."""
+
+
+def estimate_clock(state: SchedulerState, executor: ExecutorState) -> int | None:
+    """Return the executor's clock now, never ahead of it by more than the drift, or None."""
+    if executor.clock_ms is None:
+        return None
+    return executor.clock_ms + int((state.now - executor.clock_at) * 1000)
+
+
+def extend_lease(state: SchedulerState, executor: ExecutorState) -> int | None:
+    """Return the end of a fresh lease on the executor's clock, and remember the latest one."""
+    clock = estimate_clock(state, executor)
+    if clock is None:
+        return None
+    until = clock + int(state.lease_s * 1000)
+    executor.lease_until_ms = max(executor.lease_until_ms, until)
+    return until
+
+
+def find_lapse(executor: ExecutorState) -> float:
+    """Return when, on our clock, the latest lease has surely ended on the executor's clock."""
+    if executor.clock_ms is None:
+        return 0.0
+    left_s = (executor.lease_until_ms - executor.clock_ms) / 1000
+    return executor.clock_at + left_s / (1 - CLOCK_SLOWNESS) + LAPSE_MARGIN_S
+
+
+def start_run(
+    state: SchedulerState,
+    executor: ExecutorState,
+    step: StepRun,
+    task: TaskState,
+    number: int,
+) -> None:
+    """Send a start and count its room from now on."""
+    until = extend_lease(state, executor)
+    if until is None:
+        raise ValueError(f"executor {executor.id} has not told its clock")
+    run = Run(step, task.index, step.name_task(task.index), executor.id, number, state.now)
+    task.last_run = number
+    task.runs.append(run)
+    task.waiting_since = None
+    step.started_count += 1
+    step.job.has_started = True
+    executor.add_run(run)
+    ticket = step.tickets.get(executor.id)
+    state.effects.append(
+        StartTask(
+            executor.id,
+            executor.entry.address,
+            run.task,
+            number,
+            step.job.definition.spec,
+            until,
+            task.saved,
+            ticket.value if ticket is not None else "",
+        )
+    )
+    executor.hold_at = min(executor.hold_at, state.now)
+
+
+def stop_run(state: SchedulerState, run: Run) -> None:
+    """Stop a run; the order is repeated until it is answered."""
+    run.wants_stop = True
+    send_stop(state, run)
+
+
+def send_stop(state: SchedulerState, run: Run) -> None:
+    """Send a stop unless one was answered, or was sent a moment ago."""
+    executor = state.executors.get(run.executor)
+    if executor is None or run.stop_confirmed_at is not None:
+        return
+    if run.stop_sent_at is not None and state.now < run.stop_sent_at + STOP_RETRY_S:
+        return
+    run.stop_sent_at = state.now
+    state.effects.append(StopTask(executor.id, executor.entry.address, run.task, run.number))
+
+
+def release_run(state: SchedulerState, run: Run) -> None:
+    """Forget a run that is surely over, and let its task wait for the next one."""
+    executor = state.executors.get(run.executor)
+    if executor is not None:
+        executor.drop_run(run)
+    step = run.step
+    if step is None:
+        return
+    task = step.tasks[run.index]
+    if run in task.runs:
+        task.runs.remove(run)
+    if not task.runs:
+        task.waiting_since = state.now
+
+
+def send_hold(state: SchedulerState, executor: ExecutorState, wait_s: float) -> None:
+    """Renew the lease and read what runs and what ended."""
+    executor.is_holding = True
+    until = extend_lease(state, executor) if executor.runs else None
+    state.effects.append(
+        HoldExecutor(executor.id, executor.entry.address, until, executor.last_seen, wait_s)
+    )
--- /dev/null
+++ b/wasabiramp/scheduling/records.py
@@ -0,0 +1,111 @@
+"""Records of jobs in the store, packed with msgpack."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgpack
+
+from wasabiramp.core.records import DecodeError
+from wasabiramp.scheduling.model import (
+    AdvicePolicy,
+    JobDefinition,
+    JobProgress,
+    Queue,
+    Resources,
+    Step,
+    StepProgress,
+)
+
+FORMAT: Final = 1
+"""First field of each record; a reader refuses others."""
+
+
+def encode_definition(job: JobDefinition) -> bytes:
+    """Return a job's definition as bytes."""
+    queue = job.queue
+    advice = queue.advice
+    advice_row = (advice.decide_s, advice.each_s, advice.valid_s) if advice is not None else None
+    queue_row = (
+        queue.name,
+        queue.host,
+        queue.prefix,
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_s,
+        queue.timeout_s,
+        advice_row,
+    )
+    steps = [_encode_step(step) for step in job.steps]
+    times = (job.accepted_ms, job.repeat_count, job.first_ms, job.interval_ms)
+    return msgpack.packb((FORMAT, job.id, queue_row, job.spec, steps, times))
+
+
+def _encode_step(step: Step) -> tuple[Any, ...]:
+    """Return a step as a row."""
+    demand = step.demand
+    return (
+        step.count,
+        (demand.cpu, demand.memory_mb, demand.gpu),
+        step.estimate_s,
+        step.after,
+        step.is_gang,
+        step.wants_one_rack,
+        step.label,
+        step.rack,
+        step.max_per_executor,
+        step.may_copy,
+        step.is_lasting,
+        step.saves_progress,
+        step.may_miss,
+    )
+
+
+def decode_definition(data: bytes) -> JobDefinition:
+    """Return the definition that the bytes hold; raises DecodeError."""
+    try:
+        version, job_id, queue_row, spec, steps, times = msgpack.unpackb(data)
+        if version != FORMAT:
+            raise DecodeError(f"job record of format {version}")
+        advice_row = queue_row[9]
+        advice = AdvicePolicy(*advice_row) if advice_row is not None else None
+        queue = Queue(*queue_row[:9], advice)
+        made = tuple(
+            Step(row[0], Resources(*row[1]), row[2], tuple(row[3]), *row[4:]) for row in steps
+        )
+        return JobDefinition(job_id, queue, spec, made, *times)
+    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as err:
+        raise DecodeError(f"job record cannot be decoded: {err}") from err
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Return a job's progress as bytes."""
+    steps = [
+        (
+            occurrence,
+            index,
+            sorted(step.done),
+            {number: sorted(runs) for number, runs in step.failed.items()},
+            step.saved,
+        )
+        for (occurrence, index), step in progress.steps.items()
+        if step.done or step.failed or step.saved
+    ]
+    return msgpack.packb((FORMAT, progress.phase, steps))
+
+
+def decode_progress(data: bytes) -> JobProgress:
+    """Return the progress that the bytes hold; raises DecodeError."""
+    try:
+        version, phase, steps = msgpack.unpackb(data, strict_map_key=False)
+        if version != FORMAT:
+            raise DecodeError(f"progress record of format {version}")
+        progress = JobProgress(phase)
+        for occurrence, index, done, failed, saved in steps:
+            runs = {number: set(numbers) for number, numbers in failed.items()}
+            progress.steps[(occurrence, index)] = StepProgress(set(done), runs, saved)
+        return progress
+    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as err:
+        raise DecodeError(f"progress record cannot be decoded: {err}") from err
--- /dev/null
+++ b/wasabiramp/scheduling/runs.py
@@ -0,0 +1,227 @@
+"""Runs of tasks: answers to starts and stops, what executors list, and how runs end."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.registry import handles
+from wasabiramp.scheduling.effects import GiveUpOwnership
+from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    OTHER_LIFE,
+    REFUSED_BUSY,
+    REFUSED_FENCE,
+    REFUSED_INPUT,
+    REFUSED_LATE,
+    REFUSED_OLD,
+    REFUSED_ROOM,
+    REFUSED_TICKET,
+    STARTED,
+    UNKNOWN,
+    StartAnswered,
+    StopAnswered,
+)
+from wasabiramp.scheduling.jobs import fail_task, finish_task, note_change
+from wasabiramp.scheduling.model import EndReport, RunReport, parse_task
+from wasabiramp.scheduling.orders import release_run, send_stop, stop_run
+from wasabiramp.scheduling.state import (
+    ExecutorState,
+    Run,
+    SchedulerState,
+    StepRun,
+    is_wanted,
+)
+
+END_DONE: Final = "done"
+END_FAILED: Final = "failed"
+
+FAILING_STEPS: Final = 2
+"""Different steps that fail on an executor with no success between before it rests."""
+
+REST_S: Final = 1.5
+REST_LIMIT_S: Final = 6.0
+"""First and longest pause of an executor that fails what it starts; each one doubles."""
+
+BUSY_REST_S: Final = 0.5
+"""Pause of an executor that refused a start as unhealthy or full."""
+
+INPUT_REST_S: Final = 5.0
+"""Pause of a step's executor that could not read a start: it will hardly read the next."""
+
+
+def give_up(state: SchedulerState, reason: str) -> None:
+    """Send nothing any more: a newer owner acts."""
+    if not state.is_given_up:
+        state.is_given_up = True
+        state.effects.append(GiveUpOwnership(reason))
+
+
+@handles(StartAnswered)
+def take_start_answer(state: SchedulerState, event: StartAnswered) -> None:
+    """Confirm a run, or release it where the executor certainly did nothing."""
+    executor = state.executors.get(event.executor)
+    run = executor.runs.get((event.task, event.run)) if executor is not None else None
+    if event.outcome == REFUSED_FENCE:
+        give_up(state, f"{event.executor} refused a start as fenced")
+        return
+    if executor is None or run is None:
+        return
+    if event.clock_ms is not None:
+        executor.clock_ms, executor.clock_at = event.clock_ms, state.now
+    if event.outcome == STARTED:
+        run.confirmed_at = state.now
+        return
+    state.note(
+        "start_refused", task=event.task, run=event.run, executor=event.executor, why=event.outcome
+    )
+    if event.outcome == UNKNOWN:
+        run.is_uncertain = True
+        stop_run(state, run)
+        stop_gang(state, run)
+        return
+    _note_refusal(state, executor, run, event.outcome)
+    release_run(state, run)
+    stop_gang(state, run)
+
+
+def _note_refusal(state: SchedulerState, executor: ExecutorState, run: Run, outcome: str) -> None:
+    """Keep the next start from failing for the same reason."""
+    if outcome in (REFUSED_BUSY, REFUSED_ROOM, REFUSED_LATE, NOT_SENT, OTHER_LIFE):
+        executor.resting_until = max(executor.resting_until, state.now + BUSY_REST_S)
+    elif outcome == REFUSED_INPUT:
+        executor.resting_until = max(executor.resting_until, state.now + INPUT_REST_S)
+    elif outcome == REFUSED_TICKET and run.step is not None:
+        run.step.tickets.pop(executor.id, None)
+    elif outcome != REFUSED_OLD:
+        state.note("start_outcome_unknown", outcome=outcome)
+    executor.hold_at = state.now
+
+
+def stop_gang(state: SchedulerState, run: Run) -> None:
+    """Stop the other members of a gang of which one did not start."""
+    step = run.step
+    if step is None or not step.spec.is_gang:
+        return
+    for other in step.iter_runs():
+        if other is not run and other.number == run.number and not other.wants_stop:
+            stop_run(state, other)
+
+
+@handles(StopAnswered)
+def take_stop_answer(state: SchedulerState, event: StopAnswered) -> None:
+    """Note that a run will not start any more; its end, or a later hold, frees the room."""
+    if event.outcome == REFUSED_FENCE:
+        give_up(state, f"{event.executor} refused a stop as fenced")
+        return
+    executor = state.executors.get(event.executor)
+    run = executor.runs.get((event.task, event.run)) if executor is not None else None
+    if executor is None or run is None or event.outcome != STARTED:
+        return
+    run.stop_confirmed_at = state.now
+    executor.hold_at = state.now
+
+
+def take_running(
+    state: SchedulerState, executor: ExecutorState, row: RunReport, sent_at: float
+) -> None:
+    """Note a run that an executor lists; adopt it, or stop it where nobody wants it."""
+    run = executor.runs.get((row.task, row.run))
+    if run is None:
+        run = adopt_run(state, executor, row)
+    if run.confirmed_at is None:
+        run.confirmed_at = sent_at
+    run.percent = row.percent
+    if run.step is not None and row.saved:
+        run.step.tasks[run.index].saved = row.saved
+    if not is_wanted(run) and not _ends_with_gang(run):
+        run.wants_stop = True
+    if run.wants_stop:
+        send_stop(state, run)
+
+
+def _ends_with_gang(run: Run) -> bool:
+    """Tell whether a run is a member of a gang that ended well and ends by itself."""
+    return run.step is not None and run.step.spec.is_gang and run.step.is_done
+
+
+def adopt_run(state: SchedulerState, executor: ExecutorState, row: RunReport) -> Run:
+    """Count a run that an earlier owner started, or that was given up too early."""
+    step, index = find_step(state, row.task)
+    run = Run(step, index, row.task, executor.id, row.run, state.now)
+    executor.add_run(run)
+    if step is None:
+        run.wants_stop = True
+        state.note("run_foreign", task=row.task, run=row.run, executor=executor.id)
+        return run
+    task = step.tasks[index]
+    if (row.task, row.run) in executor.lapsed or (task.runs and not step.spec.may_copy):
+        run.wants_stop = True
+    task.last_run = max(task.last_run, row.run)
+    task.runs.append(run)
+    step.job.has_started = True
+    state.note("run_adopted", task=row.task, run=row.run, executor=executor.id)
+    return run
+
+
+def find_step(state: SchedulerState, task: str) -> tuple[StepRun | None, int]:
+    """Return the step and the index that a task's name means, if its job is known."""
+    parsed = parse_task(task)
+    if parsed is None:
+        return None, 0
+    job_id, occurrence, index, number = parsed
+    job = state.jobs.get(job_id)
+    step = job.steps.get((occurrence, index)) if job is not None else None
+    if step is None or number >= step.spec.count:
+        return None, 0
+    return step, number
+
+
+def take_end(state: SchedulerState, executor: ExecutorState, end: EndReport) -> None:
+    """Note the end of a run: count it, and let the task go on."""
+    run = executor.runs.get((end.task, end.run))
+    step, index = (run.step, run.index) if run is not None else find_step(state, end.task)
+    if run is not None:
+        release_run(state, run)
+    if step is None:
+        return
+    if (end.task, end.run) in executor.lapsed and step.tasks[index].runs:
+        state.note("end_ignored", task=end.task, run=end.run, how=end.how, why="lease lapsed")
+        return
+    if end.saved and index not in step.progress.done:
+        step.tasks[index].saved = end.saved
+        step.progress.saved[index] = end.saved
+        note_change(step.job)
+    state.note("run_ended", task=end.task, run=end.run, executor=executor.id, how=end.how)
+    _judge_executor(state, executor, step, run, end.how)
+    if step.job.is_ended:
+        return
+    if end.how == END_DONE:
+        if index not in step.progress.done:
+            finish_task(state, step, index)
+    elif end.how == END_FAILED:
+        fail_task(state, step, index, end.run)
+    if step.spec.is_gang and not step.is_done and run is not None:
+        stop_gang(state, run)
+
+
+def _judge_executor(
+    state: SchedulerState, executor: ExecutorState, step: StepRun, run: Run | None, how: str
+) -> None:
+    """Let an executor rest that fails different steps in a row."""
+    if how == END_DONE:
+        executor.failures.clear()
+        executor.rest_s = 0.0
+        if run is not None and step.spec.estimate_s > 0:
+            took_s = state.now - run.sent_at
+            ratio = min(4.0, max(0.25, took_s / step.spec.estimate_s))
+            executor.slowness += 0.15 * (ratio - executor.slowness)
+        return
+    if how != END_FAILED:
+        return
+    executor.failures.add(step.name)
+    if len(executor.failures) < FAILING_STEPS:
+        return
+    executor.failures.clear()
+    executor.rest_s = min(REST_LIMIT_S, max(REST_S, 2 * executor.rest_s))
+    executor.resting_until = state.now + executor.rest_s
+    state.note("executor_rests", executor=executor.id, rest_s=executor.rest_s)
--- /dev/null
+++ b/wasabiramp/scheduling/scheduler.py
@@ -0,0 +1,138 @@
+"""The scheduler of one domain: one reducer over all events, with effects as data."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from wasabiramp.core.registry import EVENT_HANDLERS, handles
+from wasabiramp.scheduling import advice, executors, jobs, runs
+from wasabiramp.scheduling.effects import Effect
+from wasabiramp.scheduling.events import Committed
+from wasabiramp.scheduling.model import FINAL_PHASES
+from wasabiramp.scheduling.placement import place_work
+from wasabiramp.scheduling.state import JobRun, SchedulerState
+
+SUBJECTS: Final = (advice, executors, jobs, runs)
+"""Modules whose decorators fill the registry of handlers."""
+
+
+class Changes:
+    """What has to be stored before its outcome may be shown or taken note of."""
+
+    __slots__ = ("jobs", "roster", "seen")
+
+    def __init__(
+        self,
+        jobs: list[JobRun],
+        roster: list[tuple[str, str]] | None,
+        seen: dict[str, tuple[int, int]],
+    ) -> None:
+        """Hold changed jobs, the roster if it changed, and births and ends read by executor."""
+        self.jobs = jobs
+        self.roster = roster
+        self.seen = seen
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether nothing has to be written."""
+        return not self.jobs and self.roster is None
+
+
+class Scheduler:
+    """Decides for one placement domain.
+
+    Example: `effects = scheduler.apply(JobAccepted(job), now)`, then `scheduler.place(now)`.
+    """
+
+    def __init__(self, term: int, lease_s: float, wall_offset_s: float) -> None:
+        """Start empty in a term of ownership; runs get leases of `lease_s`."""
+        self.state = SchedulerState(term, lease_s, wall_offset_s)
+        self._taken: Changes | None = None
+        self._stored_phases: dict[str, str] = {}
+
+    def apply(self, event: Any, now: float) -> list[Effect]:
+        """Reduce one event."""
+        self.state.now = now
+        for handler in EVENT_HANDLERS[type(event)]:
+            handler(self.state, event)
+        if isinstance(event, Committed):
+            self._finish_changes()
+        return self._take_effects()
+
+    def place(self, now: float) -> list[Effect]:
+        """Start what fits."""
+        self.state.now = now
+        place_work(self.state)
+        return self._take_effects()
+
+    def take_changes(self) -> Changes | None:
+        """Return what has to be stored now, or None; `Committed` says when it is."""
+        if self._taken is not None:
+            return None
+        state = self.state
+        dirty = [job for job in state.jobs.values() if job.is_dirty]
+        seen = {
+            e.id: (e.born_ms, e.read_end)
+            for e in state.executors.values()
+            if e.read_end > e.last_seen
+        }
+        if not dirty and not seen and not state.is_roster_dirty:
+            return None
+        roster = None
+        if state.is_roster_dirty:
+            roster = [(e.id, e.entry.address) for e in state.executors.values()]
+            state.is_roster_dirty = False
+        for job in dirty:
+            job.is_dirty = False
+        self._stored_phases = {job.definition.id: job.progress.phase for job in dirty}
+        self._taken = Changes(dirty, roster, seen)
+        return self._taken
+
+    @property
+    def is_storing(self) -> bool:
+        """Tell whether taken changes are not stored yet."""
+        return self._taken is not None
+
+    def has_changes(self) -> bool:
+        """Tell whether a job changed that is not stored yet."""
+        return self.is_storing or any(job.is_dirty for job in self.state.jobs.values())
+
+    def restore_changes(self) -> None:
+        """Mark what could not be stored as changed again."""
+        if self._taken is None:
+            return
+        for job in self._taken.jobs:
+            job.is_dirty = True
+        if self._taken.roster is not None:
+            self.state.is_roster_dirty = True
+        self._taken = None
+
+    def _finish_changes(self) -> None:
+        """Show the phases that are stored now, and take note of ends."""
+        taken = self._taken
+        if taken is None:
+            return
+        self._taken = None
+        for job in taken.jobs:
+            phase = self._stored_phases[job.definition.id]
+            if phase in FINAL_PHASES:
+                job.shown_phase = phase
+        for executor_id, (born_ms, number) in taken.seen.items():
+            executor = self.state.executors.get(executor_id)
+            if executor is not None and executor.born_ms == born_ms:
+                executor.last_seen = max(executor.last_seen, number)
+                executor.hold_at = self.state.now
+        if taken.roster is not None:
+            for executor_id, _address in taken.roster:
+                if executor_id in self.state.executors:
+                    self.state.executors[executor_id].is_stored = True
+
+    def _take_effects(self) -> list[Effect]:
+        """Return the effects of this step."""
+        effects, self.state.effects = self.state.effects, []
+        return effects
+
+
+@handles(Committed)
+def note_commit(state: Any, event: Committed) -> None:
+    """Nothing but what `Scheduler` does itself."""
--- /dev/null
+++ b/wasabiramp/scheduling/state.py
@@ -0,0 +1,339 @@
+"""What the owner of a domain remembers: executors, jobs, steps, tasks and their runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+from wasabiramp.scheduling.effects import Effect, NoteDecision
+from wasabiramp.scheduling.model import (
+    CANCELLED,
+    FINAL_PHASES,
+    PENDING,
+    RUNNING,
+    CellConfig,
+    ExecutorEntry,
+    JobDefinition,
+    JobProgress,
+    Queue,
+    Resources,
+    Step,
+    StepProgress,
+    name_step,
+)
+
+RUNS_PER_TERM: Final = 100_000
+"""Run numbers that one term may use, so that numbers rise from owner to owner."""
+
+
+class Run:
+    """One start of a task on one executor, from the order until its end is certain."""
+
+    __slots__ = (
+        "confirmed_at",
+        "executor",
+        "index",
+        "is_uncertain",
+        "number",
+        "percent",
+        "sent_at",
+        "step",
+        "stop_confirmed_at",
+        "stop_sent_at",
+        "task",
+        "wants_stop",
+    )
+
+    def __init__(
+        self, step: StepRun | None, index: int, task: str, executor: str, number: int, now: float
+    ) -> None:
+        """Note a run whose order is sent now; a foreign run has no step."""
+        self.step = step
+        self.index = index
+        self.task = task
+        self.executor = executor
+        self.number = number
+        self.sent_at = now
+        self.confirmed_at: float | None = None
+        self.is_uncertain = False
+        self.wants_stop = False
+        self.stop_sent_at: float | None = None
+        self.stop_confirmed_at: float | None = None
+        self.percent = 100.0
+
+    @property
+    def demand(self) -> Resources:
+        """Return the room that the run takes."""
+        return self.step.spec.demand if self.step is not None else Resources()
+
+
+class TaskState:
+    """One task of a step: its runs that may be alive, and what it saved."""
+
+    __slots__ = ("index", "last_run", "runs", "saved", "waiting_since")
+
+    def __init__(self, index: int, saved: str) -> None:
+        """Start without runs."""
+        self.index = index
+        self.last_run = 0
+        self.runs: list[Run] = []
+        self.saved = saved
+        self.waiting_since: float | None = None
+
+
+class Ticket:
+    """The adviser's permission to run a step on one life of an executor."""
+
+    __slots__ = ("born_ms", "expires_at", "value")
+
+    def __init__(self, value: str, born_ms: int, expires_at: float) -> None:
+        """Note a ticket with the end of its validity on the loop's clock."""
+        self.value = value
+        self.born_ms = born_ms
+        self.expires_at = expires_at
+
+
+class StepRun:
+    """One step of one occurrence of a job."""
+
+    __slots__ = (
+        "ask_at",
+        "due_at",
+        "index",
+        "is_asking",
+        "job",
+        "name",
+        "occurrence",
+        "progress",
+        "spec",
+        "started_count",
+        "tasks",
+        "tickets",
+        "verdicts",
+    )
+
+    def __init__(self, job: JobRun, occurrence: int, index: int, due_at: float) -> None:
+        """Prepare the step's tasks from the job's definition and progress."""
+        self.job = job
+        self.occurrence = occurrence
+        self.index = index
+        self.spec: Step = job.definition.steps[index]
+        self.name = name_step(job.definition.id, occurrence, index)
+        self.progress = job.progress.steps.setdefault((occurrence, index), StepProgress())
+        self.tasks = [
+            TaskState(number, self.progress.saved.get(number, ""))
+            for number in range(self.spec.count)
+        ]
+        self.due_at = due_at
+        self.started_count = 0
+        self.is_asking = False
+        self.ask_at = 0.0
+        self.tickets: dict[str, Ticket] = {}
+        self.verdicts: dict[tuple[str, int], bool] = {}
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks ended well."""
+        return len(self.progress.done) >= self.spec.count
+
+    def find_waiting(self) -> list[TaskState]:
+        """Return the tasks that have neither ended well nor a run that may be alive."""
+        done = self.progress.done
+        return [task for task in self.tasks if not task.runs and task.index not in done]
+
+    def iter_runs(self) -> Iterator[Run]:
+        """Return all runs that may be alive."""
+        for task in self.tasks:
+            yield from task.runs
+
+    def name_task(self, index: int) -> str:
+        """Return the name of one task."""
+        return f"{self.name}.{index}"
+
+
+class JobRun:
+    """A job at its owner; `shown_phase` is the last phase that is stored."""
+
+    __slots__ = (
+        "accepted_at",
+        "definition",
+        "ended_at",
+        "has_started",
+        "is_accounted",
+        "is_dirty",
+        "objective_at",
+        "progress",
+        "shown_phase",
+        "steps",
+    )
+
+    def __init__(self, definition: JobDefinition, progress: JobProgress, accepted_at: float):
+        """Take a job as it is stored."""
+        self.definition = definition
+        self.progress = progress
+        self.accepted_at = accepted_at
+        self.shown_phase = progress.phase if progress.phase in FINAL_PHASES else PENDING
+        self.is_dirty = False
+        self.is_accounted = True
+        self.has_started = False
+        self.objective_at = accepted_at
+        self.ended_at: float | None = None
+        self.steps: dict[tuple[int, int], StepRun] = {}
+
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether the job is done, failed or cancelled, stored or not."""
+        return self.progress.phase in FINAL_PHASES
+
+    def find_phase(self) -> str:
+        """Return the phase that callers may be shown."""
+        if self.shown_phase in FINAL_PHASES:
+            return self.shown_phase
+        return RUNNING if self.has_started else PENDING
+
+    def are_ready(self, step: StepRun) -> bool:
+        """Tell whether all steps that the step follows are done."""
+        return all(
+            (before := self.steps.get((step.occurrence, index))) is not None and before.is_done
+            for index in step.spec.after
+        )
+
+
+class ExecutorState:
+    """An executor: its entry, its clock, the lease given to it, and its runs."""
+
+    __slots__ = (
+        "born_ms",
+        "clock_at",
+        "clock_ms",
+        "entry",
+        "failures",
+        "hold_at",
+        "is_fenced",
+        "is_holding",
+        "is_listed",
+        "is_stored",
+        "last_seen",
+        "lapsed",
+        "lease_until_ms",
+        "must_answer",
+        "new_ends",
+        "noted_end",
+        "read_end",
+        "resting_until",
+        "rest_s",
+        "runs",
+        "silent_since",
+        "slowness",
+        "unlisted_at",
+        "used",
+    )
+
+    def __init__(self, entry: ExecutorEntry) -> None:
+        """Start with an entry of the platform's list."""
+        self.entry = entry
+        self.is_listed = True
+        self.is_stored = False
+        self.unlisted_at = 0.0
+        self.must_answer = False
+        self.lapsed: set[tuple[str, int]] = set()
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.rest_s = 0.0
+        self.slowness = 1.0
+        self.reset(entry.born_ms)
+
+    def reset(self, born_ms: int) -> None:
+        """Forget an earlier life; its runs have to be released first."""
+        self.born_ms = born_ms
+        self.is_fenced = False
+        self.is_holding = False
+        self.hold_at = 0.0
+        self.clock_ms: int | None = None
+        self.clock_at = 0.0
+        self.lease_until_ms = 0
+        self.last_seen = 0
+        self.noted_end = 0
+        self.read_end = 0
+        self.new_ends = False
+        self.failures: set[str] = set()
+        self.resting_until = 0.0
+        self.silent_since: float | None = None
+        self.runs = {}
+        self.lapsed = set()
+        self.used = Resources()
+
+    @property
+    def id(self) -> str:
+        """Return the executor's id."""
+        return self.entry.id
+
+    @property
+    def room(self) -> Resources:
+        """Return what is not taken by runs that may be alive."""
+        return self.entry.capacity.minus(self.used)
+
+    def add_run(self, run: Run) -> None:
+        """Count a run's room."""
+        self.runs[(run.task, run.number)] = run
+        self.used = self.used.plus(run.demand)
+
+    def drop_run(self, run: Run) -> None:
+        """Free a run's room."""
+        if self.runs.pop((run.task, run.number), None) is not None:
+            self.used = self.used.minus(run.demand)
+
+
+class SchedulerState:
+    """All that the owner of one domain knows."""
+
+    __slots__ = (
+        "adviser_load_s",
+        "config",
+        "effects",
+        "executors",
+        "is_given_up",
+        "is_roster_dirty",
+        "jobs",
+        "lease_s",
+        "now",
+        "open_steps",
+        "recovered_until",
+        "term",
+        "wall_offset_s",
+    )
+
+    def __init__(self, term: int, lease_s: float, wall_offset_s: float) -> None:
+        """Start empty; the offset turns the loop's time into Unix time."""
+        self.term = term
+        self.lease_s = lease_s
+        self.wall_offset_s = wall_offset_s
+        self.config = CellConfig(0, ())
+        self.executors: dict[str, ExecutorState] = {}
+        self.jobs: dict[str, JobRun] = {}
+        self.open_steps: dict[str, StepRun] = {}
+        self.now = 0.0
+        self.effects: list[Effect] = []
+        self.recovered_until = 0.0
+        self.is_given_up = False
+        self.is_roster_dirty = False
+        self.adviser_load_s = 0.0
+
+    def note(self, event: str, **fields: object) -> None:
+        """Record a decision for the log."""
+        self.effects.append(NoteDecision(event, fields))
+
+    def find_queue(self, job: JobRun) -> Queue:
+        """Return the queue of a job: the newest one, or the one it had before its removal."""
+        return self.config.find(job.definition.queue.name) or job.definition.queue
+
+    def draw_run_number(self, task: TaskState) -> int:
+        """Return the next run number, above all that this or an earlier term used."""
+        return max(task.last_run, (self.term - 1) * RUNS_PER_TERM) + 1
+
+
+def is_wanted(run: Run) -> bool:
+    """Tell whether a run still serves its job."""
+    step = run.step
+    if step is None or step.job.is_ended or step.job.progress.phase == CANCELLED:
+        return False
+    return run.index not in step.progress.done
