--- a/wasabiramp/entry/admission.py
+++ b/wasabiramp/entry/admission.py
@@ -25,6 +25,8 @@
 REFUSED: Final = "refused"
 UNKNOWN: Final = "unknown"
 
+Outcome = tuple[str, int]
+
 
 class Admission:
     """Stores jobs, those that come together in one transaction.
@@ -36,12 +38,15 @@
     def __init__(self, store: Store) -> None:
         """Store into `store`."""
         self._store = store
-        self._waiting: list[tuple[JobDefinition, asyncio.Future[str]]] = []
+        self._waiting: list[tuple[JobDefinition, asyncio.Future[Outcome]]] = []
         self._wake = asyncio.Event()
 
-    async def async_store(self, job: JobDefinition) -> str:
-        """Store one job and return the outcome; of `UNKNOWN` nobody knows yet."""
-        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+    async def async_store(self, job: JobDefinition) -> Outcome:
+        """Store one job; return the outcome and, where it is `STORED`, the revision.
+
+        Of `UNKNOWN` nobody knows yet whether the job is stored.
+        """
+        future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self._waiting.append((job, future))
         self._wake.set()
         return await future
@@ -57,7 +62,7 @@
                 await self._async_store_group(group)
 
     async def _async_store_group(
-        self, group: list[tuple[JobDefinition, asyncio.Future[str]]]
+        self, group: list[tuple[JobDefinition, asyncio.Future[Outcome]]]
     ) -> None:
         """Store a group; without those that exist already, if there are any."""
         unique = {job.id: job for job, _future in group}
@@ -67,7 +72,7 @@
             transaction.expected[key_progress(job.id)] = 0
             transaction.writes[key_job(job.id)] = (encode_definition(job), 0)
         try:
-            await self._store.async_commit(transaction)
+            revision = await self._store.async_commit(transaction)
         except StoreConflictError as err:
             self._settle_conflict(group, err)
         except StoreRefusedError as err:
@@ -77,10 +82,10 @@
             log_event("admission_unanswered", jobs=len(unique), error=err)
             _settle(group, UNKNOWN)
         else:
-            _settle(group, STORED)
+            _settle(group, STORED, revision)
 
     def _settle_conflict(
-        self, group: list[tuple[JobDefinition, asyncio.Future[str]]], err: StoreConflictError
+        self, group: list[tuple[JobDefinition, asyncio.Future[Outcome]]], err: StoreConflictError
     ) -> None:
         """Tell who exists already, and try the others again."""
         rest = []
@@ -93,8 +98,10 @@
         self._wake.set()
 
 
-def _settle(group: list[tuple[JobDefinition, asyncio.Future[str]]], outcome: str) -> None:
+def _settle(
+    group: list[tuple[JobDefinition, asyncio.Future[Outcome]]], outcome: str, revision: int = 0
+) -> None:
     """Tell the waiting requests of a group."""
     for _job, future in group:
         if not future.done():
-            future.set_result(outcome)
+            future.set_result((outcome, revision))
--- a/wasabiramp/entry/advisers.py
+++ b/wasabiramp/entry/advisers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from wasabiramp.entry.peers import OK, AskAdviser, PeerCaller
+from wasabiramp.entry.peers import OK, AskAdviser, Peers
 from wasabiramp.entry.ports import Adviser, NoAnswerError
 
 ANSWER_SLACK_S: Final = 1.0
@@ -25,9 +25,7 @@
 class AdviserPool:
     """Spreads questions over all daemons by the time that those in front will take."""
 
-    def __init__(
-        self, adviser: Adviser, peers: PeerCaller, list_peers: Callable[[], list[str]]
-    ) -> None:
+    def __init__(self, adviser: Adviser, peers: Peers, list_peers: Callable[[], list[str]]) -> None:
         """Ask through this daemon, or through the addresses that `list_peers` returns."""
         self._adviser = adviser
         self._peers = peers
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import signal
+from collections.abc import Callable
+import time
 from typing import Any, Final
 
 from wasabiramp.core.records import DecodeError
@@ -17,9 +18,10 @@
     FAILED,
     OK,
     AskAdviser,
+    Listener,
     PeerAnswer,
-    PeerCaller,
-    PeerListener,
+    Peers,
+    Serve,
 )
 from wasabiramp.entry.ports import (
     Adviser,
@@ -63,6 +65,9 @@
         executors: Executors,
         adviser: Adviser,
         codec: Codec,
+        peers: Peers,
+        make_listener: Callable[[Serve], Listener],
+        read_wall: Callable[[], float] = time.time,
     ) -> None:
         """Prepare; nothing is opened before `async_start`."""
         self.settings = settings
@@ -71,13 +76,14 @@
         self._executors = executors
         self._adviser = adviser
         self._codec = codec
-        self._peers = PeerCaller()
-        self._listener = PeerListener(self._async_serve_peer)
+        self._peers = peers
+        self._listener = make_listener(self._async_serve_peer)
+        self._read_wall = read_wall
         self._membership = Membership(
             settings, store, self._take_tenure, self._lose_tenure, self._note_members
         )
         self._owner: Owner | None = None
-        self.desk = Desk(store, self._membership, self._peers, self._find_owner, self.metrics)
+        self.desk = Desk(store, self._membership, peers, self._find_owner, self.metrics, read_wall)
         self.config = CellConfig(0, ())
         self._config_follower = Follower(store, codec.config_key, CONFIG_WATCH_S, self._take_config)
         self._reading_config: asyncio.Task[bool] | None = None
@@ -97,9 +103,6 @@
             loop.create_task(self.desk.admission.async_run()),
             loop.create_task(self.desk.async_run_announcer()),
         ]
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop_asked.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: log_event("reload_asked"))
 
     async def async_hand_over(self) -> None:
         """Leave the balancer's rotation, and give up ownership with all orders answered."""
@@ -119,8 +122,11 @@
 
     async def async_stop(self) -> None:
         """Stop what runs and close the connections."""
+        self._membership.stop()
         for task in self._tasks:
             task.cancel()
+        if self._owner is not None:
+            self._owner.stop()
         await self._listener.async_stop()
         self._peers.close()
         log_event("stopped", member=self.settings.name)
@@ -177,6 +183,11 @@
         if self._owner is not None:
             self._owner.take_config(config)
 
+    @property
+    def owner(self) -> Owner | None:
+        """Return the owner in this process, if there is one."""
+        return self._owner
+
     def _find_owner(self) -> Owner | None:
         """Return the owner in this process, if there is one."""
         return self._owner
@@ -198,6 +209,7 @@
             self.metrics,
             self.settings.lease_limit_s,
             self._membership.drop_tenure,
+            self._read_wall,
         )
         self._owner.start(self.config)
 
--- a/wasabiramp/entry/desk.py
+++ b/wasabiramp/entry/desk.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import time
 from typing import Any, Final
 
 from wasabiramp.entry import admission as stored
@@ -26,12 +25,13 @@
     FAILED,
     NOT_OWNER,
     OK,
+    UNCONFIRMED,
     UNKNOWN_JOB,
     AnnounceJobs,
     CancelJob,
     CountWaiting,
     PeerAnswer,
-    PeerCaller,
+    Peers,
     ShowJob,
     StoreJobs,
 )
@@ -72,6 +72,10 @@
 RETRY_AFTER_S: Final = 1.0
 """Told to callers who find the store or the owner away: about the time of a takeover."""
 
+ANNOUNCED_AT_ONCE: Final = 50
+ANNOUNCE_S: Final = 30.0
+"""Jobs are announced in groups, and for this long: an owner lists the store far more often."""
+
 PEERS_TRIED: Final = 2
 """Daemons that are asked to store a job when this one cannot."""
 
@@ -83,9 +87,10 @@
         self,
         store: Store,
         membership: Membership,
-        peers: PeerCaller,
+        peers: Peers,
         find_owner: Callable[[], Owner | None],
         metrics: Metrics,
+        read_wall: Callable[[], float],
     ) -> None:
         """Use the owner in this process where there is one."""
         self._store = store
@@ -93,8 +98,9 @@
         self._peers = peers
         self._find_owner = find_owner
         self._metrics = metrics
+        self._read_wall = read_wall
         self.admission = Admission(store)
-        self._unannounced: dict[str, JobDefinition] = {}
+        self._unannounced: dict[str, tuple[JobDefinition, int, float]] = {}
         self._announce_wake = asyncio.Event()
 
     async def async_submit(self, job: JobDefinition, patience_s: float) -> Answer:
@@ -106,8 +112,6 @@
         while True:
             outcome = await self._async_store(job, give_up_at - loop.time())
             if outcome in (stored.STORED, stored.REPEATED):
-                if outcome == stored.STORED:
-                    self._announce(job)
                 self._metrics.note("submit_seconds", loop.time() - started_at, {})
                 took_s = round(loop.time() - started_at, 4)
                 log_event("job_stored", job=job.id, queue=job.queue.name, how=outcome, s=took_s)
@@ -124,9 +128,11 @@
         """Store a job here, or through another daemon where the store turns this one away."""
         try:
             async with asyncio.timeout(max(0.05, time_left_s)):
-                outcome = await self.admission.async_store(job)
+                outcome, revision = await self.admission.async_store(job)
         except TimeoutError:
             return stored.UNKNOWN
+        if outcome == stored.STORED:
+            self._announce(job, revision)
         if outcome in (stored.STORED, stored.REPEATED):
             return outcome
         message = StoreJobs([encode_definition(job)])
@@ -148,13 +154,13 @@
         others = [a for name, a in sorted(members.addresses.items()) if name != members.name]
         return sorted(others, key=lambda address: address != members.owner_address)
 
-    def _announce(self, job: JobDefinition) -> None:
+    def _announce(self, job: JobDefinition, revision: int) -> None:
         """Tell the owner of a stored job; again and again until it knows."""
         owner = self._find_owner()
         if owner is not None and owner.is_recovered:
-            owner.take_job(job)
+            owner.take_job(job, revision)
             return
-        self._unannounced[job.id] = job
+        self._unannounced[job.id] = (job, revision, asyncio.get_running_loop().time())
         self._announce_wake.set()
 
     async def async_run_announcer(self) -> None:
@@ -163,14 +169,23 @@
             await self._announce_wake.wait()
             self._announce_wake.clear()
             while self._unannounced:
-                batch = list(self._unannounced.values())[:50]
-                message = AnnounceJobs([encode_definition(job) for job in batch])
-                answer = await self._async_ask_owner(message, PEER_CALL_S)
+                self._drop_old_announcements()
+                batch = list(self._unannounced.items())[:ANNOUNCED_AT_ONCE]
+                rows = [(encode_definition(job), rev) for _id, (job, rev, _at) in batch]
+                answer = await self._async_ask_owner(AnnounceJobs(rows), PEER_CALL_S)
                 if answer.outcome != OK:
                     await asyncio.sleep(RETRY_S)
                     continue
-                for job in batch:
-                    self._unannounced.pop(job.id, None)
+                for job_id, _row in batch:
+                    self._unannounced.pop(job_id, None)
+
+    def _drop_old_announcements(self) -> None:
+        """Leave jobs that no owner could be told of for long to the owner's own listing."""
+        oldest = asyncio.get_running_loop().time() - ANNOUNCE_S
+        for job_id, (_job, _revision, since) in list(self._unannounced.items()):
+            if since < oldest:
+                log_event("announcement_dropped", job=job_id)
+                del self._unannounced[job_id]
 
     async def _async_ask_owner(self, message: Any, timeout_s: float) -> PeerAnswer:
         """Return the owner's answer, `NOT_OWNER` where no owner answers."""
@@ -193,8 +208,8 @@
         if owner is None or not owner.is_recovered:
             return PeerAnswer(NOT_OWNER)
         if isinstance(message, AnnounceJobs):
-            for data in message.definitions:
-                owner.take_job(decode_definition(data))
+            for data, revision in message.jobs:
+                owner.take_job(decode_definition(data), revision)
             return PeerAnswer(OK)
         if isinstance(message, CountWaiting):
             return PeerAnswer(OK, owner.count_waiting(message.queue))
@@ -203,6 +218,8 @@
         phase = owner.find_phase(message.job)
         if phase is None:
             return PeerAnswer(UNKNOWN_JOB)
+        if isinstance(message, ShowJob) and not self._membership.is_confirmed():
+            return PeerAnswer(UNCONFIRMED, phase)
         if isinstance(message, CancelJob) and phase not in FINAL_PHASES:
             owner.take_event(CancelAsked(message.job))
             await owner.async_wait_stored()
@@ -214,9 +231,9 @@
         outcome = stored.REFUSED
         for data in message.definitions:
             job = decode_definition(data)
-            outcome = await self.admission.async_store(job)
+            outcome, revision = await self.admission.async_store(job)
             if outcome == stored.STORED:
-                self._announce(job)
+                self._announce(job, revision)
         return PeerAnswer(OK, outcome)
 
     async def async_show(self, job_id: str, patience_s: float) -> Answer:
@@ -224,7 +241,10 @@
         answer = await self._async_ask_owner(ShowJob(job_id), min(PEER_CALL_S, patience_s / 2))
         if answer.outcome == OK:
             return Answer(SHOWN, answer.value)
-        return await self._async_show_stored(job_id)
+        shown = await self._async_show_stored(job_id)
+        if shown.outcome == NOT_READY and answer.outcome == UNCONFIRMED:
+            return Answer(SHOWN, answer.value)
+        return shown
 
     async def _async_show_stored(self, job_id: str) -> Answer:
         """Show what the store knows of a job.
@@ -245,7 +265,7 @@
             log_event("job_unknown", job=job_id)
             return Answer(NO_SUCH_JOB)
         if item is not None:
-            self._announce(decode_definition(item.value))
+            self._announce(decode_definition(item.value), item.revision)
         return Answer(SHOWN, PENDING)
 
     async def async_cancel(self, job_id: str, patience_s: float) -> Answer:
@@ -283,4 +303,4 @@
 
     def read_wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
-        return int(time.time() * 1000)
+        return int(self._read_wall() * 1000)
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -69,9 +69,10 @@
         self._follower = Follower(store, PREFIX_LIVE, WATCH_S, self._take_change)
         self._lease = 0
         self._is_leaving = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self._following: asyncio.Task[None] | None = None
+        self._renewing: asyncio.Task[None] | None = None
         self._claiming: asyncio.Task[None] | None = None
-        self._lost_claim = b""
+        self._open_claim = b""
         self.tenure: Tenure | None = None
         self.renewed_at: float | None = None
         self.addresses: dict[str, str] = {}
@@ -102,20 +103,25 @@
         """Return the owner's address for calls between daemons, empty where none is known."""
         return self.addresses.get(self.owner_name, "")
 
+    def is_confirmed(self) -> bool:
+        """Tell whether the store renewed this daemon's lease so lately that it still holds."""
+        if self.renewed_at is None:
+            return False
+        return asyncio.get_running_loop().time() - self.renewed_at < LEASE_TTL_S
+
     def start(self) -> None:
         """Begin to follow the others and to renew the lease."""
         loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(self._follower.async_run()),
-            loop.create_task(self._async_renew()),
-        ]
+        self._following = loop.create_task(self._follower.async_run())
+        self._renewing = loop.create_task(self._async_renew())
 
     async def async_leave(self) -> None:
         """Give up ownership and the entry, so that others take over at once."""
         self._is_leaving = True
         self.tenure = None
-        for task in self._tasks:
-            task.cancel()
+        # The others are still followed: callers are served until the daemon stops.
+        if self._renewing is not None:
+            self._renewing.cancel()
         if not self._lease:
             return
         try:
@@ -123,6 +129,12 @@
         except (StoreRefusedError, StoreUnknownError) as err:
             log_event("lease_not_ended", error=err)
 
+    def stop(self) -> None:
+        """Stop following the others."""
+        for task in (self._following, self._renewing):
+            if task is not None:
+                task.cancel()
+
     def drop_tenure(self, reason: str) -> None:
         """Stop being the owner."""
         if self.tenure is None:
@@ -155,8 +167,7 @@
         if _read_name(item) != self._settings.name:
             if self.tenure is not None and item.revision > self.tenure.fence:
                 self.drop_tenure(f"term taken by {_read_name(item)}")
-        elif item.value == self._lost_claim:
-            self._lost_claim = b""
+        elif item.value == self._open_claim:
             self._take_tenure(Tenure(_read_term(item), item.revision))
 
     async def _async_renew(self) -> None:
@@ -229,6 +240,7 @@
             },
             writes={KEY_OWNER: (value, self._lease), KEY_TERM: (value, 0)},
         )
+        self._open_claim = value
         try:
             revision = await self._store.async_commit(transaction)
         except StoreConflictError as err:
@@ -237,7 +249,6 @@
             self._lease = 0
         except StoreUnknownError as err:
             log_event("claim_unanswered", term=term, error=err)
-            self._lost_claim = value
         except StoreRefusedError as err:
             log_event("claim_refused", term=term, error=err)
         else:
@@ -246,6 +257,9 @@
     def _take_tenure(self, tenure: Tenure) -> None:
         """Become the owner, or go on as the owner in a new term."""
         last = self.tenure
+        self._open_claim = b""
+        if last is not None and last.fence == tenure.fence:
+            return
         known = self._follower.items.get(KEY_TERM)
         is_continued = (
             last is not None
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
-import time
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 import msgpack
@@ -101,6 +100,9 @@
 LEASE_TOLERANCE: Final = 1.05
 """Factor for an earlier owner's leases on clocks slower than ours, with the time to lapse."""
 
+OLDEST_JOB_S: Final = 3600.0
+"""Ages above this make no difference to the order, and may come from a clock that is wrong."""
+
 PAUSED_S: Final = 0.8
 """A loop that stood still for this long asks the store before it orders anything."""
 
@@ -120,7 +122,8 @@
         codec: Codec,
         metrics: Metrics,
         lease_limit_s: float,
-        on_loss: Any,
+        on_loss: Callable[[str], None],
+        read_wall: Callable[[], float],
     ) -> None:
         """Prepare; nothing is sent before `start`."""
         self.tenure = tenure
@@ -132,7 +135,8 @@
         self._on_loss = on_loss
         self._loop = asyncio.get_running_loop()
         self._lease_s = min(LEASE_S, lease_limit_s)
-        offset_s = time.time() - self._loop.time()
+        self._read_wall = read_wall
+        offset_s = read_wall() - self._loop.time()
         self.scheduler = Scheduler(tenure.term, self._lease_s, offset_s)
         self._follower = Follower(store, codec.executors_prefix, 1.0, self._take_entry)
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -183,11 +187,15 @@
         """Take a newer configuration."""
         self._reduce(ConfigChanged(config))
 
-    def take_job(self, definition: JobDefinition) -> None:
-        """Take a job that a daemon stored."""
-        age_s = max(0.0, time.time() - definition.accepted_ms / 1000)
-        accepted_at = self._loop.time() - min(age_s, 3600.0)
-        self._reduce(JobAccepted(StoredJob(definition, accepted_at)))
+    def take_job(self, definition: JobDefinition, revision: int) -> None:
+        """Take a job that a daemon stored at a revision of the store."""
+        accepted_at = self._find_accepted(definition)
+        self._reduce(JobAccepted(StoredJob(definition, accepted_at, revision)))
+
+    def _find_accepted(self, definition: JobDefinition) -> float:
+        """Return when a job was accepted, on the loop's clock."""
+        age_s = max(0.0, self._read_wall() - definition.accepted_ms / 1000)
+        return self._loop.time() - min(age_s, OLDEST_JOB_S)
 
     def take_event(self, event: Any) -> None:
         """Reduce an event from a caller."""
@@ -316,7 +324,7 @@
     async def _async_recover(self) -> bool:
         """Read jobs, progress and roster; tell whether the store answered."""
         try:
-            (jobs, _), (progress, _), roster, commits = await asyncio.gather(
+            (jobs, as_of), (progress, _), roster, commits = await asyncio.gather(
                 self._store.async_list(PREFIX_JOB),
                 self._store.async_list(PREFIX_PROGRESS),
                 self._store.async_get(KEY_ROSTER),
@@ -329,7 +337,7 @@
         rows = msgpack.unpackb(roster.value) if roster is not None else []
         stored = self._read_jobs(jobs, progress)
         left_s = self._lease_s * LEASE_TOLERANCE + 0.25
-        self._reduce(JobsRecovered(stored, [(row[0], row[1]) for row in rows], left_s))
+        self._reduce(JobsRecovered(stored, [(row[0], row[1]) for row in rows], left_s, as_of))
         return True
 
     def _read_jobs(self, jobs: list[Item], progress: list[Item]) -> list[StoredJob]:
@@ -346,8 +354,9 @@
                 continue
             if done is not None and done.phase in FINAL_PHASES:
                 continue
-            age_s = max(0.0, time.time() - definition.accepted_ms / 1000)
-            stored.append(StoredJob(definition, self._loop.time() - min(age_s, 3600.0), done))
+            stored.append(
+                StoredJob(definition, self._find_accepted(definition), item.revision, done)
+            )
         return stored
 
     async def _async_tick(self) -> None:
@@ -391,7 +400,7 @@
                 log_event("job_unreadable", key=item.key, error=err)
                 continue
             log_event("job_found", job=job_id)
-            self.take_job(definition)
+            self.take_job(definition, item.revision)
 
     async def _async_commit_loop(self) -> None:
         """Store changes, one group after the other."""
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
@@ -20,15 +20,16 @@
 
 OK: Final = "ok"
 NOT_OWNER: Final = "not-owner"
+UNCONFIRMED: Final = "unconfirmed"
 UNKNOWN_JOB: Final = "unknown-job"
 FAILED: Final = "failed"
 
 
 @record
 class AnnounceJobs:
-    """Jobs that the sender stored, as the bytes of their definitions."""
+    """Jobs that the sender stored: the bytes of each definition and the revision it has."""
 
-    definitions: list[bytes]
+    jobs: list[tuple[bytes, int]]
 
 
 @record
@@ -79,6 +80,26 @@
 Serve = Callable[[Any], Awaitable[PeerAnswer]]
 
 
+class Peers(Protocol):
+    """Calls to other daemons."""
+
+    async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+        """Return the answer; raises NoAnswerError where it is missing."""
+
+    def close(self) -> None:
+        """Close all connections."""
+
+
+class Listener(Protocol):
+    """Takes calls from other daemons."""
+
+    async def async_start(self, address: str) -> None:
+        """Listen."""
+
+    async def async_stop(self) -> None:
+        """Stop listening."""
+
+
 class PeerListener:
     """Takes calls from other daemons."""
 
--- a/wasabiramp/logs.py
+++ b/wasabiramp/logs.py
@@ -3,9 +3,53 @@
 from __future__ import annotations
 
 import logging as standard_logging
-from typing import Any
+import os
+import sys
+import time
+from typing import Any, Final
 
-from absl import logging
+from absl import flags, logging
+
+LINES_A_SECOND: Final = 400
+"""Most lines of one daemon: twice the starts a second at the size to come."""
+
+
+class BoundedOutput:
+    """Standard output that neither blocks nor exceeds a number of lines a second.
+
+    Lines beyond the limit, and those that the reader is too slow for, are counted, and the count
+    is written as soon as there is room again.
+    """
+
+    def __init__(self, descriptor: int, lines_a_second: int) -> None:
+        """Write to a file descriptor."""
+        self._descriptor = descriptor
+        self._limit = lines_a_second
+        self._second = 0
+        self._lines = 0
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> None:
+        """Write a line, or count it as dropped."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > self._limit:
+            self._dropped += 1
+            return
+        if self._dropped:
+            text = f"level=warning event=log_lines_dropped count={self._dropped}\n{text}"
+        try:
+            os.write(self._descriptor, text.encode())
+        except BlockingIOError:
+            self._dropped += 1
+            return
+        self._dropped = 0
+
+    def flush(self) -> None:
+        """Do nothing: each line is written at once."""
 
 
 class PairFormatter(standard_logging.Formatter):
@@ -30,8 +74,12 @@
 
 
 def set_up_logs() -> None:
-    """Write to standard error from the level INFO on."""
+    """Write to standard output from the level INFO on."""
+    flags.FLAGS.mark_as_parsed()
+    flags.FLAGS.stderrthreshold = "fatal"
     logging.use_absl_handler()
+    output = BoundedOutput(sys.stdout.fileno(), LINES_A_SECOND)
+    logging.get_absl_handler().python_handler.stream = output
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(PairFormatter())
     # The stream library reports each ended stream; the daemon logs its own event for that.
--- /dev/null
+++ b/wasabiramp/model/entry/__init__.py
@@ -0,0 +1,1 @@
+"""A model of the platform on a virtual clock, on which whole daemons run in one process."""
--- /dev/null
+++ b/wasabiramp/model/entry/executors.py
@@ -0,0 +1,365 @@
+"""The model's executors: leases, fences, gangs, orders that come late, and their faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Final
+
+from wasabiramp.entry.ports import NoAnswerError, OrderAnswer
+from wasabiramp.model.entry.judge import Judge
+from wasabiramp.model.entry.network import Network
+from wasabiramp.scheduling import events
+from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.model import (
+    DONE,
+    FAILED,
+    EndReport,
+    ExecutorEntry,
+    ExecutorReport,
+    Resources,
+    RunReport,
+)
+
+STOP_S: Final = 0.2
+GANG_S: Final = 3.0
+ORDER_S: Final = 0.6
+HOLD_SLACK_S: Final = 0.7
+LEASE_LIMIT_S: Final = 6.0
+SLOWEST_CLOCK: Final = 0.98
+LATE_S: Final = (2.0, 12.0)
+ENDS_A_PAGE: Final = 500
+
+
+class ModelRun:
+    """A run on a model executor."""
+
+    __slots__ = ("demand", "ends_at", "gang", "how", "number", "since", "step", "stops_at", "task")
+
+    def __init__(self, task: str, number: int, demand: Resources, step: str) -> None:
+        """Note a run; its end is drawn when it begins to work."""
+        self.task = task
+        self.number = number
+        self.demand = demand
+        self.step = step
+        self.gang = 0
+        self.since = 0.0
+        self.ends_at: float | None = None
+        self.how = DONE
+        self.stops_at: float | None = None
+
+
+class ModelExecutor:
+    """One executor, through all its lives."""
+
+    def __init__(self, cell: ModelExecutors, entry: ExecutorEntry, random: Random) -> None:
+        """Begin the first life."""
+        self.cell = cell
+        self.entry = entry
+        self._random = random
+        self.is_up = True
+        self.fails_all = False
+        self.late_share = 0.0
+        self.begin_life(entry.born_ms)
+
+    def begin_life(self, born_ms: int) -> None:
+        """Forget everything of an earlier life."""
+        self.entry = replace(self.entry, born_ms=born_ms, is_draining=False)
+        self.clock_from = asyncio.get_running_loop().time()
+        self.clock_rate = self._random.uniform(SLOWEST_CLOCK, 1.0)
+        self.fence = 0
+        self.lease_until_ms = 0
+        self.runs: dict[str, ModelRun] = {}
+        self.ends: list[tuple[EndReport, float]] = []
+        self.lapsed_at = -1.0
+        self.next_end = 1
+        self.barred: dict[str, int] = {}
+        self.is_up = True
+
+    @property
+    def clock_ms(self) -> int:
+        """Return the executor's steady clock."""
+        now = asyncio.get_running_loop().time()
+        return 5_000 + int((now - self.clock_from) * self.clock_rate * 1000)
+
+    @property
+    def room(self) -> Resources:
+        """Return what no run takes."""
+        used = Resources()
+        for run in self.runs.values():
+            used = used.plus(run.demand)
+        return self.entry.capacity.minus(used)
+
+    def crash(self) -> None:
+        """End everything without a report."""
+        now = asyncio.get_running_loop().time()
+        for run in list(self.runs.values()):
+            self.cell.judge.note_end(now, run.task, run.number, self.entry.id, "lost")
+            self.cell.break_gang(run)
+        self.runs.clear()
+        self.is_up = False
+
+    def start(self, effect: StartTask, fence: int, is_late: bool) -> str:
+        """Carry out a start."""
+        if fence < self.fence:
+            return events.REFUSED_FENCE
+        self.fence = max(self.fence, fence)
+        known = self.runs.get(effect.task)
+        if known is not None and known.number == effect.run:
+            return events.STARTED
+        if effect.until_ms <= self.clock_ms:
+            return events.REFUSED_LATE
+        until = min(effect.until_ms, self.clock_ms + int(LEASE_LIMIT_S * 1000))
+        self.lease_until_ms = max(self.lease_until_ms, until)
+        if effect.run <= self.barred.get(effect.task, 0) or known is not None:
+            return events.REFUSED_OLD
+        self._begin_run(effect, is_late)
+        return events.STARTED
+
+    def _begin_run(self, effect: StartTask, is_late: bool) -> None:
+        """Begin a run, after the judge has looked at it."""
+        now = asyncio.get_running_loop().time()
+        judge = self.cell.judge
+        _record, _occurrence, _number, _index, step = judge.find(effect.task)
+        name = effect.task.rpartition(".")[0]
+        same_step = sum(run.step == name for run in self.runs.values())
+        judge.check_start(
+            now,
+            effect.task,
+            effect.run,
+            self.entry.id,
+            effect.spec,
+            self.entry.labels,
+            self.room,
+            same_step,
+            is_late,
+        )
+        run = ModelRun(effect.task, effect.run, step.demand, name)
+        run.since = now
+        self.runs[effect.task] = run
+        if step.is_gang:
+            run.gang = step.count
+            self.cell.join_gang(run, step.estimate_s)
+        elif not step.is_lasting:
+            self._draw_end(run, step.estimate_s)
+
+    def _draw_end(self, run: ModelRun, estimate_s: float) -> None:
+        """Draw when and how a run ends."""
+        now = asyncio.get_running_loop().time()
+        run.ends_at = now + estimate_s * self._random.uniform(0.5, 1.6)
+        if self.fails_all or self._random.random() < self.cell.failure_share:
+            run.how = FAILED
+
+    def stop(self, effect: StopTask, fence: int) -> str:
+        """Carry out a stop."""
+        if fence < self.fence:
+            return events.REFUSED_FENCE
+        self.fence = max(self.fence, fence)
+        self.barred[effect.task] = max(self.barred.get(effect.task, 0), effect.run)
+        run = self.runs.get(effect.task)
+        if run is not None and run.number <= effect.run and run.stops_at is None:
+            run.stops_at = asyncio.get_running_loop().time() + self._random.uniform(0, STOP_S)
+        return events.STARTED
+
+    async def async_hold(self, effect: HoldExecutor, fence: int) -> ExecutorReport | str:
+        """Renew the lease, wait for an end, and report."""
+        if fence < self.fence:
+            return events.REFUSED_FENCE
+        self.fence = max(self.fence, fence)
+        if effect.until_ms is not None:
+            until = min(effect.until_ms, self.clock_ms + int(LEASE_LIMIT_S * 1000))
+            self.lease_until_ms = max(self.lease_until_ms, until)
+        self._forget_ends(effect.last_seen)
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + effect.wait_s
+        born_ms = self.entry.born_ms
+        while not self.ends and loop.time() < give_up_at and self.entry.born_ms == born_ms:
+            await asyncio.sleep(0.01)
+        running = tuple(
+            RunReport(run.task, run.number, "", 100.0, 0.0) for run in self.runs.values()
+        )
+        ended = tuple(end for end, _at in self.ends[:ENDS_A_PAGE])
+        return ExecutorReport(self.clock_ms, self.entry.born_ms, running, ended)
+
+    def _forget_ends(self, last_seen: int) -> None:
+        """Forget the ends that were taken note of."""
+        now = asyncio.get_running_loop().time()
+        for end, ended_at in self.ends:
+            if end.number <= last_seen:
+                lapsed = self.lapsed_at >= ended_at
+                self.cell.judge.note_seen(now, end.task, end.how, ended_at, lapsed)
+        self.ends = [(end, at) for end, at in self.ends if end.number > last_seen]
+
+    def end_run(self, run: ModelRun, how: str) -> None:
+        """End a run and list it."""
+        now = asyncio.get_running_loop().time()
+        if self.runs.pop(run.task, None) is None:
+            return
+        self.barred[run.task] = max(self.barred.get(run.task, 0), run.number)
+        self.cell.judge.note_end(now, run.task, run.number, self.entry.id, how)
+        end = EndReport(self.next_end, run.task, run.number, how, "")
+        self.ends.append((end, now))
+        self.next_end += 1
+        if run.gang and how != DONE:
+            self.cell.break_gang(run)
+
+    def step_time(self) -> None:
+        """End what is over: by its work, by a stop, or with the lease."""
+        if not self.is_up:
+            return
+        now = asyncio.get_running_loop().time()
+        if self.clock_ms > self.lease_until_ms:
+            # A lease lapses whether or not something still runs under it.
+            self.lapsed_at = now
+            for run in list(self.runs.values()):
+                self.end_run(run, "lapsed")
+            return
+        for run in list(self.runs.values()):
+            if self.runs.get(run.task) is not run:
+                continue
+            if run.stops_at is not None and now >= run.stops_at:
+                self.end_run(run, "stopped")
+            elif run.ends_at is not None and now >= run.ends_at:
+                if run.gang and run.how == DONE:
+                    self.cell.finish_gang(run)
+                else:
+                    self.end_run(run, run.how)
+            elif run.gang and run.ends_at is None and now > run.since + GANG_S:
+                self.end_run(run, "alone")
+
+
+class ModelExecutors:
+    """All executors, and the gangs that span several."""
+
+    def __init__(self, random: Random, judge: Judge) -> None:
+        """Start without executors."""
+        self._random = random
+        self.judge = judge
+        self.by_id: dict[str, ModelExecutor] = {}
+        self.failure_share = 0.0
+        self.on_change: Callable[[ModelExecutor], None] = lambda executor: None
+
+    def add(self, entry: ExecutorEntry) -> ModelExecutor:
+        """Add an executor."""
+        executor = ModelExecutor(self, entry, self._random)
+        self.by_id[entry.id] = executor
+        self.on_change(executor)
+        return executor
+
+    async def async_run(self) -> None:
+        """Let time pass for all executors."""
+        while True:
+            for executor in list(self.by_id.values()):
+                executor.step_time()
+            await asyncio.sleep(0.01)
+
+    def find_members(self, run: ModelRun) -> list[tuple[ModelExecutor, ModelRun]]:
+        """Return the present members of a run's gang."""
+        return [
+            (executor, other)
+            for executor in self.by_id.values()
+            for other in executor.runs.values()
+            if other.step == run.step and other.number == run.number
+        ]
+
+    def join_gang(self, run: ModelRun, estimate_s: float) -> None:
+        """Let a gang begin to work once all its members are present."""
+        members = self.find_members(run)
+        if len(members) < run.gang:
+            return
+        now = asyncio.get_running_loop().time()
+        ends_at = now + estimate_s * self._random.uniform(0.5, 1.6)
+        fails = self._random.random() < self.failure_share
+        for _executor, other in members:
+            other.ends_at = ends_at
+        if fails:
+            members[0][1].how = FAILED
+
+    def finish_gang(self, run: ModelRun) -> None:
+        """End all members well, unless one of them fails."""
+        members = self.find_members(run)
+        failing = [pair for pair in members if pair[1].how == FAILED]
+        if failing or len(members) < run.gang:
+            executor, other = failing[0] if failing else members[0]
+            executor.end_run(other, FAILED if failing else "broken")
+            return
+        for executor, other in members:
+            executor.end_run(other, DONE)
+
+    def break_gang(self, run: ModelRun) -> None:
+        """End the other members of a gang of which one ended."""
+        if not run.gang or run.ends_at is None:
+            return
+        for executor, other in self.find_members(run):
+            if other is not run:
+                other.gang = 0
+                executor.end_run(other, "broken")
+
+
+class ModelExecutorClient:
+    """One daemon's way to the executors."""
+
+    def __init__(
+        self, network: Network, me: str, executors: ModelExecutors, random: Random
+    ) -> None:
+        """Call as the daemon `me`."""
+        self._network = network
+        self._me = me
+        self._executors = executors
+        self._random = random
+
+    async def _async_order(
+        self, executor_id: str, work: Callable[[ModelExecutor, bool], str]
+    ) -> OrderAnswer:
+        """Carry an order; an executor may carry it out late and not answer."""
+
+        async def serve() -> OrderAnswer:
+            executor = self._executors.by_id.get(executor_id)
+            if executor is None or not executor.is_up:
+                await asyncio.sleep(3600)
+            if self._random.random() < executor.late_share:
+                loop = asyncio.get_running_loop()
+                delay_s = self._random.uniform(*LATE_S)
+                loop.call_later(delay_s, _carry_out_late, executor, work)
+                await asyncio.sleep(3600)
+            return OrderAnswer(work(executor, False), executor.clock_ms)
+
+        try:
+            return await self._network.async_call(self._me, executor_id, ORDER_S, serve)
+        except NoAnswerError:
+            return OrderAnswer(events.UNKNOWN)
+
+    async def async_start(self, effect: StartTask, fence: int) -> OrderAnswer:
+        """Start a run."""
+        return await self._async_order(
+            effect.executor, lambda executor, is_late: executor.start(effect, fence, is_late)
+        )
+
+    async def async_stop(self, effect: StopTask, fence: int) -> OrderAnswer:
+        """Stop a run."""
+        return await self._async_order(
+            effect.executor, lambda executor, is_late: executor.stop(effect, fence)
+        )
+
+    async def async_hold(self, effect: HoldExecutor, fence: int) -> ExecutorReport | str:
+        """Hold an executor."""
+
+        async def serve() -> ExecutorReport | str:
+            executor = self._executors.by_id.get(effect.executor)
+            if executor is None or not executor.is_up:
+                await asyncio.sleep(3600)
+            return await executor.async_hold(effect, fence)
+
+        timeout_s = effect.wait_s + HOLD_SLACK_S
+        try:
+            return await self._network.async_call(self._me, effect.executor, timeout_s, serve)
+        except NoAnswerError:
+            return events.UNKNOWN
+
+
+def _carry_out_late(executor: ModelExecutor, work: Callable[[ModelExecutor, bool], str]) -> None:
+    """Carry out an order long after it was sent, whoever the executor is by then."""
+    if executor.is_up:
+        work(executor, True)
--- /dev/null
+++ b/wasabiramp/model/entry/network.py
@@ -0,0 +1,136 @@
+"""The model's network: who reaches what, how long it takes, and what gets lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any, Final
+
+from wasabiramp.core.records import decode_message, encode_message
+from wasabiramp.entry.peers import PeerAnswer, Serve
+from wasabiramp.entry.ports import NoAnswerError
+
+LATENCY_S: Final = (0.0005, 0.003)
+STORE: Final = "store"
+ADVISER: Final = "adviser"
+
+
+class Network:
+    """Carries calls between named places, each with its own faults.
+
+    A place is a daemon's name, an executor's id, the store or the adviser. A cut drops what is
+    on its way at both ends; a paused daemon's calls leave, and their answers arrive, only once it
+    goes on.
+    """
+
+    def __init__(self, random: Random) -> None:
+        """Start whole."""
+        self._random = random
+        self._cuts: set[frozenset[str]] = set()
+        self._paused: dict[str, float] = {}
+        self._dead: set[str] = set()
+        self.listeners: dict[str, Serve] = {}
+
+    def cut(self, one: str, other: str) -> None:
+        """Let nothing pass between two places."""
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """Let all pass again."""
+        self._cuts.discard(frozenset((one, other)))
+
+    def heal_all(self) -> None:
+        """Remove all cuts."""
+        self._cuts.clear()
+
+    def pause(self, place: str, until: float) -> None:
+        """Hold back all calls and answers of a place."""
+        self._paused[place] = until
+
+    def kill(self, place: str) -> None:
+        """Drop what a place would still send or take."""
+        self._dead.add(place)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether nothing passes between two places."""
+        gone = one in self._dead or other in self._dead
+        return gone or frozenset((one, other)) in self._cuts
+
+    async def async_travel(self, source: str, target: str) -> bool:
+        """Take the time of one way; tell whether the message arrived."""
+        loop = asyncio.get_running_loop()
+        for place in (source, target):
+            while (until := self._paused.get(place, 0.0)) > loop.time():
+                await asyncio.sleep(until - loop.time())
+        if self.is_cut(source, target):
+            return False
+        await asyncio.sleep(self._random.uniform(*LATENCY_S))
+        return not self.is_cut(source, target)
+
+    async def async_call(
+        self, source: str, target: str, timeout_s: float, work: Callable[[], Awaitable[Any]]
+    ) -> Any:
+        """Carry a call and its answer; raises NoAnswerError after the time-out."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + timeout_s
+
+        async def run() -> Any:
+            if not await self.async_travel(source, target):
+                await asyncio.sleep(3600)
+            answer = await work()
+            if not await self.async_travel(target, source):
+                await asyncio.sleep(3600)
+            return answer
+
+        task = loop.create_task(run())
+        try:
+            # The work goes on at the other side when the caller stops waiting.
+            return await asyncio.wait_for(asyncio.shield(task), give_up_at - loop.time())
+        except TimeoutError as err:
+            raise NoAnswerError(f"{target} does not answer") from err
+
+
+class ModelPeers:
+    """Calls from one daemon to others."""
+
+    def __init__(self, network: Network, me: str) -> None:
+        """Call as the daemon `me`."""
+        self._network = network
+        self._me = me
+
+    async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+        """Return the answer of the daemon whose name stands for its address."""
+        data = encode_message(message)
+
+        async def work() -> Any:
+            serve = self._network.listeners.get(address)
+            if serve is None:
+                await asyncio.sleep(3600)
+            return encode_message(await serve(decode_message(data)))
+
+        answer = await self._network.async_call(self._me, address, timeout_s, work)
+        return decode_message(answer)
+
+    def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+
+class ModelListener:
+    """Takes calls for one daemon."""
+
+    def __init__(self, network: Network, serve: Serve) -> None:
+        """Answer with what `serve` returns."""
+        self._network = network
+        self._serve = serve
+        self._address = ""
+
+    async def async_start(self, address: str) -> None:
+        """Listen."""
+        self._address = address
+        self._network.listeners[address] = self._serve
+
+    async def async_stop(self) -> None:
+        """Stop listening."""
+        if self._network.listeners.get(self._address) is self._serve:
+            del self._network.listeners[self._address]
--- /dev/null
+++ b/wasabiramp/model/entry/schedule.py
@@ -0,0 +1,266 @@
+"""Random schedules for the world: work of all kinds, and faults that overlap."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Final
+
+from wasabiramp.entry.keys import PREFIX_LIVE
+from wasabiramp.model.entry.network import STORE
+from wasabiramp.model.entry.world import World
+from wasabiramp.scheduling.model import JobDefinition, Resources, Step
+
+PLAY_S: Final = 25.0
+FINISH_S: Final = 60.0
+JOBS: Final = 45
+
+Fault = Callable[[World], Awaitable[None]]
+FAULTS: Final[dict[str, Fault]] = {}
+
+
+def fault(action: Fault) -> Fault:
+    """Register a fault under its function's name."""
+    FAULTS[action.__name__.removeprefix("async_")] = action
+    return action
+
+
+@fault
+async def async_kill_daemon(world: World) -> None:
+    """One daemon loses power, and starts again."""
+    names = sorted(world.daemons)
+    if not names:
+        return
+    name = world.random.choice(names)
+    world.kill_daemon(name)
+    await asyncio.sleep(world.random.uniform(0.2, 3.0))
+    await world.async_start_daemon(name)
+
+
+@fault
+async def async_kill_owner(world: World) -> None:
+    """The owner loses power, and starts again."""
+    name = find_owner(world)
+    if name is None:
+        return
+    world.kill_daemon(name)
+    await asyncio.sleep(world.random.uniform(0.1, 4.0))
+    await world.async_start_daemon(name)
+
+
+@fault
+async def async_kill_all(world: World) -> None:
+    """All daemons lose power at once."""
+    names = sorted(world.daemons)
+    for name in names:
+        world.kill_daemon(name)
+    await asyncio.sleep(world.random.uniform(0.5, 2.0))
+    for name in names:
+        await world.async_start_daemon(name)
+
+
+@fault
+async def async_stop_daemon(world: World) -> None:
+    """A daemon is stopped in order, and starts again."""
+    name = find_owner(world) or next(iter(sorted(world.daemons)), None)
+    if name is None:
+        return
+    await world.async_stop_daemon(name)
+    await asyncio.sleep(0.5)
+    if name not in world.daemons:
+        await world.async_start_daemon(name)
+
+
+@fault
+async def async_pause_owner(world: World) -> None:
+    """The owner stands still, and goes on with what it knew."""
+    name = find_owner(world)
+    if name is not None:
+        pause_s = world.random.uniform(0.5, 6.0)
+        world.network.pause(world.places[name], world.loop.time() + pause_s)
+
+
+@fault
+async def async_cut_owner(world: World) -> None:
+    """The owner loses the path to the store."""
+    name = find_owner(world)
+    if name is None:
+        return
+    place = world.places[name]
+    world.network.cut(place, STORE)
+    await asyncio.sleep(world.random.uniform(1.0, 6.0))
+    world.network.heal(place, STORE)
+
+
+@fault
+async def async_cut_executors(world: World) -> None:
+    """Some executors lose the path to all daemons, and run on."""
+    chosen = world.random.sample(sorted(world.executors.by_id), 2)
+    pairs = [(place, executor) for place in world.places.values() for executor in chosen]
+    for place, executor in pairs:
+        world.network.cut(place, executor)
+    await asyncio.sleep(world.random.uniform(1.0, 6.0))
+    for place, executor in pairs:
+        world.network.heal(place, executor)
+
+
+@fault
+async def async_turn_away(world: World) -> None:
+    """The store turns some daemons away."""
+    names = sorted(world.daemons)
+    clients = [world.clients[n] for n in world.random.sample(names, len(names) // 2)]
+    for client in clients:
+        client.is_turned_away = True
+    await asyncio.sleep(world.random.uniform(1.0, 6.0))
+    for client in clients:
+        client.is_turned_away = False
+
+
+@fault
+async def async_store_down(world: World) -> None:
+    """The store does not answer."""
+    world.store.is_down = True
+    await asyncio.sleep(world.random.uniform(1.0, 5.0))
+    world.store.is_down = False
+
+
+@fault
+async def async_store_slow(world: World) -> None:
+    """The store answers late."""
+    world.store.answer_s = 0.24
+    await asyncio.sleep(world.random.uniform(1.0, 5.0))
+    world.store.answer_s = 0.004
+
+
+@fault
+async def async_lose_answers(world: World) -> None:
+    """Answers to writes are lost; some writes are carried out later."""
+    world.store.answers_lost, world.store.late_share = 0.35, 0.5
+    await asyncio.sleep(world.random.uniform(1.0, 5.0))
+    world.store.answers_lost = world.store.late_share = 0.0
+
+
+@fault
+async def async_compact(world: World) -> None:
+    """The store forgets its history."""
+    world.store.compact()
+
+
+@fault
+async def async_revoke(world: World) -> None:
+    """The keys of living daemons are taken away."""
+    world.store.revoke(PREFIX_LIVE + world.random.choice(("member/", "owner")))
+
+
+@fault
+async def async_crash_executor(world: World) -> None:
+    """An executor crashes, and returns under its id."""
+    number = world.random.randrange(len(world.executors.by_id))
+    await world.async_crash_executor(number, world.random.uniform(0.1, 5.0), True)
+
+
+@fault
+async def async_drain_executor(world: World) -> None:
+    """An executor leaves; another one joins."""
+    numbers = [int(e.removeprefix("i-")) for e in world.executors.by_id]
+    number = world.random.choice(numbers)
+    if world.executors.by_id[f"i-{number}"].is_up:
+        await world.async_drain_executor(number)
+        world.add_executor(max(numbers) + 1)
+
+
+@fault
+async def async_apply_late(world: World) -> None:
+    """Executors leave orders unanswered and carry them out late."""
+    for executor in world.executors.by_id.values():
+        executor.late_share = 0.15
+    await asyncio.sleep(world.random.uniform(1.0, 5.0))
+    for executor in world.executors.by_id.values():
+        executor.late_share = 0.0
+
+
+@fault
+async def async_fail_all(world: World) -> None:
+    """An executor fails all that it starts."""
+    executor = world.random.choice(sorted(world.executors.by_id.values(), key=lambda e: e.entry.id))
+    executor.fails_all = True
+    await asyncio.sleep(world.random.uniform(1.0, 5.0))
+    executor.fails_all = False
+
+
+def find_owner(world: World) -> str | None:
+    """Return the name of a daemon that takes itself for the owner."""
+    for name in sorted(world.daemons):
+        if world.daemons[name].owner is not None:
+            return name
+    return None
+
+
+def draw_job(random: Random, world: World, number: int) -> JobDefinition:
+    """Draw a job of any kind."""
+    job_id = f"{number:016x}"
+    kind = random.choice(("quotes", "quotes", "gangs", "batch", "timed"))
+    queue = next((q for q in world.queues if q.name == kind), world.queues[2])
+    cpu = random.randrange(500, 4_000)
+    demand = Resources(cpu, random.randrange(200, 3_000), 0)
+    estimate_s = random.uniform(0.2, 3.0)
+    if kind == "gangs":
+        first = Step(random.randrange(2, 6), demand, estimate_s, is_gang=True)
+        second = Step(2, demand, estimate_s, after=(0,), is_gang=random.random() < 0.5)
+        steps: tuple[Step, ...] = (first, second) if random.random() < 0.5 else (first,)
+    elif kind == "batch":
+        label = "b" if random.random() < 0.3 else ""
+        first = Step(random.randrange(1, 9), demand, estimate_s, max_per_executor=2, label=label)
+        steps = (first, Step(3, demand, estimate_s, after=(0,)))
+    else:
+        steps = (Step(random.randrange(1, 4), demand, min(1.0, estimate_s)),)
+    times = (3, world.read_wall_ms() + 1_000, 1_500) if kind == "timed" else (0, 0, 0)
+    return JobDefinition(
+        job_id, queue, f"spec {number}", steps, world.read_wall_ms(), times[0], times[1], times[2]
+    )
+
+
+async def async_play(world: World, faults: list[str], count: int) -> None:
+    """Play work with drawn faults, then let all finish."""
+    await world.async_begin()
+    random = world.random
+    world.executors.failure_share = 0.03
+    work = [world.loop.create_task(_async_work(world, n, PLAY_S)) for n in range(JOBS)]
+    trouble = [
+        world.loop.create_task(
+            _async_fault(world, random.choice(faults), random.uniform(0, PLAY_S))
+        )
+        for _ in range(count)
+    ]
+    await asyncio.gather(*work, *trouble)
+    world.network.heal_all()
+    await world.async_finish(FINISH_S)
+
+
+async def _async_fault(world: World, name: str, at_s: float) -> None:
+    """Let one fault happen."""
+    await asyncio.sleep(at_s)
+    await FAULTS[name](world)
+
+
+async def _async_work(world: World, number: int, within_s: float) -> None:
+    """Hand in one job, look at it now and then, and perhaps cancel it."""
+    await asyncio.sleep(world.random.uniform(0, within_s))
+    job = draw_job(world.random, world, number)
+    if not await world.async_submit(job):
+        return
+    if world.random.random() < 0.2:
+        await world.async_submit(job)
+    for _ in range(3):
+        await asyncio.sleep(world.random.uniform(0.05, 2.0))
+        await world.async_show(job.id)
+    if world.random.random() < 0.15:
+        await world.async_cancel(job.id)
+
+
+def play(seed: int, faults: list[str] | None = None, count: int = 6) -> World:
+    """Play one schedule to its end and return the world with the judge's findings."""
+    world = World(seed)
+    world.run(async_play(world, faults if faults is not None else sorted(FAULTS), count))
+    return world
--- /dev/null
+++ b/wasabiramp/model/entry/store.py
@@ -0,0 +1,267 @@
+"""The model's store: transactions, leases, watches, and its faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+from wasabiramp.entry.ports import (
+    Change,
+    HistoryLostError,
+    Item,
+    LeaseEndedError,
+    NoAnswerError,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.model.entry.network import STORE, Network
+
+ANSWER_S: Final = 0.004
+CALL_S: Final = 1.0
+WATCH_SLACK_S: Final = 0.7
+MAX_ENTRIES: Final = 32
+LATE_S: Final = (1.0, 6.0)
+
+Result = Any
+
+
+class ModelStore:
+    """The state of the store, and the faults that all its callers see."""
+
+    def __init__(self, random: Random) -> None:
+        """Start empty and sound."""
+        self._random = random
+        self.items: dict[str, Item] = {}
+        self.revision = 10
+        self.history: list[Change] = []
+        self.history_from = 0
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._keys_of_lease: dict[int, set[str]] = {}
+        self._lease_of_key: dict[str, int] = {}
+        self._next_lease = 1
+        self._changed = asyncio.Event()
+        self.is_down = False
+        self.answers_lost = 0.0
+        self.late_share = 0.0
+        self.answer_s = ANSWER_S
+        self.on_commit: list[Callable[[Transaction], None]] = []
+
+    async def async_run(self) -> None:
+        """End leases whose time is over."""
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            for lease, (ends_at, _ttl) in list(self._leases.items()):
+                if now >= ends_at and not self.is_down:
+                    self.end_lease(lease)
+            await asyncio.sleep(0.02)
+
+    def grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases[lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
+        self._keys_of_lease[lease] = set()
+        return lease
+
+    def renew(self, lease: int) -> None:
+        """Renew a lease."""
+        if lease not in self._leases:
+            raise LeaseEndedError(str(lease))
+        ttl_s = self._leases[lease][1]
+        self._leases[lease] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        self._leases.pop(lease, None)
+        keys = self._keys_of_lease.pop(lease, set())
+        for key in sorted(keys):
+            if self._lease_of_key.get(key) == lease:
+                self.put(key, None, 0)
+
+    def revoke(self, prefix: str) -> None:
+        """Take keys away, as an operator may."""
+        for key in sorted(key for key in self.items if key.startswith(prefix)):
+            self.put(key, None, 0)
+
+    def put(self, key: str, value: bytes | None, lease: int) -> None:
+        """Change one key in a revision of its own."""
+        self.revision += 1
+        self._put(key, value, lease)
+        self._wake()
+
+    def commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction, or raise what stands against it."""
+        assert transaction.size <= MAX_ENTRIES, "the transaction is too large"
+        for key, revision in transaction.expected.items():
+            item = self.items.get(key)
+            if (item.revision if item is not None else 0) != revision:
+                found = {k: self.items[k] for k in transaction.expected if k in self.items}
+                raise StoreConflictError(found)
+        for _value, lease in transaction.writes.values():
+            if lease and lease not in self._leases:
+                raise LeaseEndedError(str(lease))
+        self.revision += 1
+        for key, (value, lease) in transaction.writes.items():
+            self._put(key, value, lease)
+        for key in transaction.removed:
+            if key in self.items:
+                self._put(key, None, 0)
+        self._wake()
+        for hook in self.on_commit:
+            hook(transaction)
+        return self.revision
+
+    def compact(self) -> None:
+        """Forget the history, so that watches have to list again."""
+        self.history.clear()
+        self.history_from = self.revision
+        self._wake()
+
+    def _put(self, key: str, value: bytes | None, lease: int) -> None:
+        """Change one key at the current revision."""
+        old_lease = self._lease_of_key.pop(key, 0)
+        if old_lease in self._keys_of_lease:
+            self._keys_of_lease[old_lease].discard(key)
+        if value is None:
+            self.items.pop(key, None)
+            self.history.append(Change(key, self.revision, None))
+            return
+        old = self.items.get(key)
+        created = old.created if old is not None else self.revision
+        item = Item(key, value, self.revision, created)
+        self.items[key] = item
+        self.history.append(Change(key, self.revision, item))
+        if lease:
+            self._lease_of_key[key] = lease
+            self._keys_of_lease[lease].add(key)
+
+    def _wake(self) -> None:
+        """Wake the watches."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def async_changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> tuple[list[Change], int]:
+        """Return the changes after a revision, once there are any."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + wait_s
+        while True:
+            if after < self.history_from:
+                raise HistoryLostError(prefix)
+            found = [c for c in self.history if c.revision > after and c.key.startswith(prefix)]
+            left_s = give_up_at - loop.time()
+            if found or left_s <= 0:
+                return found, self.revision
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def loses_answer(self) -> bool:
+        """Draw whether the answer to a write is lost."""
+        return self._random.random() < self.answers_lost
+
+    def is_late(self) -> bool:
+        """Draw whether a write whose answer is lost is carried out later."""
+        return self._random.random() < self.late_share
+
+    def draw_delay(self) -> float:
+        """Draw how much later."""
+        return self._random.uniform(*LATE_S)
+
+
+class ModelStoreClient:
+    """One daemon's way to the store."""
+
+    def __init__(self, network: Network, me: str, store: ModelStore) -> None:
+        """Call as the daemon `me`."""
+        self._network = network
+        self._me = me
+        self._store = store
+        self.is_turned_away = False
+
+    async def _async_call(
+        self, work: Callable[[], Result], timeout_s: float = CALL_S, is_write: bool = False
+    ) -> Result:
+        """Carry a call with the store's faults."""
+
+        async def serve() -> Result:
+            if self._store.is_down:
+                await asyncio.sleep(3600)
+            await asyncio.sleep(self._store.answer_s)
+            if is_write and self._store.loses_answer():
+                if self._store.is_late():
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(self._store.draw_delay(), _ignore_refusal, work)
+                else:
+                    _ignore_refusal(work)
+                await asyncio.sleep(3600)
+            try:
+                result = work()
+                return (await result, None) if asyncio.iscoroutine(result) else (result, None)
+            except (StoreConflictError, LeaseEndedError, HistoryLostError) as err:
+                return None, err
+
+        if self.is_turned_away:
+            await asyncio.sleep(ANSWER_S)
+            raise StoreRefusedError("status 503")
+        try:
+            result, error = await self._network.async_call(self._me, STORE, timeout_s, serve)
+        except NoAnswerError as err:
+            raise StoreUnknownError(str(err)) from err
+        if error is not None:
+            raise error
+        return result
+
+    async def async_get(self, key: str) -> Item | None:
+        """Return an item, or None."""
+        return await self._async_call(lambda: self._store.items.get(key))
+
+    async def async_list(self, prefix: str) -> tuple[list[Item], int]:
+        """Return all items under a prefix."""
+
+        def read() -> tuple[list[Item], int]:
+            keys = sorted(key for key in self._store.items if key.startswith(prefix))
+            return [self._store.items[key] for key in keys], self._store.revision
+
+        return await self._async_call(read)
+
+    async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+        """Wait for changes."""
+        return await self._async_call(
+            lambda: self._store.async_changes(prefix, after, wait_s), wait_s + WATCH_SLACK_S
+        )
+
+    async def async_commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction."""
+        copy = Transaction(
+            dict(transaction.expected), dict(transaction.writes), list(transaction.removed)
+        )
+        return await self._async_call(lambda: self._store.commit(copy), is_write=True)
+
+    async def async_grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        return await self._async_call(lambda: self._store.grant(ttl_s))
+
+    async def async_renew(self, lease: int) -> None:
+        """Renew a lease."""
+        await self._async_call(lambda: self._store.renew(lease))
+
+    async def async_end(self, lease: int) -> None:
+        """End a lease."""
+        await self._async_call(lambda: self._store.end_lease(lease))
+
+
+def _ignore_refusal(work: Callable[[], Result]) -> None:
+    """Carry out work of which nobody hears."""
+    try:
+        work()
+    except (StoreConflictError, LeaseEndedError):
+        return
--- /dev/null
+++ b/wasabiramp/model/entry/world.py
@@ -0,0 +1,355 @@
+"""The world: daemons, platform and callers on one virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import contextvars
+from dataclasses import replace
+from random import Random
+from typing import Any, Final
+
+from wasabiramp.entry.answers import (
+    ACCEPTED,
+    CANCELLED,
+    NO_SUCH_JOB,
+    NOT_RUN,
+    SHOWN,
+    Answer,
+)
+from wasabiramp.entry.daemon import EntryDaemon
+from wasabiramp.entry.ports import EntrySettings, NoAnswerError
+from wasabiramp.model.entry.clock import VirtualLoop
+from wasabiramp.model.entry.executors import (
+    ModelExecutor,
+    ModelExecutorClient,
+    ModelExecutors,
+)
+from wasabiramp.model.entry.judge import JobRecord, Judge
+from wasabiramp.model.entry.network import ADVISER, ModelListener, ModelPeers, Network
+from wasabiramp.model.entry.store import ModelStore, ModelStoreClient
+from wasabiramp.scheduling.model import (
+    FINAL_PHASES,
+    AdvicePolicy,
+    CellConfig,
+    ExecutorEntry,
+    JobDefinition,
+    Queue,
+    Resources,
+)
+
+WALL_S: Final = 1_700_000_000.0
+SERVICE: Final = "service"
+CALLER: Final = "caller"
+UNLISTED_S: Final = 4.5
+ATTEMPTS: Final = 5
+CALL_S: Final = 3.0
+
+_place: contextvars.ContextVar[str] = contextvars.ContextVar("place", default="")
+
+
+class ModelCodec:
+    """Decodes what the world puts into the store: numbers of objects that it keeps."""
+
+    config_key = "op/config"
+    executors_prefix = "servers/"
+
+    def __init__(self) -> None:
+        """Start without objects."""
+        self._objects: list[Any] = []
+
+    def encode(self, value: Any) -> bytes:
+        """Keep an object and return its number."""
+        self._objects.append(value)
+        return str(len(self._objects) - 1).encode()
+
+    def decode_config(self, value: bytes) -> CellConfig:
+        """Return a configuration."""
+        return self._objects[int(value)]
+
+    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry | None:
+        """Return an executor's entry."""
+        return self._objects[int(value)]
+
+    def name_executor(self, key: str) -> str:
+        """Return the id of the executor under a key."""
+        return key.removeprefix(self.executors_prefix)
+
+
+class ModelAdviser:
+    """The adviser: a fixed share of executors is good for each step, one question at a time."""
+
+    def __init__(self, network: Network, me: str, world: World) -> None:
+        """Ask as the daemon `me`."""
+        self._network = network
+        self._me = me
+        self._world = world
+        self._lock = asyncio.Lock()
+
+    async def async_ask(
+        self, step: str, executors: list[str], timeout_s: float
+    ) -> tuple[dict[str, str], float]:
+        """Return the good executors."""
+
+        async def serve() -> tuple[dict[str, str], float]:
+            async with self._lock:
+                await asyncio.sleep(0.02 + 0.001 * len(executors))
+            share = self._world.good_share
+            good = {e: "t" for e in executors if Random(f"{step}{e}").random() < share}
+            return good, 2.5
+
+        return await self._network.async_call(self._me, ADVISER, timeout_s, serve)
+
+
+class World:
+    """A cell with its platform.
+
+    Example: `world = World(7); world.run(world.async_play())`.
+    """
+
+    def __init__(self, seed: int, daemons: int = 4, executors: int = 8) -> None:
+        """Build a sound cell; nothing runs before `run`."""
+        self.loop = VirtualLoop()
+        self.random = Random(seed)
+        self.judge = Judge(WALL_S)
+        self.network = Network(self.random)
+        self.good_share = 0.7
+        self._counts = (daemons, executors)
+        self._tasks: dict[str, set[asyncio.Task[Any]]] = {}
+        self.daemons: dict[str, EntryDaemon] = {}
+        self.clients: dict[str, ModelStoreClient] = {}
+        self.places: dict[str, str] = {}
+        self._lives = 0
+        self.codec = ModelCodec()
+        self.queues = (
+            Queue(
+                "quotes", "h", "/q/", SERVICE, 0, 2, 1.5, 0.25, 3.0, AdvicePolicy(0.02, 0.001, 2.5)
+            ),
+            Queue(
+                "gangs", "h", "/g/", SERVICE, 1, 4, 2.2, 1.0, 3.0, AdvicePolicy(0.02, 0.001, 2.5)
+            ),
+            Queue("batch", "h", "/b/", SERVICE, 2, 4, 4.0, 3.0),
+        )
+
+    def run(self, play: Coroutine[Any, Any, None]) -> None:
+        """Play to the end on virtual time."""
+        asyncio.set_event_loop(self.loop)
+        self.loop.set_task_factory(self._make_task)
+        try:
+            self.loop.run_until_complete(play)
+        finally:
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.loop.run_until_complete(asyncio.sleep(0))
+            self.loop.close()
+            asyncio.set_event_loop(None)
+
+    def _make_task(self, loop: Any, coroutine: Any, **options: Any) -> asyncio.Task[Any]:
+        """Make a task that is known to belong to the place that made it."""
+        task = asyncio.Task(coroutine, loop=loop, **options)
+        tasks = self._tasks.setdefault(_place.get(), set())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        return task
+
+    async def async_begin(self) -> None:
+        """Start the platform and all daemons."""
+        self.store = ModelStore(self.random)
+        self.executors = ModelExecutors(self.random, self.judge)
+        self.executors.on_change = self.list_executor
+        self.loop.create_task(self.store.async_run())
+        self.loop.create_task(self.executors.async_run())
+        self.set_config(CellConfig(1, self.queues))
+        daemons, executors = self._counts
+        for number in range(executors):
+            self.add_executor(number)
+        for number in range(daemons):
+            await self.async_start_daemon(f"entry-{number}")
+        await asyncio.sleep(2.0)
+
+    def set_config(self, config: CellConfig) -> None:
+        """Let the operator write a configuration."""
+        self.store.put(ModelCodec.config_key, self.codec.encode(config), 0)
+
+    def add_executor(self, number: int) -> ModelExecutor:
+        """Add an executor; every third has the label `b`."""
+        kind = "b" if number % 3 == 0 else "a"
+        entry = ExecutorEntry(
+            id=f"i-{number}",
+            address=f"i-{number}",
+            service=SERVICE,
+            zone="z",
+            is_draining=False,
+            capacity=Resources(8_000, 8_000, 0),
+            labels=(kind, f"r{number % 2}"),
+            born_ms=self.read_wall_ms(),
+        )
+        return self.executors.add(entry)
+
+    def list_executor(self, executor: ModelExecutor) -> None:
+        """Write an executor's entry."""
+        key = ModelCodec.executors_prefix + executor.entry.id
+        self.store.put(key, self.codec.encode(executor.entry), 0)
+
+    def unlist_executor(self, executor_id: str) -> None:
+        """Remove an executor's entry."""
+        self.store.put(ModelCodec.executors_prefix + executor_id, None, 0)
+
+    def read_wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return int((WALL_S + self.loop.time()) * 1000)
+
+    async def async_start_daemon(self, name: str) -> None:
+        """Start a daemon, or a new life of it."""
+        self._lives += 1
+        place = f"{name}#{self._lives}"
+        token = _place.set(place)
+        try:
+            settings = EntrySettings(
+                name=name,
+                zone="z",
+                caller_address="",
+                ready_address="",
+                peer_address=place,
+                metrics_address="",
+                store_address="",
+                adviser_address="",
+                lease_limit_s=6.0,
+                grace_s=6.0,
+                status_s=120.0,
+                config_s=2.0,
+                lease_least_s=1.0,
+                store_value_bytes=1_000_000,
+            )
+            client = ModelStoreClient(self.network, place, self.store)
+            daemon = EntryDaemon(
+                settings,
+                client,
+                ModelExecutorClient(self.network, place, self.executors, self.random),
+                ModelAdviser(self.network, place, self),
+                self.codec,
+                ModelPeers(self.network, place),
+                lambda serve: ModelListener(self.network, serve),
+                lambda: WALL_S + self.loop.time(),
+            )
+            await daemon.async_start()
+        finally:
+            _place.reset(token)
+        self.daemons[name], self.places[name], self.clients[name] = daemon, place, client
+
+    def kill_daemon(self, name: str) -> None:
+        """End a daemon as a power loss does."""
+        place = self.places.pop(name)
+        del self.daemons[name], self.clients[name]
+        self.network.kill(place)
+        self.network.listeners.pop(place, None)
+        for task in list(self._tasks.get(place, ())):
+            task.cancel()
+
+    async def async_stop_daemon(self, name: str) -> None:
+        """Stop a daemon in order."""
+        daemon = self.daemons[name]
+        token = _place.set(self.places[name])
+        try:
+            await daemon.async_hand_over()
+            await daemon.async_stop()
+        finally:
+            _place.reset(token)
+        if self.daemons.get(name) is daemon:
+            self.kill_daemon(name)
+
+    async def async_crash_executor(self, number: int, dark_s: float, returns: bool) -> None:
+        """Crash an executor; it returns as a new life, or is gone for good."""
+        executor = self.executors.by_id[f"i-{number}"]
+        executor.crash()
+        await asyncio.sleep(dark_s)
+        if returns:
+            executor.begin_life(self.read_wall_ms())
+            self.list_executor(executor)
+            return
+        await asyncio.sleep(max(0.0, UNLISTED_S - dark_s))
+        self.unlist_executor(executor.entry.id)
+
+    async def async_drain_executor(self, number: int) -> None:
+        """Let an executor announce that it leaves, and leave."""
+        executor = self.executors.by_id[f"i-{number}"]
+        executor.entry = replace(executor.entry, is_draining=True, remaining_s=4.0)
+        self.list_executor(executor)
+        await asyncio.sleep(4.0)
+        executor.crash()
+        self.unlist_executor(executor.entry.id)
+
+    async def _async_call(self, call: str, *args: Any) -> Answer:
+        """Call a random daemon's desk as a caller."""
+        names = sorted(self.daemons)
+        if not names:
+            raise NoAnswerError("no daemon is up")
+        name = self.random.choice(names)
+        desk, place = self.daemons[name].desk, self.places[name]
+
+        async def serve() -> Answer:
+            # The request lives in the daemon: it ends with the daemon.
+            context = contextvars.copy_context()
+            context.run(_place.set, place)
+            work = getattr(desk, call)(*args, CALL_S)
+            try:
+                return await self.loop.create_task(work, context=context)
+            except asyncio.CancelledError:
+                return await self.loop.create_future()
+
+        return await self.network.async_call(CALLER, place, CALL_S, serve)
+
+    async def async_submit(self, job: JobDefinition) -> bool:
+        """Hand a job in until it is accepted, at most a few times."""
+        record = self.judge.jobs.setdefault(job.id, JobRecord(job))
+        for _ in range(ATTEMPTS):
+            record.attempts += 1
+            try:
+                answer = await self._async_call("async_submit", job)
+            except NoAnswerError:
+                continue
+            if answer.outcome == ACCEPTED:
+                record.accepted_at = self.loop.time()
+                return True
+            record.refusals += answer.outcome == NOT_RUN
+            await asyncio.sleep(answer.retry_after_s or 0.5)
+        return False
+
+    async def async_show(self, job_id: str) -> str:
+        """Ask for an accepted job's phase once; empty where no answer came."""
+        try:
+            answer = await self._async_call("async_show", job_id)
+        except NoAnswerError:
+            return ""
+        if answer.outcome == NO_SUCH_JOB:
+            self.judge.report(f"LOST at {self.loop.time():.3f} {job_id}: answered as unknown")
+        if answer.outcome != SHOWN:
+            return ""
+        self.judge.check_shown(self.loop.time(), job_id, answer.phase)
+        return answer.phase
+
+    async def async_cancel(self, job_id: str) -> None:
+        """Cancel a job until that is acknowledged."""
+        record = self.judge.jobs[job_id]
+        record.cancel_asked_at = self.loop.time()
+        for _ in range(ATTEMPTS):
+            try:
+                answer = await self._async_call("async_cancel", job_id)
+            except NoAnswerError:
+                continue
+            if answer.outcome in (CANCELLED, NO_SUCH_JOB):
+                record.cancel_acked_at = self.loop.time()
+                return
+            await asyncio.sleep(0.5)
+
+    async def async_finish(self, limit_s: float) -> None:
+        """Wait until all accepted jobs are over; what is not by then is lost."""
+        give_up_at = self.loop.time() + limit_s
+        waiting = {job_id for job_id, r in self.judge.jobs.items() if r.accepted_at is not None}
+        while waiting and self.loop.time() < give_up_at:
+            for job_id in sorted(waiting):
+                if await self.async_show(job_id) in FINAL_PHASES:
+                    waiting.discard(job_id)
+            await asyncio.sleep(0.5)
+        for job_id in sorted(waiting):
+            self.judge.report(f"LOST {job_id}: not over {limit_s:.0f} s after the last fault")
--- a/wasabiramp/platform/callers.py
+++ b/wasabiramp/platform/callers.py
@@ -33,6 +33,9 @@
 
 READY_PATH: Final = "/v1/readyz"
 METRICS_PATH: Final = "/metrics"
+CLOSE_S: Final = 1.0
+"""Time that answers in the making get once callers are sent elsewhere."""
+
 SERVER_BACKLOG: Final = 1024
 HEADER_LIMIT: Final = 16_384
 STATUSES: Final = {
@@ -63,17 +66,18 @@
         await self._async_open(self._async_tell_ready, ready_address)
         await self._async_open(self._async_tell_metrics, metrics)
 
-    async def async_stop(self, timeout_s: float) -> None:
+    async def async_stop(self) -> None:
         """Close the ports once what is being answered is answered, or the time is over."""
         for runner in self._runners:
-            runner.shutdown_timeout = timeout_s  # type: ignore[attr-defined]
             await runner.cleanup()
 
     async def _async_open(self, handler: Any, address: str) -> None:
         """Listen at an address."""
         host, _, port = address.rpartition(":")
-        server = web.Server(handler, max_line_size=HEADER_LIMIT, max_field_size=HEADER_LIMIT)
-        runner = web.ServerRunner(server)
+        server = web.Server(
+            handler, access_log=None, max_line_size=HEADER_LIMIT, max_field_size=HEADER_LIMIT
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=SERVER_BACKLOG).start()
         self._runners.append(runner)
--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from typing import Final
 
 import uvloop
 
 from wasabiramp.entry.daemon import ROTATION_S, EntryDaemon
+from wasabiramp.entry.peers import PeerCaller, PeerListener
 from wasabiramp.entry.ports import EntrySettings
 from wasabiramp.logs import log_event, set_up_logs
 from wasabiramp.platform.callers import CallerServer
@@ -17,8 +19,6 @@
 from wasabiramp.platform.wire import PlatformCodec
 
 EXIT_SETTINGS: Final = 2
-CLOSE_S: Final = 1.0
-"""Time that answers in the making get once callers are sent elsewhere."""
 
 
 class CallerDesk:
@@ -51,18 +51,25 @@
         ExecutorClient(calls),
         AdviserClient(calls, settings.adviser_address),
         PlatformCodec(),
+        PeerCaller(),
+        PeerListener,
     )
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.stop_asked.set)
+    # All settings that may change while a process runs are read from the store.
+    loop.add_signal_handler(signal.SIGHUP, log_event, "reload_asked")
     server = CallerServer(CallerDesk(daemon))
     await daemon.async_start()
     await server.async_start(
         settings.caller_address, settings.ready_address, settings.metrics_address
     )
     await daemon.stop_asked.wait()
-    leaving_at = asyncio.get_running_loop().time()
+    leaving_at = loop.time()
     await daemon.async_hand_over()
-    taken_s = asyncio.get_running_loop().time() - leaving_at
+    taken_s = loop.time() - leaving_at
     await asyncio.sleep(max(0.0, ROTATION_S - taken_s))
-    await server.async_stop(CLOSE_S)
+    await server.async_stop()
     await daemon.async_stop()
     await calls.async_close()
 
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -35,20 +35,28 @@
 
 @dataclass(slots=True)
 class StoredJob:
-    """A job with what the store keeps of it; the time is on the loop's clock."""
+    """A job with what the store keeps of it.
+
+    The time is on the loop's clock; the revision is that of the definition's creation.
+    """
 
     definition: JobDefinition
     accepted_at: float
+    revision: int
     progress: JobProgress | None = None
 
 
 @dataclass(slots=True)
 class JobsRecovered:
-    """All that an earlier owner left; its leases on executors end `lease_left_s` from now."""
+    """All that an earlier owner left, as of a revision of the store.
+
+    The earlier owner's leases on executors end `lease_left_s` from now.
+    """
 
     jobs: list[StoredJob]
     roster: list[tuple[str, str]]
     lease_left_s: float
+    as_of: int
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -40,9 +40,16 @@
 
 @handles(JobAccepted)
 def accept_job(state: SchedulerState, event: JobAccepted) -> None:
-    """Take a job that a daemon stored; a repeat changes nothing."""
+    """Take a job that a daemon stored; a repeat changes nothing.
+
+    A job that was stored before the recovery and is unknown since then was over by then: its
+    announcement is late.
+    """
     if event.job.definition.id in state.jobs:
         return
+    if event.job.revision <= state.recovered_as_of:
+        state.note("job_over", job=event.job.definition.id, revision=event.job.revision)
+        return
     job = add_job(state, event.job)
     state.note("job_taken", job=job.definition.id, queue=job.definition.queue.name)
 
@@ -55,6 +62,7 @@
     all executors of the roster answered, or the earlier owner's leases have ended.
     """
     state.recovered_until = state.now + event.lease_left_s
+    state.recovered_as_of = event.as_of
     for executor_id, address in event.roster:
         executor = state.executors.get(executor_id)
         if executor is None:
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -80,6 +80,7 @@
         )
     )
     executor.hold_at = min(executor.hold_at, state.now)
+    state.note("run_started", task=run.task, run=number, executor=executor.id, until=until)
 
 
 def stop_run(state: SchedulerState, run: Run) -> None:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -297,6 +297,7 @@
         "lease_s",
         "now",
         "open_steps",
+        "recovered_as_of",
         "recovered_until",
         "term",
         "wall_offset_s",
@@ -314,6 +315,7 @@
         self.now = 0.0
         self.effects: list[Effect] = []
         self.recovered_until = 0.0
+        self.recovered_as_of = 0
         self.is_given_up = False
         self.is_roster_dirty = False
         self.adviser_load_s = 0.0
