--- /dev/null
+++ b/tests/model/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of model entry."""
--- /dev/null
+++ b/tests/model/entry/test_guards.py
@@ -0,0 +1,71 @@
+"""Each guard of a promise, taken away: the judge has to find what it guards against."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from wasabiramp.entry import owner as owner_module
+from wasabiramp.model.entry.schedule import play
+from wasabiramp.scheduling import executors, orders, runs
+from wasabiramp.scheduling.state import ExecutorState
+
+SEEDS = range(1, 25)
+
+
+def find_breach(rule: str, faults: list[str], count: int = 8) -> bool:
+    """Tell whether some seed breaks the rule."""
+    return any(
+        any(text.startswith(rule) for text in play(seed, faults, count).judge.breaches)
+        for seed in SEEDS
+    )
+
+
+class TestGuards:
+    """Without its guard each promise breaks under the faults that it is meant for."""
+
+    def test_room_of_runs_without_an_answer(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        stop_run = runs.stop_run
+
+        def forget(state: Any, run: Any) -> None:
+            stop_run(state, run)
+            if run.is_uncertain:
+                orders.release_run(state, run)
+
+        monkeypatch.setattr(runs, "stop_run", forget)
+        assert find_breach("TWICE", ["apply_late"])
+
+    def test_leases_of_silent_executors(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(executors, "find_lapse", lambda executor: 0.0)
+        assert find_breach("TWICE", ["cut_executors"])
+
+    def test_waiting_after_a_takeover(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(executors, "_awaits_answers", lambda state: False)
+        assert find_breach("TWICE", ["kill_owner", "pause_owner", "cut_executors"])
+
+    def test_notes_after_the_commit(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        send_hold = executors.send_hold
+
+        def send_early(state: Any, executor: ExecutorState, wait_s: float) -> None:
+            executor.last_seen = executor.read_end
+            send_hold(state, executor, wait_s)
+
+        monkeypatch.setattr(executors, "send_hold", send_early)
+        assert find_breach("TWICE", ["store_down", "kill_owner", "kill_all"])
+
+    def test_commits_in_one_chain(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        commit = owner_module.Owner._async_commit
+
+        async def commit_loosely(self: Any, transaction: Any) -> bool:
+            store = self._store
+            try:
+                transaction.expected.clear()
+                await store.async_commit(transaction)
+                return True
+            except Exception:
+                return False
+
+        monkeypatch.setattr(owner_module.Owner, "_async_commit", commit_loosely)
+        assert commit is not commit_loosely
+        assert find_breach("", ["lose_answers", "kill_owner", "cut_owner", "pause_owner"])
--- /dev/null
+++ b/tests/model/entry/test_schedules.py
@@ -0,0 +1,54 @@
+"""Random schedules on the platform's model, and each seed that ever failed."""
+
+from __future__ import annotations
+
+import pytest
+
+from wasabiramp.model.entry.schedule import FAULTS, play
+
+FRESH = range(1, 41)
+"""Seeds that every run of the tests plays."""
+
+FAILED_ONCE = {
+    9: "a task ran again after the owner lost a late announcement's order",
+    58: "a daemon that stood still announced a job that was over by then",
+    117: "an owner that stood still showed an old phase",
+    390: "starts that had met a new life of an executor were forgotten",
+    392: "an order of 11 s before arrived at a new life that knew no stop",
+    756: "a job was shown as running after it was shown as done",
+}
+
+
+class TestSchedules:
+    """No schedule of faults breaks a promise."""
+
+    @pytest.mark.parametrize("seed", FRESH)
+    def test_seed(self, seed: int) -> None:
+        assert play(seed).judge.breaches == []
+
+    @pytest.mark.parametrize("seed", sorted(FAILED_ONCE))
+    def test_seed_that_failed_once(self, seed: int) -> None:
+        assert play(seed).judge.breaches == []
+
+    @pytest.mark.parametrize("seed", [633])
+    def test_many_faults(self, seed: int) -> None:
+        assert play(seed, count=12).judge.breaches == []
+
+    def test_late_order_at_a_new_life(self) -> None:
+        """Open: an order may reach a new life of an executor before the owner does."""
+        assert play(523).judge.breaches == []
+
+    @pytest.mark.parametrize("name", sorted(FAULTS))
+    def test_each_fault_alone(self, name: str) -> None:
+        assert play(7, [name], 3).judge.breaches == []
+
+
+class TestJudge:
+    """The judge finds what it is there for: work without faults is clean, and not empty."""
+
+    def test_work_is_done_without_faults(self) -> None:
+        world = play(1, [], 0)
+        records = world.judge.jobs.values()
+        assert world.judge.breaches == []
+        assert all(record.accepted_at is not None for record in records)
+        assert world.judge.starts > 100
--- /dev/null
+++ b/tests/scheduling/helpers.py
@@ -0,0 +1,184 @@
+"""A scheduler with executors that answer as told, on a clock that the test moves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wasabiramp.scheduling.effects import (
+    AskAdvice,
+    Effect,
+    HoldExecutor,
+    NoteDecision,
+    StartTask,
+    StopTask,
+)
+from wasabiramp.scheduling.events import (
+    STARTED,
+    AdviceAnswered,
+    Committed,
+    ConfigChanged,
+    ExecutorListed,
+    HoldAnswered,
+    JobAccepted,
+    StartAnswered,
+    StopAnswered,
+    StoredJob,
+    TimePassed,
+)
+from wasabiramp.scheduling.model import (
+    AdvicePolicy,
+    CellConfig,
+    EndReport,
+    ExecutorEntry,
+    ExecutorReport,
+    JobDefinition,
+    Queue,
+    Resources,
+    RunReport,
+    Step,
+)
+from wasabiramp.scheduling.scheduler import Scheduler
+
+SERVICE = "service"
+QUEUES = (
+    Queue("urgent", "h", "/u/", SERVICE, priority=0, max_attempts=2, stretch=1.5),
+    Queue("gangs", "h", "/g/", SERVICE, priority=1, max_attempts=3, stretch=2.0),
+    Queue("batch", "h", "/b/", SERVICE, priority=2, max_attempts=4, stretch=4.0),
+    Queue("advised", "h", "/a/", SERVICE, advice=AdvicePolicy(0.1, 0.01, 2.5)),
+)
+
+
+def make_step(count: int = 1, cpu: int = 1_000, **options: Any) -> Step:
+    """Return a step whose tasks take some processors and a second."""
+    return Step(count, Resources(cpu, 100, 0), 1.0, **options)
+
+
+class Bench:
+    """A scheduler whose effects are kept, with executors `e0`, `e1` and so on."""
+
+    def __init__(self, executors: int = 3, cpu: int = 4_000, lease_s: float = 3.0) -> None:
+        """Let all executors be listed, stored and held."""
+        self.scheduler = Scheduler(1, lease_s, 6.0, 1_000_000.0)
+        self.now = 10.0
+        self.effects: list[Effect] = []
+        self.ended: dict[str, list[EndReport]] = {}
+        self.running: dict[str, list[RunReport]] = {}
+        self.born: dict[str, int] = {}
+        self.apply(ConfigChanged(CellConfig(1, QUEUES)))
+        for number in range(executors):
+            self.list_executor(f"e{number}", cpu)
+        self.tick()
+        self.commit()
+        for number in range(executors):
+            self.report(f"e{number}")
+        self.commit()
+        self.effects.clear()
+
+    def list_executor(self, name: str, cpu: int = 4_000, **options: Any) -> None:
+        """Let the platform list an executor."""
+        self.born.setdefault(name, 1)
+        fields = {
+            "is_draining": False,
+            "labels": ("a", f"r{name[-1]}"),
+            "born_ms": self.born[name],
+            **options,
+        }
+        entry = ExecutorEntry(
+            id=name,
+            address=name,
+            service=SERVICE,
+            zone="z",
+            capacity=Resources(cpu, 100_000, 8),
+            **fields,
+        )
+        self.apply(ExecutorListed(entry))
+
+    def apply(self, event: Any) -> None:
+        """Reduce an event."""
+        self.effects += self.scheduler.apply(event, self.now)
+
+    def place(self) -> list[StartTask]:
+        """Decide, and return the starts of this decision."""
+        effects = self.scheduler.place(self.now)
+        self.effects += effects
+        return [effect for effect in effects if isinstance(effect, StartTask)]
+
+    def tick(self, seconds: float = 0.0) -> None:
+        """Let time pass."""
+        self.now += seconds
+        self.apply(TimePassed())
+
+    def commit(self) -> bool:
+        """Store what changed; tell whether anything had."""
+        if self.scheduler.take_changes() is None:
+            return False
+        self.apply(Committed())
+        return True
+
+    def submit(self, job_id: str, queue: str, *steps: Step, revision: int = 100, **options: Any):
+        """Let a job be accepted."""
+        found = next(q for q in QUEUES if q.name == queue)
+        definition = JobDefinition(job_id, found, f"spec {job_id}", steps, **options)
+        self.apply(JobAccepted(StoredJob(definition, self.now, revision)))
+        return self.scheduler.state.jobs.get(job_id)
+
+    def confirm(self, start: StartTask, outcome: str = STARTED) -> None:
+        """Answer a start; a confirmed one is listed as running from then on."""
+        if outcome == STARTED:
+            row = RunReport(start.task, start.run, "", 100.0, 0.0)
+            self.running.setdefault(start.executor, []).append(row)
+        self.apply(StartAnswered(start.executor, start.task, start.run, self.now, outcome))
+
+    def place_and_confirm(self) -> list[StartTask]:
+        """Decide, and confirm all starts."""
+        starts = self.place()
+        for start in starts:
+            self.confirm(start)
+        return starts
+
+    def end(self, start: StartTask, how: str, saved: str = "") -> None:
+        """Let a run end; the next report of its executor tells."""
+        rows = self.running.get(start.executor, [])
+        self.running[start.executor] = [
+            r for r in rows if (r.task, r.run) != (start.task, start.run)
+        ]
+        ends = self.ended.setdefault(start.executor, [])
+        ends.append(EndReport(len(ends) + 1, start.task, start.run, how, saved))
+
+    def report(self, name: str, sent_at: float | None = None) -> None:
+        """Let an executor answer a hold."""
+        report = ExecutorReport(
+            int((self.now - 5) * 1000),
+            self.born[name],
+            tuple(self.running.get(name, ())),
+            tuple(self.ended.get(name, ())),
+        )
+        self.apply(HoldAnswered(name, self.now if sent_at is None else sent_at, report))
+
+    def finish(self, start: StartTask, how: str = "done") -> None:
+        """Let a run end and be reported."""
+        self.end(start, how)
+        self.report(start.executor)
+
+    def confirm_stop(self, stop: StopTask, outcome: str = STARTED) -> None:
+        """Answer a stop."""
+        self.apply(StopAnswered(stop.executor, stop.task, stop.run, outcome))
+
+    def advise(self, ask: AskAdvice, good: list[str], valid_s: float = 2.5) -> None:
+        """Answer a question about a step."""
+        tickets = {name: f"ticket-{name}" for name in good}
+        self.apply(AdviceAnswered(ask.step, ask.executors, tickets, valid_s, self.now))
+
+    def take(self, kind: type) -> list[Any]:
+        """Return the effects of one kind so far, and forget them."""
+        found = [effect for effect in self.effects if isinstance(effect, kind)]
+        self.effects = [effect for effect in self.effects if not isinstance(effect, kind)]
+        return found
+
+    def find_notes(self, event: str) -> list[dict[str, object]]:
+        """Return the fields of all decisions of one kind."""
+        notes = [effect for effect in self.effects if isinstance(effect, NoteDecision)]
+        return [note.fields for note in notes if note.event == event]
+
+
+__all__ = ["AskAdvice", "Bench", "HoldExecutor", "StartTask", "StopTask", "make_step"]
--- /dev/null
+++ b/tests/scheduling/test_runs.py
@@ -0,0 +1,234 @@
+"""Tests of runs: answers that are lost, late or refused, and how ends are counted."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scheduling.helpers import Bench, HoldExecutor, StopTask, make_step
+from wasabiramp.scheduling.effects import GiveUpOwnership
+from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    OTHER_LIFE,
+    REFUSED_BUSY,
+    REFUSED_FENCE,
+    REFUSED_LATE,
+    REFUSED_OLD,
+    REFUSED_ROOM,
+    UNKNOWN,
+    ExecutorUnlisted,
+    HoldFailed,
+)
+from wasabiramp.scheduling.model import RunReport
+
+
+class TestLostAnswer:
+    """A start without an answer keeps its room until it is certain that it will not run."""
+
+    def test_task_waits_for_the_stop_and_a_later_report(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        (stop,) = bench.take(StopTask)
+        assert bench.place() == []
+        bench.confirm_stop(stop)
+        assert bench.place() == []
+        bench.tick(0.01)
+        bench.report("e0")
+        (again,) = bench.place()
+        assert again.run > start.run
+
+    def test_report_that_was_asked_for_before_the_stop_proves_nothing(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        asked_at = bench.now
+        bench.tick(0.1)
+        bench.confirm_stop(bench.take(StopTask)[0])
+        bench.report("e0", sent_at=asked_at)
+        assert bench.place() == []
+
+    def test_end_of_a_run_without_an_answer_counts(self) -> None:
+        bench = Bench(executors=1)
+        job = bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        bench.finish(start)
+        assert job.is_ended
+        assert bench.scheduler.state.executors["e0"].used.cpu == 0
+
+
+class TestRefusal:
+    """A refused start frees its room at once."""
+
+    @pytest.mark.parametrize(
+        "outcome", [REFUSED_BUSY, REFUSED_ROOM, REFUSED_OLD, REFUSED_LATE, NOT_SENT, OTHER_LIFE]
+    )
+    def test_room_is_free_again(self, outcome: str) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, outcome)
+        assert bench.scheduler.state.executors["e0"].used.cpu == 0
+        bench.tick(1.0)
+        bench.report("e0")
+        (again,) = bench.place()
+        assert again.run == start.run + 1
+
+    def test_fence_ends_the_ownership(self) -> None:
+        bench = Bench(executors=2)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, REFUSED_FENCE)
+        assert len(bench.take(GiveUpOwnership)) == 1
+        assert bench.place() == []
+
+
+class TestCutExecutor:
+    """What a silent executor may run stays counted until its lease has surely ended."""
+
+    def test_task_waits_for_the_lease(self) -> None:
+        bench = Bench(executors=2, lease_s=3.0)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place_and_confirm()
+        bench.apply(HoldFailed(start.executor, bench.now, UNKNOWN))
+        bench.tick(3.0)
+        assert bench.place() == []
+        bench.tick(0.4)
+        (again,) = bench.place()
+        assert again.executor != start.executor
+
+    def test_end_from_before_the_lapse_does_not_end_the_new_run(self) -> None:
+        bench = Bench(executors=2)
+        job = bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place_and_confirm()
+        bench.apply(HoldFailed(start.executor, bench.now, UNKNOWN))
+        bench.tick(4.0)
+        bench.place_and_confirm()
+        bench.finish(start)
+        assert not job.is_ended
+
+    def test_silent_executor_gets_no_work(self) -> None:
+        bench = Bench(executors=1)
+        bench.apply(HoldFailed("e0", bench.now, UNKNOWN))
+        bench.submit("a" * 16, "batch", make_step(1))
+        assert bench.place() == []
+        bench.report("e0")
+        assert len(bench.place()) == 1
+
+
+class TestReborn:
+    """A new life under the same id is told from the old one."""
+
+    def test_confirmed_run_of_the_old_life_is_over(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place_and_confirm()
+        bench.running["e0"] = []
+        bench.born["e0"] = 2
+        bench.tick(0.5)
+        bench.report("e0")
+        (again,) = bench.place()
+        assert again.run > start.run
+
+    def test_start_that_met_the_new_life_is_kept(self) -> None:
+        """Model seed 390: the list told of the new life after a start had reached it."""
+        bench = Bench(executors=2)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place_and_confirm()
+        bench.born[start.executor] = 2
+        bench.list_executor(start.executor)
+        assert bench.place() == []
+        bench.tick(0.1)
+        bench.report(start.executor)
+        assert bench.place() == []
+
+    def test_start_without_an_answer_is_barred_in_the_new_life(self) -> None:
+        """Model seed 392: an order of 11 s before arrived at a new life that knew no stop."""
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        bench.confirm_stop(bench.take(StopTask)[0])
+        bench.tick(0.1)
+        bench.report("e0")
+        bench.born["e0"] = 2
+        bench.tick(3.0)
+        bench.report("e0")
+        bench.tick()
+        stops = bench.take(StopTask)
+        assert (start.task, start.run) in {(stop.task, stop.run) for stop in stops}
+
+
+class TestForeignRun:
+    """What nobody asked for is stopped."""
+
+    def test_unknown_run_is_stopped_and_counted(self) -> None:
+        bench = Bench(executors=1)
+        bench.running["e0"] = [RunReport("f" * 16 + ".0.0.0", 3, "", 100.0, 0.0)]
+        bench.report("e0")
+        (stop,) = bench.take(StopTask)
+        assert (stop.task, stop.run) == ("f" * 16 + ".0.0.0", 3)
+
+
+class TestFailingExecutor:
+    """An executor that fails different steps rests; a step that fails everywhere does not."""
+
+    def test_executor_rests(self) -> None:
+        bench = Bench(executors=1)
+        for job_id in ("a" * 16, "b" * 16):
+            bench.submit(job_id, "batch", make_step(1))
+        for start in bench.place_and_confirm():
+            bench.finish(start, "failed")
+        assert bench.place() == []
+        bench.tick(2.0)
+        assert len(bench.place()) == 2
+
+    def test_one_failing_step_does_not_stop_the_executor(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(3))
+        for start in bench.place_and_confirm():
+            bench.finish(start, "failed")
+        assert len(bench.place()) == 3
+
+
+class TestHolds:
+    """Looks at executors are as rare as leases and ends allow."""
+
+    def test_idle_executor_is_not_looked_at(self) -> None:
+        bench = Bench(executors=2)
+        bench.tick(5.0)
+        assert bench.take(HoldExecutor) == []
+
+    def test_running_executor_is_held_with_a_lease(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        bench.place_and_confirm()
+        bench.tick()
+        (hold,) = bench.take(HoldExecutor)
+        assert hold.until_ms is not None
+        assert hold.wait_s > 0
+
+    def test_ends_are_not_asked_for_again_before_they_are_stored(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(2))
+        first, _second = bench.place_and_confirm()
+        bench.tick()
+        bench.take(HoldExecutor)
+        bench.finish(first)
+        bench.tick(0.01)
+        assert bench.take(HoldExecutor) == []
+        bench.commit()
+        bench.tick()
+        (hold,) = bench.take(HoldExecutor)
+        assert hold.last_seen == 1
+
+    def test_executor_that_left_is_forgotten(self) -> None:
+        bench = Bench(executors=1)
+        bench.apply(ExecutorUnlisted("e0"))
+        bench.tick(0.1)
+        assert len(bench.take(HoldExecutor)) == 1
+        bench.apply(HoldFailed("e0", bench.now, NOT_SENT))
+        bench.tick(3.0)
+        assert bench.scheduler.state.executors == {}
--- a/wasabiramp/entry/desk.py
+++ b/wasabiramp/entry/desk.py
@@ -218,8 +218,9 @@
         phase = owner.find_phase(message.job)
         if phase is None:
             return PeerAnswer(UNKNOWN_JOB)
-        if isinstance(message, ShowJob) and not self._membership.is_confirmed():
-            return PeerAnswer(UNCONFIRMED, phase)
+        if isinstance(message, ShowJob):
+            is_certain = self._membership.is_confirmed() and not owner.is_storing_end(message.job)
+            return PeerAnswer(OK if is_certain else UNCONFIRMED, phase)
         if isinstance(message, CancelJob) and phase not in FINAL_PHASES:
             owner.take_event(CancelAsked(message.job))
             await owner.async_wait_stored()
@@ -242,7 +243,7 @@
         if answer.outcome == OK:
             return Answer(SHOWN, answer.value)
         shown = await self._async_show_stored(job_id)
-        if shown.outcome == NOT_READY and answer.outcome == UNCONFIRMED:
+        if answer.outcome == UNCONFIRMED and shown.phase not in FINAL_PHASES:
             return Answer(SHOWN, answer.value)
         return shown
 
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -137,7 +137,7 @@
         self._lease_s = min(LEASE_S, lease_limit_s)
         self._read_wall = read_wall
         offset_s = read_wall() - self._loop.time()
-        self.scheduler = Scheduler(tenure.term, self._lease_s, offset_s)
+        self.scheduler = Scheduler(tenure.term, self._lease_s, lease_limit_s, offset_s)
         self._follower = Follower(store, codec.executors_prefix, 1.0, self._take_entry)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._place_timer: asyncio.TimerHandle | None = None
@@ -489,6 +489,11 @@
         job = self.scheduler.state.jobs.get(job_id)
         return job.find_phase() if job is not None else None
 
+    def is_storing_end(self, job_id: str) -> bool:
+        """Tell whether a job is over, but that is not known to be stored."""
+        job = self.scheduler.state.jobs.get(job_id)
+        return job is not None and job.is_ended and job.shown_phase not in FINAL_PHASES
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of a queue's jobs of which no task has started."""
         return sum(
--- a/wasabiramp/model/entry/schedule.py
+++ b/wasabiramp/model/entry/schedule.py
@@ -167,7 +167,7 @@
     number = world.random.choice(numbers)
     if world.executors.by_id[f"i-{number}"].is_up:
         await world.async_drain_executor(number)
-        world.add_executor(max(numbers) + 1)
+        world.add_executor(len(world.executors.by_id))
 
 
 @fault
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -18,7 +18,7 @@
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import find_lapse, release_run, send_hold, send_stop
 from wasabiramp.scheduling.runs import give_up, take_end, take_running
-from wasabiramp.scheduling.state import ExecutorState, SchedulerState
+from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
 
 HOLD_WAIT_S: Final = 1.0
 """How long a hold waits for an end; a third of a lease, so that a lost one does no harm."""
@@ -35,6 +35,9 @@
 ENDS_A_PAGE: Final = 500
 """Ends that an executor lists at a time."""
 
+LATE_ORDER_S: Final = 13.0
+"""An order without an answer may be carried out this long after it was sent."""
+
 RELIST_S: Final = 2.0
 """How long an entry that vanished may take to come back, by the platform's promise."""
 
@@ -72,13 +75,27 @@
 
 
 def begin_life(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
-    """Release all runs of an earlier life, which ended with it."""
+    """Forget what was known of an earlier life, but not its runs.
+
+    Starts that were sent lately may have met the new life already; the next report tells which.
+    """
     state.note("executor_reborn", executor=executor.id, runs=len(executor.runs))
-    for run in list(executor.runs.values()):
-        release_run(state, run)
-    must_answer = executor.must_answer
     executor.reset(born_ms)
-    executor.must_answer = must_answer
+    executor.lapse_floor = state.now + state.lease_limit_s
+    for run in executor.runs.values():
+        run.stop_sent_at = run.stop_confirmed_at = None
+    _bar_late_starts(state, executor)
+
+
+def _bar_late_starts(state: SchedulerState, executor: ExecutorState) -> None:
+    """Stop again what may still arrive: the new life knows nothing of earlier stops."""
+    for (task, number), sent_at in list(executor.doubtful.items()):
+        if state.now > sent_at + LATE_ORDER_S:
+            del executor.doubtful[(task, number)]
+        elif (task, number) not in executor.runs:
+            run = Run(None, 0, task, executor.id, number, state.now)
+            run.wants_stop = True
+            executor.add_run(run)
 
 
 @handles(HoldAnswered)
@@ -178,7 +195,7 @@
 def watch_executors(state: SchedulerState, event: TimePassed) -> None:
     """Send holds and stops that are due, and release runs whose leases have ended."""
     for executor in list(state.executors.values()):
-        is_silent = executor.silent_since is not None and executor.is_fenced
+        is_silent = executor.silent_since is not None
         if executor.runs and is_silent and state.now > find_lapse(executor):
             lapse_runs(state, executor, "lease ended")
         if not executor.is_holding and state.now >= executor.hold_at:
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -43,9 +43,10 @@
 def find_lapse(executor: ExecutorState) -> float:
     """Return when, on our clock, the latest lease has surely ended on the executor's clock."""
     if executor.clock_ms is None:
-        return 0.0
+        return executor.lapse_floor
     left_s = (executor.lease_until_ms - executor.clock_ms) / 1000
-    return executor.clock_at + left_s / (1 - CLOCK_SLOWNESS) + LAPSE_MARGIN_S
+    lapse_at = executor.clock_at + left_s / (1 - CLOCK_SLOWNESS) + LAPSE_MARGIN_S
+    return max(lapse_at, executor.lapse_floor)
 
 
 def start_run(
@@ -116,9 +117,14 @@
 
 
 def send_hold(state: SchedulerState, executor: ExecutorState, wait_s: float) -> None:
-    """Renew the lease and read what runs and what ended."""
+    """Read what runs and what ended, and renew the lease.
+
+    A silent executor's lease is left to end: a hold that arrives without an answer would put off
+    the time from which its tasks may run elsewhere.
+    """
     executor.is_holding = True
-    until = extend_lease(state, executor) if executor.runs else None
+    is_renewed = bool(executor.runs) and executor.silent_since is None
+    until = extend_lease(state, executor) if is_renewed else None
     state.effects.append(
         HoldExecutor(executor.id, executor.entry.address, until, executor.last_seen, wait_s)
     )
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -76,6 +76,7 @@
     )
     if event.outcome == UNKNOWN:
         run.is_uncertain = True
+        executor.doubtful[(event.task, event.run)] = event.sent_at
         stop_run(state, run)
         stop_gang(state, run)
         return
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -44,9 +44,14 @@
     Example: `effects = scheduler.apply(JobAccepted(job), now)`, then `scheduler.place(now)`.
     """
 
-    def __init__(self, term: int, lease_s: float, wall_offset_s: float) -> None:
-        """Start empty in a term of ownership; runs get leases of `lease_s`."""
-        self.state = SchedulerState(term, lease_s, wall_offset_s)
+    def __init__(
+        self, term: int, lease_s: float, lease_limit_s: float, wall_offset_s: float
+    ) -> None:
+        """Start empty in a term of ownership.
+
+        Runs get leases of `lease_s`; no executor grants one above `lease_limit_s`.
+        """
+        self.state = SchedulerState(term, lease_s, lease_limit_s, wall_offset_s)
         self._taken: Changes | None = None
         self._stored_phases: dict[str, str] = {}
 
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -206,6 +206,7 @@
         "born_ms",
         "clock_at",
         "clock_ms",
+        "doubtful",
         "entry",
         "failures",
         "hold_at",
@@ -214,6 +215,7 @@
         "is_listed",
         "is_stored",
         "last_seen",
+        "lapse_floor",
         "lapsed",
         "lease_until_ms",
         "must_answer",
@@ -236,14 +238,16 @@
         self.is_stored = False
         self.unlisted_at = 0.0
         self.must_answer = False
-        self.lapsed: set[tuple[str, int]] = set()
         self.runs: dict[tuple[str, int], Run] = {}
+        self.used = Resources()
+        self.lapse_floor = 0.0
+        self.doubtful: dict[tuple[str, int], float] = {}
         self.rest_s = 0.0
         self.slowness = 1.0
         self.reset(entry.born_ms)
 
     def reset(self, born_ms: int) -> None:
-        """Forget an earlier life; its runs have to be released first."""
+        """Forget an earlier life, but not the runs that are counted."""
         self.born_ms = born_ms
         self.is_fenced = False
         self.is_holding = False
@@ -258,9 +262,7 @@
         self.failures: set[str] = set()
         self.resting_until = 0.0
         self.silent_since: float | None = None
-        self.runs = {}
-        self.lapsed = set()
-        self.used = Resources()
+        self.lapsed: set[tuple[str, int]] = set()
 
     @property
     def id(self) -> str:
@@ -294,6 +296,7 @@
         "is_given_up",
         "is_roster_dirty",
         "jobs",
+        "lease_limit_s",
         "lease_s",
         "now",
         "open_steps",
@@ -303,10 +306,13 @@
         "wall_offset_s",
     )
 
-    def __init__(self, term: int, lease_s: float, wall_offset_s: float) -> None:
+    def __init__(
+        self, term: int, lease_s: float, lease_limit_s: float, wall_offset_s: float
+    ) -> None:
         """Start empty; the offset turns the loop's time into Unix time."""
         self.term = term
         self.lease_s = lease_s
+        self.lease_limit_s = lease_limit_s
         self.wall_offset_s = wall_offset_s
         self.config = CellConfig(0, ())
         self.executors: dict[str, ExecutorState] = {}
