Keep steps that wait for nothing but advice from blocking their queue

Ruled out: recovery (accounted within 4 s), lost announcements (all taken). Also: a daemon that the store does not answer refuses jobs at once, and other daemons are asked first.

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -91,6 +91,49 @@
         assert {start.executor for start in bench.place()} == {"x0", "x2"}
 
 
+class TestSpreadWork:
+    """Steps that wait for nothing but their spreading limit hold no place for advice."""
+
+    def test_narrow_steps_do_not_block_others(self) -> None:
+        """Hunt of crisalis-gale, trouble-1: wide steps, one task an executor, few good ones."""
+        bench = Bench(executors=4, cpu=60_000)
+        for number in range(60):
+            bench.submit(f"{number:016x}", "advised", make_step(9, cpu=10, max_per_executor=1))
+        for _ in range(40):
+            bench.place_and_confirm()
+            for ask in bench.take(AskAdvice):
+                bench.advise(ask, ["e0"])
+        bench.submit("f" * 16, "advised", make_step(1))
+        bench.place()
+        assert "f" * 16 + ".0.0" in {ask.step for ask in bench.take(AskAdvice)}
+
+
+class TestHopelessWork:
+    """Work that no executor could hold neither blocks the queue nor keeps room free."""
+
+    def test_gangs_without_enough_good_executors_do_not_block_others(self) -> None:
+        """Hunt of crisalis-gale, trouble-1: four such gangs held all places for advice."""
+        bench = Bench(executors=3, cpu=4_000)
+        for number in range(60):
+            bench.submit(f"{number:016x}", "advised", make_step(3, cpu=3_000, is_gang=True))
+        for _ in range(40):
+            bench.place()
+            for ask in bench.take(AskAdvice):
+                bench.advise(ask, ["e0", "e1"])
+        bench.submit("f" * 16, "advised", make_step(2, cpu=3_000, is_gang=True))
+        bench.place()
+        (ask,) = bench.take(AskAdvice)
+        assert ask.step == "f" * 16 + ".0.0"
+        bench.advise(ask, ["e0", "e1"])
+        assert len(bench.place()) == 2
+
+    def test_gang_that_is_too_large_keeps_no_room(self) -> None:
+        bench = Bench(executors=2, cpu=2_000)
+        bench.submit("a" * 16, "gangs", make_step(3, cpu=2_000, is_gang=True))
+        bench.submit("b" * 16, "batch", make_step(2, cpu=2_000))
+        assert len(bench.place()) == 2
+
+
 class TestRules:
     """Labels, racks, spreading and leaving executors are honoured."""
 
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -12,6 +12,7 @@
 from wasabiramp.entry.answers import NOT_READY, Answer
 from wasabiramp.entry.desk import Desk
 from wasabiramp.entry.follow import Follower
+from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.membership import Membership, Tenure
 from wasabiramp.entry.owner import Owner
 from wasabiramp.entry.peers import (
@@ -72,7 +73,7 @@
         """Prepare; nothing is opened before `async_start`."""
         self.settings = settings
         self.metrics = Metrics()
-        self._store = store
+        self._store = store = MonitoredStore(store)
         self._executors = executors
         self._adviser = adviser
         self._codec = codec
--- a/wasabiramp/entry/desk.py
+++ b/wasabiramp/entry/desk.py
@@ -18,6 +18,7 @@
     SHOWN,
     Answer,
 )
+from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.keys import key_job, key_progress
 from wasabiramp.entry.membership import Membership
 from wasabiramp.entry.owner import Owner
@@ -37,7 +38,6 @@
 )
 from wasabiramp.entry.ports import (
     NoAnswerError,
-    Store,
     StoreRefusedError,
     StoreUnknownError,
 )
@@ -85,7 +85,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: MonitoredStore,
         membership: Membership,
         peers: Peers,
         find_owner: Callable[[], Owner | None],
@@ -117,6 +117,8 @@
                 log_event("job_stored", job=job.id, queue=job.queue.name, how=outcome, s=took_s)
                 return Answer(ACCEPTED)
             may_be_stored = may_be_stored or outcome == stored.UNKNOWN
+            if self._store.is_away() and not may_be_stored:
+                break
             if loop.time() + RETRY_S >= give_up_at:
                 break
             await asyncio.sleep(RETRY_S)
@@ -126,15 +128,17 @@
 
     async def _async_store(self, job: JobDefinition, time_left_s: float) -> str:
         """Store a job here, or through another daemon where the store turns this one away."""
-        try:
-            async with asyncio.timeout(max(0.05, time_left_s)):
-                outcome, revision = await self.admission.async_store(job)
-        except TimeoutError:
-            return stored.UNKNOWN
-        if outcome == stored.STORED:
-            self._announce(job, revision)
-        if outcome in (stored.STORED, stored.REPEATED):
-            return outcome
+        outcome = stored.REFUSED
+        if not self._store.is_away():
+            try:
+                async with asyncio.timeout(max(0.05, time_left_s)):
+                    outcome, revision = await self.admission.async_store(job)
+            except TimeoutError:
+                return stored.UNKNOWN
+            if outcome == stored.STORED:
+                self._announce(job, revision)
+            if outcome in (stored.STORED, stored.REPEATED):
+                return outcome
         message = StoreJobs([encode_definition(job)])
         for address in self._list_peers()[:PEERS_TRIED]:
             try:
@@ -230,6 +234,8 @@
     async def _async_store_for_peer(self, message: StoreJobs) -> PeerAnswer:
         """Store jobs of a daemon that the store turns away."""
         outcome = stored.REFUSED
+        if self._store.is_away():
+            return PeerAnswer(OK, outcome)
         for data in message.definitions:
             job = decode_definition(data)
             outcome, revision = await self.admission.async_store(job)
--- /dev/null
+++ b/wasabiramp/entry/health.py
@@ -0,0 +1,96 @@
+"""Whether the store answers this daemon, from the outcomes of all its calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Final, TypeVar
+
+from wasabiramp.entry.ports import (
+    Change,
+    Item,
+    Store,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.logs import log_event
+
+T = TypeVar("T")
+
+SILENCE_S: Final = 0.8
+"""Without a good answer for this long after a failure the store counts as away: two renewals."""
+
+
+class MonitoredStore:
+    """A store that remembers when it last answered."""
+
+    def __init__(self, store: Store) -> None:
+        """Pass all calls on to a store."""
+        self._store = store
+        self._answered_at = 0.0
+        self._failed_at: float | None = None
+        self._is_away = False
+
+    def is_away(self) -> bool:
+        """Tell whether calls fail, and none was answered for a while."""
+        if self._failed_at is None:
+            return False
+        is_away = asyncio.get_running_loop().time() - self._answered_at > SILENCE_S
+        if is_away and not self._is_away:
+            log_event("store_away", answered_s_ago=self._find_silence())
+        self._is_away = is_away
+        return is_away
+
+    def _find_silence(self) -> float:
+        """Return the time since the last good answer in seconds."""
+        return round(asyncio.get_running_loop().time() - self._answered_at, 3)
+
+    async def _async_watch_call(self, call: Awaitable[T]) -> T:
+        """Carry out a call and note whether the store answered."""
+        try:
+            result = await call
+        except (StoreRefusedError, StoreUnknownError):
+            self._failed_at = asyncio.get_running_loop().time()
+            raise
+        except Exception:
+            self._note_answer()
+            raise
+        self._note_answer()
+        return result
+
+    def _note_answer(self) -> None:
+        """Note an answer, whatever it says."""
+        if self._is_away:
+            log_event("store_back", silent_s=self._find_silence())
+        self._is_away = False
+        self._failed_at = None
+        self._answered_at = asyncio.get_running_loop().time()
+
+    async def async_get(self, key: str) -> Item | None:
+        """Return an item, or None."""
+        return await self._async_watch_call(self._store.async_get(key))
+
+    async def async_list(self, prefix: str) -> tuple[list[Item], int]:
+        """Return all items under a prefix."""
+        return await self._async_watch_call(self._store.async_list(prefix))
+
+    async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
+        """Wait for changes."""
+        return await self._async_watch_call(self._store.async_watch(prefix, after, wait_s))
+
+    async def async_commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction."""
+        return await self._async_watch_call(self._store.async_commit(transaction))
+
+    async def async_grant(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        return await self._async_watch_call(self._store.async_grant(ttl_s))
+
+    async def async_renew(self, lease: int) -> None:
+        """Renew a lease."""
+        await self._async_watch_call(self._store.async_renew(lease))
+
+    async def async_end(self, lease: int) -> None:
+        """End a lease."""
+        await self._async_watch_call(self._store.async_end(lease))
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -180,15 +180,15 @@
                     await self._async_join()
                     self._claim_soon()
                 else:
-                    await asyncio.wait_for(self._store.async_renew(self._lease), LEASE_TTL_S / 2)
+                    await self._store.async_renew(self._lease)
                 self._claim_soon()
                 self.renewed_at = started_at
             except LeaseEndedError:
                 log_event("lease_ended", lease=self._lease)
                 self._lease = 0
                 continue
-            except (StoreRefusedError, StoreUnknownError, TimeoutError) as err:
-                log_event("renewal_failed", error=err or type(err).__name__)
+            except (StoreRefusedError, StoreUnknownError) as err:
+                log_event("renewal_failed", error=err)
             await asyncio.sleep(max(0.05, started_at + RENEW_S - loop.time()))
 
     async def _async_join(self) -> None:
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -66,6 +66,7 @@
     ExecutorReport,
     JobDefinition,
 )
+from wasabiramp.scheduling.placement import summarize_queues
 from wasabiramp.scheduling.records import (
     decode_definition,
     decode_progress,
@@ -103,6 +104,9 @@
 OLDEST_JOB_S: Final = 3600.0
 """Ages above this make no difference to the order, and may come from a clock that is wrong."""
 
+SUMMARY_S: Final = 5.0
+"""Interval of the log lines that show what waits in each queue."""
+
 PAUSED_S: Final = 0.8
 """A loop that stood still for this long asks the store before it orders anything."""
 
@@ -150,6 +154,7 @@
         self._is_placing = True
         self._last_tick = self._loop.time()
         self.is_recovered = False
+        self._summary_at = 0.0
         self._rescan_at = self._loop.time() + RESCAN_S
 
     def start(self, config: CellConfig) -> None:
@@ -371,6 +376,10 @@
             if self._last_tick >= self._rescan_at:
                 self._rescan_at = self._last_tick + RESCAN_S
                 self._spawn(self._async_rescan())
+            if self._last_tick >= self._summary_at:
+                self._summary_at = self._last_tick + SUMMARY_S
+                for row in summarize_queues(self.scheduler.state):
+                    log_event("queue_state", **row)
             await asyncio.sleep(TICK_S)
 
     async def _async_check_tenure(self) -> None:
--- a/wasabiramp/logs.py
+++ b/wasabiramp/logs.py
@@ -51,6 +51,9 @@
     def flush(self) -> None:
         """Do nothing: each line is written at once."""
 
+    def close(self) -> None:
+        """Do nothing: the descriptor belongs to the process."""
+
 
 class PairFormatter(standard_logging.Formatter):
     """Puts the time and the level in front of the pairs."""
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -35,7 +35,7 @@
 """One waits in a hold; the others carry orders side by side."""
 
 CONNECT_S: Final = 0.5
-STORE_CALL_S: Final = 1.0
+STORE_CALL_S: Final = 0.7
 ORDER_S: Final = 0.6
 HOLD_SLACK_S: Final = 0.7
 WATCH_SLACK_S: Final = 0.7
--- a/wasabiramp/scheduling/advice.py
+++ b/wasabiramp/scheduling/advice.py
@@ -46,10 +46,13 @@
     policy: AdvicePolicy,
     candidates: list[ExecutorState],
     waiting: int,
-) -> None:
-    """Ask about executors that are not known, or whose tickets expire during a new decision."""
+) -> bool:
+    """Ask about executors that are not known, or whose tickets expire during a new decision.
+
+    Return whether a question was asked.
+    """
     if step.is_asking or state.now < step.ask_at:
-        return
+        return False
     horizon = state.now + policy.decide_s + TICKET_MARGIN_S
     fresh, known_good, unknown = 0, [], []
     for executor in candidates:
@@ -65,11 +68,12 @@
     known = len(step.verdicts)
     unknown = unknown[: max(0, wanted - known)] if known else unknown[:wanted]
     if not unknown and (fresh or not known_good):
-        return
+        return False
     asked = (known_good + unknown)[:ASKED_MOST]
     step.is_asking = True
     cost_s = policy.decide_s + policy.each_s * len(asked)
     state.effects.append(AskAdvice(step.name, [executor.id for executor in asked], cost_s))
+    return True
 
 
 @handles(AdviceAnswered)
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Final
+from typing import Any, Final
 
 from wasabiramp.scheduling.advice import has_ticket, limit_waiting, plan_question
 from wasabiramp.scheduling.executors import is_usable
@@ -16,6 +16,9 @@
 BALANCE_WEIGHT: Final = 0.5
 """Weights of a slower executor, a rack away from the data, and uneven use, against tight fit."""
 
+QUESTIONS_AT_ONCE: Final = 12
+"""Questions of one queue that may be open: a few for each daemon that can ask."""
+
 RESERVED_STEPS: Final = 2
 """Gangs for which room is kept free from less urgent work at one time."""
 
@@ -48,17 +51,26 @@
     if not ready:
         return
     rooms = Rooms(state)
+    present = [e for e in state.executors.values() if e.is_listed and not e.entry.is_draining]
     supplied: Counter[str] = Counter()
+    asking = Counter(queue.name for queue, step in ready if step.is_asking)
     reserved: dict[str, int] = {}
     gangs_kept = 0
     for queue, step in ready:
         candidates = [e for e in rooms.usable if _may_run(queue, step, e)]
+        if not _could_run(queue, step, present):
+            continue
         allowed = candidates
         if queue.advice is not None:
-            waiting = len(step.find_waiting())
-            supplied[queue.name] += 1
-            if supplied[queue.name] <= limit_waiting(queue.advice, len(candidates)):
-                plan_question(state, step, queue.advice, candidates, waiting)
+            open_places = [e for e in candidates if _is_below_limit(step, e)]
+            is_first = supplied[queue.name] < limit_waiting(queue.advice, len(candidates))
+            if open_places and (is_first or _fits_now(step, open_places, rooms)):
+                supplied[queue.name] += is_first
+                waiting = len(step.find_waiting())
+                if asking[queue.name] < QUESTIONS_AT_ONCE:
+                    asking[queue.name] += plan_question(
+                        state, step, queue.advice, open_places, waiting
+                    )
             allowed = [e for e in candidates if has_ticket(state, step, e)]
         open_to = [e for e in allowed if reserved.get(e.id, 99) >= queue.priority]
         if not step.spec.is_gang:
@@ -94,6 +106,39 @@
     return not step.spec.label or step.spec.label in entry.labels
 
 
+def _could_run(queue: Queue, step: StepRun, present: list[ExecutorState]) -> bool:
+    """Tell whether the step would fit on empty executors, as far as advice is known.
+
+    A step for which that is not so neither holds a place in the order nor room for itself.
+    """
+    wanted = step.spec.count if step.spec.is_gang else 1
+    members = 0
+    for executor in present:
+        verdict = step.verdicts.get((executor.id, executor.born_ms), True)
+        if not verdict or not _may_run(queue, step, executor):
+            continue
+        fitting = _count_members(step.spec.demand, executor.entry.capacity)
+        members += min(fitting, step.spec.max_per_executor or fitting)
+        if members >= wanted:
+            return True
+    return False
+
+
+def _is_below_limit(step: StepRun, executor: ExecutorState) -> bool:
+    """Tell whether the spreading limit leaves a place on an executor that may be good."""
+    if not step.verdicts.get((executor.id, executor.born_ms), True):
+        return False
+    limit = step.spec.max_per_executor
+    return not limit or sum(run.executor == executor.id for run in step.iter_runs()) < limit
+
+
+def _fits_now(step: StepRun, places: list[ExecutorState], rooms: Rooms) -> bool:
+    """Tell whether the step could start now if all these executors were good."""
+    if step.spec.is_gang:
+        return _choose_gang(step, places, rooms) is not None
+    return any(step.spec.demand.fits(rooms.left[executor.id]) for executor in places)
+
+
 def _score(step: StepRun, executor: ExecutorState, left: Resources) -> float:
     """Return how badly a task fits; the lowest is best."""
     capacity = executor.entry.capacity
@@ -218,3 +263,35 @@
         if need > 0
     ]
     return max(0, min(counts, default=1_000))
+
+
+def summarize_queues(state: SchedulerState) -> list[dict[str, object]]:
+    """Return a row for each queue with open steps: what waits, and why it may."""
+    rows: dict[str, dict[str, Any]] = {}
+    usable = [executor for executor in state.executors.values() if is_usable(state, executor)]
+    for step in state.open_steps.values():
+        name = step.job.definition.queue.name
+        row = rows.setdefault(
+            name,
+            {
+                "queue": name,
+                "open_steps": 0,
+                "waiting_tasks": 0,
+                "running_tasks": 0,
+                "asking": 0,
+                "with_ticket": 0,
+                "not_ready": 0,
+                "unaccounted": 0,
+                "oldest": "",
+                "usable": len(usable),
+            },
+        )
+        row["open_steps"] += 1
+        row["waiting_tasks"] += len(step.find_waiting())
+        row["running_tasks"] += sum(len(task.runs) for task in step.tasks)
+        row["asking"] += step.is_asking
+        row["with_ticket"] += any(has_ticket(state, step, executor) for executor in usable)
+        row["not_ready"] += not step.job.are_ready(step)
+        row["unaccounted"] += not step.job.is_accounted
+        row["oldest"] = row["oldest"] or step.name
+    return list(rows.values())
