Add a soak of real processes, and move the clients of our stand-ins out of platform/

platform/ now holds only what knows the users' words. stand_ins/platform.py serves the model's store, adviser and executors over HTTP, so that processes meet the same judge as daemons on the virtual clock.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,146 @@
+"""Callers of the soak: they keep a connection to one daemon until it is gone."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+import time
+from typing import Any, Final
+
+import aiohttp
+import orjson
+
+from soak.cell import Cell, DaemonProcess, make_routes
+from wasabiramp.model.entry.judge import JobRecord, Judge
+from wasabiramp.platform.wire import decode_config, decode_job
+from wasabiramp.scheduling.model import FINAL_PHASES
+
+HEADERS: Final = {"Host": "soak.example", "Content-Type": "application/json"}
+CALL_S: Final = 3.0
+TRIES: Final = 6
+
+
+def draw_body(random: Random) -> tuple[str, dict[str, Any]]:
+    """Draw the prefix of a queue and the body of a job."""
+    kind = random.choice(("q", "q", "g", "b"))
+    step = {
+        "cpu": random.randrange(300, 2_500),
+        "memMb": random.randrange(100, 2_000),
+        "estimateMs": random.randrange(100, 1_500),
+        "count": random.randrange(1, 5),
+    }
+    if kind == "g":
+        step = {**step, "gang": True, "count": random.randrange(2, 5)}
+    steps = [step]
+    if kind == "b":
+        steps.append({**step, "after": [0], "antiAffinity": 2})
+    return f"/{kind}/", {"spec": f"spec {random.random()}", "steps": steps}
+
+
+class Caller:
+    """One caller with a connection of its own."""
+
+    def __init__(self, cell: Cell, judge: Judge, random: Random) -> None:
+        """Choose a daemon when the first call is made."""
+        self._cell = cell
+        self._judge = judge
+        self._random = random
+        self._daemon: DaemonProcess | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._config = decode_config(orjson.dumps({"version": 1, "routes": make_routes()}))
+
+    async def async_close(self) -> None:
+        """Close the connection."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def async_call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Return the status and the body, or status 0 where no answer came."""
+        if self._session is None or self._daemon is None:
+            self._daemon = self._random.choice(self._cell.daemons)
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
+            )
+        url = f"http://127.0.0.1:{self._daemon.caller}{path}"
+        data = orjson.dumps(body) if body is not None else None
+        timeout = aiohttp.ClientTimeout(total=CALL_S)
+        try:
+            async with self._session.request(
+                method, url, data=data, headers=HEADERS, timeout=timeout
+            ) as answer:
+                raw = await answer.read()
+                return answer.status, orjson.loads(raw) if raw else {}
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            await self.async_close()
+            return 0, {}
+
+    async def async_work(self, number: int) -> None:
+        """Hand in a job, look at it, and perhaps cancel it."""
+        prefix, body = draw_body(self._random)
+        job_id = f"{number:016x}"
+        queue = next(q for q in self._config.queues if q.prefix == prefix)
+        definition = decode_job(orjson.dumps(body), job_id, queue, int(time.time() * 1000))
+        record = self._judge.jobs.setdefault(job_id, JobRecord(definition))
+        if not await self._async_submit(prefix + job_id, record, body):
+            return
+        for _ in range(3):
+            await asyncio.sleep(self._random.uniform(0.05, 1.5))
+            await self.async_show(prefix, job_id)
+        if self._random.random() < 0.15:
+            await self._async_cancel(prefix + job_id, record)
+
+    async def _async_submit(self, path: str, record: JobRecord, body: Any) -> bool:
+        """Hand a job in until it is accepted, or a few times."""
+        loop = asyncio.get_running_loop()
+        for _ in range(TRIES):
+            record.attempts += 1
+            status, _raw = await self.async_call("POST", path, body)
+            if status == 200:
+                record.accepted_at = loop.time()
+                return True
+            record.refusals += status in (429, 503)
+            if status not in (0, 429, 503, 504):
+                self._judge.report(f"STATUS {path}: {status} for a job that is sound")
+                return False
+            await asyncio.sleep(0.5)
+        return False
+
+    async def _async_cancel(self, path: str, record: JobRecord) -> None:
+        """Cancel a job until that is acknowledged."""
+        loop = asyncio.get_running_loop()
+        record.cancel_asked_at = loop.time()
+        for _ in range(TRIES):
+            status, _raw = await self.async_call("DELETE", path)
+            if status in (200, 410):
+                record.cancel_acked_at = loop.time()
+                return
+            await asyncio.sleep(0.3)
+
+    async def async_show(self, prefix: str, job_id: str) -> str:
+        """Ask for an accepted job's phase once; empty where none was shown."""
+        now = asyncio.get_running_loop().time
+        status, raw = await self.async_call("GET", prefix + job_id)
+        if status == 410:
+            self._judge.report(f"LOST at {now():.3f} {job_id}: answered as unknown")
+        if status != 200:
+            return ""
+        self._judge.check_shown(now(), job_id, raw["state"])
+        return str(raw["state"])
+
+
+async def async_finish(cell: Cell, judge: Judge, random: Random, limit_s: float) -> None:
+    """Wait until all accepted jobs are over; what is not by then is lost."""
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + limit_s
+    caller = Caller(cell, judge, random)
+    prefixes = {job_id: r.definition.queue.prefix for job_id, r in judge.jobs.items()}
+    waiting = {job_id for job_id, r in judge.jobs.items() if r.accepted_at is not None}
+    while waiting and loop.time() < give_up_at:
+        for job_id in sorted(waiting):
+            if await caller.async_show(prefixes[job_id], job_id) in FINAL_PHASES:
+                waiting.discard(job_id)
+        await asyncio.sleep(0.3)
+    await caller.async_close()
+    for job_id in sorted(waiting):
+        judge.report(f"LOST {job_id}: not over {limit_s:.0f} s after the last fault")
--- /dev/null
+++ b/soak/cell.py
@@ -0,0 +1,139 @@
+"""A cell of real daemon processes on loopback, each with its own path to the store."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from typing import Any, Final
+
+from soak.proxy import Proxy
+from stand_ins.platform import SERVICE, PlatformStandIn
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+READY_S: Final = 20.0
+STOP_S: Final = 8.0
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports of loopback."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class DaemonProcess:
+    """One daemon: its settings, its process, and its proxy to the store."""
+
+    def __init__(self, name: str, platform: PlatformStandIn, folder: Path) -> None:
+        """Choose the ports; nothing is started."""
+        self.name = name
+        self.proxy = Proxy(platform.store_address)
+        self._platform = platform
+        self._folder = folder
+        self.caller, self.ready, self.peer, self.metrics = find_ports(4)
+        self.process: subprocess.Popen[bytes] | None = None
+        self.log = folder / f"{name}.log"
+
+    def write_settings(self) -> Path:
+        """Write the settings file as the platform lays it."""
+        path = self._folder / f"{self.name}.toml"
+        path.write_text(f"""nodeName = "{self.name}"
+ip = "127.0.0.1"
+zone = "z"
+portRange = [{self.peer},{self.metrics}]
+advice = "{self._platform.adviser_address}"
+[listenAddrs]
+front = "127.0.0.1:{self.caller}"
+ready = "127.0.0.1:{self.ready}"
+[bounds]
+holdMaxMs = 6000
+[platform]
+address = "{self.proxy.address}"
+""")
+        return path
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, "WASABIRAMP_NODE_FILE": str(self.write_settings())}
+        with self.log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "wasabiramp.platform.entry"],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Signal this process, by its id, if it is still there."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def async_wait_end(self) -> int | None:
+        """Wait until the process is gone, or the time is over."""
+        for _ in range(int(STOP_S / 0.05)):
+            if self.process is None or self.process.poll() is not None:
+                return self.process.returncode if self.process is not None else None
+            await asyncio.sleep(0.05)
+        return None
+
+    async def async_kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        await self.async_wait_end()
+
+
+class Cell:
+    """A platform's stand-in and its daemons."""
+
+    def __init__(self, seed: int, daemons: int, executors: int) -> None:
+        """Prepare a cell of a size."""
+        self._counts = (daemons, executors)
+        self.seed = seed
+        self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        self.daemons: list[DaemonProcess] = []
+        self.platform: Any = None
+
+    async def async_start(self) -> None:
+        """Start all and wait until a daemon is ready."""
+        daemons, executors = self._counts
+        self.platform = PlatformStandIn(self.seed)
+        await self.platform.async_start(executors)
+        self.platform.write_config(1, make_routes())
+        for number in range(daemons):
+            daemon = DaemonProcess(f"entry-{number}", self.platform, self.folder)
+            await daemon.proxy.async_start()
+            daemon.start()
+            self.daemons.append(daemon)
+
+    async def async_stop(self) -> None:
+        """End all daemons that this cell started."""
+        for daemon in self.daemons:
+            daemon.send(signal.SIGCONT)
+            await daemon.async_kill()
+            await daemon.proxy.async_stop()
+        await self.platform.async_stop()
+
+
+def make_routes() -> list[dict[str, Any]]:
+    """Return the queues of the soak, as the operator writes them."""
+    shared = {"host": "soak.example", "service": SERVICE, "timeoutMs": 3000}
+    advice = {"decideMs": 20, "eachMs": 1, "validMs": 2500}
+    urgent = {"name": "quotes", "prefix": "/q/", "priority": 0, "maxAttempts": 3}
+    gangs = {"name": "gangs", "prefix": "/g/", "priority": 1, "maxAttempts": 4}
+    batch = {"name": "batch", "prefix": "/b/", "priority": 2, "maxAttempts": 4}
+    return [
+        {**shared, **urgent, "stretch": 1.5, "targetLatencyMs": 250, "advice": advice},
+        {**shared, **gangs, "stretch": 2.2, "targetLatencyMs": 1000, "advice": advice},
+        {**shared, **batch, "stretch": 4.0, "targetLatencyMs": 3000},
+    ]
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,86 @@
+"""A loopback proxy for one path: it delays, resets, silences or cuts one way."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Final
+
+OPEN: Final = "open"
+SILENT: Final = "silent"
+REFUSED: Final = "refused"
+ONE_WAY: Final = "one-way"
+BLOCK: Final = 65_536
+
+
+class Proxy:
+    """Passes connections on to a target, as its mode says."""
+
+    def __init__(self, target: str) -> None:
+        """Prepare a path to an address."""
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.mode = OPEN
+        self.delay_s = 0.0
+        self.address = ""
+
+    async def async_start(self) -> None:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def async_stop(self) -> None:
+        """Stop listening, and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def reset_all(self) -> None:
+        """Break all open connections."""
+        for writer in list(self._writers):
+            with contextlib.suppress(RuntimeError):
+                writer.transport.abort()
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connect the two sides."""
+        if self.mode == REFUSED:
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        loop = asyncio.get_running_loop()
+        for source, sink, is_answer in (
+            (reader, far_writer, False),
+            (far_reader, writer, True),
+        ):
+            task = loop.create_task(self._async_pump(source, sink, is_answer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _async_pump(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, is_answer: bool
+    ) -> None:
+        """Pass bytes on in one direction."""
+        with contextlib.suppress(OSError):
+            while data := await source.read(BLOCK):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                # What a silent path swallows is lost for good, as behind a partition.
+                if self.mode == SILENT or (self.mode == ONE_WAY and is_answer):
+                    continue
+                sink.write(data)
+                await sink.drain()
+        self._writers.discard(sink)
+        with contextlib.suppress(RuntimeError):
+            sink.close()
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,80 @@
+"""The soak's command: `python -m soak.run --first 1 --count 50`."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Annotated, Final
+
+import typer
+
+from soak.callers import Caller, async_finish
+from soak.cell import Cell
+from soak.faults import FAULTS
+
+REGRESSION: Final[dict[int, str]] = {}
+"""Seeds that ever failed, each with its cause."""
+
+FAULTS_A_RUN: Final = 5
+JOBS_A_SECOND: Final = 6
+CALLERS: Final = 8
+FINISH_S: Final = 45.0
+WARM_UP_S: Final = 3.0
+
+
+async def async_soak(seed: int, seconds: float, daemons: int, executors: int) -> Cell:
+    """Run one seed to its end and return the cell with the judge's findings."""
+    random = Random(seed)
+    cell = Cell(seed, daemons, executors)
+    await cell.async_start()
+    try:
+        await asyncio.sleep(WARM_UP_S)
+        cell.platform.executors.failure_share = 0.03
+        callers = [Caller(cell, cell.platform.judge, random) for _ in range(CALLERS)]
+        names = sorted(FAULTS)
+        work = [
+            _async_later(random.uniform(0, seconds), callers[n % CALLERS].async_work(n))
+            for n in range(int(seconds * JOBS_A_SECOND))
+        ]
+        faults = [
+            _async_later(random.uniform(0, seconds), FAULTS[random.choice(names)](cell, random))
+            for _ in range(FAULTS_A_RUN)
+        ]
+        await asyncio.gather(*work, *faults)
+        await async_finish(cell, cell.platform.judge, random, FINISH_S)
+        for caller in callers:
+            await caller.async_close()
+    finally:
+        await cell.async_stop()
+    return cell
+
+
+async def _async_later(delay_s: float, work: object) -> None:
+    """Run work after a delay."""
+    await asyncio.sleep(delay_s)
+    await work  # type: ignore[misc]
+
+
+def main(
+    first: Annotated[int, typer.Option(help="First seed.")] = 1,
+    count: Annotated[int, typer.Option(help="Number of seeds.")] = 3,
+    seconds: Annotated[float, typer.Option(help="Seconds of traffic and faults a seed.")] = 15.0,
+    daemons: Annotated[int, typer.Option(help="Daemon processes.")] = 4,
+    executors: Annotated[int, typer.Option(help="Executors of the stand-in.")] = 8,
+) -> None:
+    """Run the soak and print what each seed found."""
+    bad = 0
+    for seed in range(first, first + count):
+        cell = asyncio.run(async_soak(seed, seconds, daemons, executors))
+        judge = cell.platform.judge
+        accepted = sum(record.accepted_at is not None for record in judge.jobs.values())
+        bad += bool(judge.breaches)
+        print(f"seed {seed}: {accepted} jobs accepted, {judge.starts} starts, {cell.folder}")
+        for text in judge.breaches[:10]:
+            print(f"  {text}")
+    print(f"{count} seeds, {bad} with findings")
+    raise typer.Exit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/stand_ins/platform.py
@@ -0,0 +1,296 @@
+"""A stand-in of the users' platform over HTTP: its store, adviser and executors, on loopback.
+
+The state behind it is that of the model (`wasabiramp.model.entry`), so that whole processes meet
+the same behaviour, and the same judge, as daemons on the virtual clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Awaitable, Callable
+from random import Random
+import time
+from typing import Any, Final
+
+from aiohttp import web
+import orjson
+
+from wasabiramp.entry.ports import (
+    Change,
+    HistoryLostError,
+    Item,
+    LeaseEndedError,
+    StoreConflictError,
+    Transaction,
+)
+from wasabiramp.model.entry.executors import ModelExecutor, ModelExecutors
+from wasabiramp.model.entry.judge import Judge
+from wasabiramp.model.entry.store import ModelStore
+from wasabiramp.scheduling import events
+from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.model import ExecutorEntry, ExecutorReport, Resources
+
+HOST: Final = "127.0.0.1"
+SERVICE: Final = "service"
+PAGE: Final = 500
+HEARTBEAT_S: Final = 1.5
+UNLISTED_S: Final = 3 * HEARTBEAT_S
+REASONS: Final = {
+    events.REFUSED_FENCE: "fence",
+    events.REFUSED_OLD: "old",
+    events.REFUSED_LATE: "late",
+    events.REFUSED_ROOM: "room",
+}
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def reply(body: Any, status: int = 200) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(body=orjson.dumps(body), status=status, content_type="application/json")
+
+
+class PlatformStandIn:
+    """The platform of one cell.
+
+    Example: `platform = PlatformStandIn(seed=1); await platform.async_start(executors=6)`.
+    """
+
+    def __init__(self, seed: int) -> None:
+        """Prepare; nothing listens before `async_start`."""
+        self.random = Random(seed)
+        # The judge's wall clock shows Unix time when the loop's clock shows zero.
+        self.judge = Judge(time.time() - asyncio.get_running_loop().time())
+        self.store = ModelStore(self.random)
+        self.executors = ModelExecutors(self.random, self.judge)
+        self.executors.on_change = self.list_executor
+        self.store_address = ""
+        self.adviser_address = ""
+        self.good_share = 0.7
+        self._addresses: dict[str, str] = {}
+        self._runners: list[web.ServerRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_start(self, executors: int) -> None:
+        """Listen, and list the executors."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.store.async_run()),
+            loop.create_task(self.executors.async_run()),
+        ]
+        self.store_address = await self._async_listen(self._async_serve_store)
+        self.adviser_address = await self._async_listen(self._async_advise)
+        for number in range(executors):
+            await self.async_add_executor(number)
+
+    async def async_stop(self) -> None:
+        """Stop listening."""
+        for task in self._tasks:
+            task.cancel()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _async_listen(self, handler: Handler) -> str:
+        """Serve at a free port and return the address."""
+        server = web.Server(handler, access_log=None)
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, HOST, 0)
+        await site.start()
+        self._runners.append(runner)
+        return f"{HOST}:{runner.addresses[0][1]}"
+
+    async def async_add_executor(self, number: int) -> ModelExecutor:
+        """Add an executor at a port of its own."""
+        name = f"i-{number}"
+        address = await self._async_listen(lambda request: self._async_serve_order(name, request))
+        self._addresses[name] = address
+        entry = ExecutorEntry(
+            id=name,
+            address=address,
+            service=SERVICE,
+            zone="z",
+            is_draining=False,
+            capacity=Resources(8_000, 8_000, 0),
+            labels=("b" if number % 3 == 0 else "a", f"r{number % 2}"),
+            born_ms=int(time.time() * 1000),
+        )
+        return self.executors.add(entry)
+
+    def list_executor(self, executor: ModelExecutor) -> None:
+        """Write an executor's entry."""
+        entry = executor.entry
+        row = {
+            "service": entry.service,
+            "address": entry.address,
+            "zone": entry.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if entry.is_draining else "ready",
+            "coldLeftMs": 0,
+            "capacity": {"cpu": entry.capacity.cpu, "memMb": entry.capacity.memory_mb, "gpu": 0},
+            "labels": list(entry.labels),
+            "born": entry.born_ms,
+            "seq": 1,
+        }
+        self.store.put(f"servers/{entry.id}", orjson.dumps(row), 0)
+
+    def write_config(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Let the operator write a configuration."""
+        service = {"name": SERVICE, "healthPath": "/healthz", "enforcesCapacity": False}
+        body = {"version": version, "routes": routes, "services": [service], "limits": {}}
+        self.store.put("op/config", orjson.dumps(body), 0)
+
+    async def async_crash_executor(self, executor: ModelExecutor, dark_s: float) -> None:
+        """Let an executor crash and return as a new life under its id."""
+        executor.crash()
+        await asyncio.sleep(dark_s)
+        executor.begin_life(int(time.time() * 1000))
+        self.list_executor(executor)
+
+    async def _async_serve_store(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call to the store."""
+        while self.store.is_down:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(self.store.answer_s)
+        body = await request.read()
+        raw = orjson.loads(body) if body else {}
+        try:
+            return await self._async_carry_out(request, raw)
+        except StoreConflictError as err:
+            return reply({"items": [_make_item(item) for item in err.items.values()]}, 412)
+        except LeaseEndedError:
+            return reply({"error": "no such lease"}, 404)
+        except HistoryLostError:
+            return reply({"error": "history is gone"}, 410)
+
+    async def _async_carry_out(self, request: web.BaseRequest, raw: Any) -> web.Response:
+        """Carry out a call to the store."""
+        store, verb = self.store, request.path.removeprefix("/v1/")
+        verb, _, last = verb.partition("/")
+        query = request.query
+        if verb == "kv-key":
+            item = store.items.get(query["key"])
+            return reply({}, 404) if item is None else reply(_make_item(item))
+        if verb == "kv-range":
+            after = query.get("after", "")
+            keys = sorted(k for k in store.items if k.startswith(query["prefix"]) and k > after)
+            rows = [_make_item(store.items[key]) for key in keys[:PAGE]]
+            return reply({"items": rows, "hasMore": len(keys) > PAGE, "asOf": store.revision})
+        if verb == "kv-watch":
+            wait_s = int(query["waitMs"]) / 1000
+            found, as_of = await store.async_changes(query["prefix"], int(query["after"]), wait_s)
+            return reply({"events": [_make_change(change) for change in found], "asOf": as_of})
+        if verb == "kv-lease":
+            return reply({"lease": store.grant(raw["ttlMs"] / 1000), "ttlMs": raw["ttlMs"]})
+        if verb == "kv-keep":
+            store.renew(int(last))
+            return reply({"ttlMs": 0})
+        if verb == "kv-lease-end":
+            store.end_lease(int(last))
+            return reply({})
+        return await self._async_commit(raw)
+
+    async def _async_commit(self, raw: Any) -> web.Response:
+        """Carry out a transaction; its answer may be lost."""
+        transaction = Transaction(
+            {row["key"]: row["rev"] for row in raw["expectRev"]},
+            {
+                row["key"]: (base64.b64decode(row["value"]), row.get("lease", 0))
+                for row in raw["writes"]
+            },
+            raw["remove"],
+        )
+        is_lost = self.store.loses_answer()
+        if is_lost and self.store.is_late():
+            await asyncio.sleep(self.store.draw_delay())
+        revision = self.store.commit(transaction)
+        if is_lost:
+            await asyncio.sleep(60.0)
+        return reply({"rev": revision})
+
+    async def _async_advise(self, request: web.BaseRequest) -> web.Response:
+        """Answer which executors may run a step."""
+        raw = orjson.loads(await request.read())
+        await asyncio.sleep(0.01 + 0.001 * len(raw["workers"]))
+        step = raw["step"]
+        good = [e for e in raw["workers"] if Random(f"{step}{e}").random() < self.good_share]
+        return reply({"good": [[name, "t"] for name in good], "validMs": 2500})
+
+    async def _async_serve_order(self, name: str, request: web.BaseRequest) -> web.Response:
+        """Answer a call to an executor."""
+        executor = self.executors.by_id[name]
+        raw = orjson.loads(await request.read())
+        await self._async_wait_up(executor)
+        verb, fence = request.path.removeprefix("/v1/"), raw["fencingToken"]
+        if verb == "hold":
+            return await self._async_hold(executor, raw, fence)
+        if self.random.random() < executor.late_share:
+            await asyncio.sleep(self.random.uniform(2.0, 12.0))
+            await self._async_wait_up(executor)
+            self._order(executor, verb, raw, fence, True)
+            await asyncio.sleep(60.0)
+        outcome = self._order(executor, verb, raw, fence, False)
+        if outcome == events.STARTED:
+            return reply({"clockMs": executor.clock_ms})
+        return reply({"clockMs": executor.clock_ms, "reason": REASONS[outcome]}, 409)
+
+    async def _async_wait_up(self, executor: ModelExecutor) -> None:
+        """Leave a call unanswered while the executor is down."""
+        while not executor.is_up:
+            await asyncio.sleep(0.05)
+
+    def _order(
+        self, executor: ModelExecutor, verb: str, raw: Any, fence: int, is_late: bool
+    ) -> str:
+        """Carry out a start or a stop."""
+        name, address = executor.entry.id, executor.entry.address
+        if verb == "run-stop":
+            return executor.stop(StopTask(name, address, raw["task"], raw["run"]), fence)
+        effect = StartTask(
+            name,
+            address,
+            raw["task"],
+            raw["run"],
+            raw["spec"],
+            raw["untilMs"],
+            raw.get("saved", ""),
+            raw.get("ticket", ""),
+        )
+        return executor.start(effect, fence, is_late)
+
+    async def _async_hold(self, executor: ModelExecutor, raw: Any, fence: int) -> web.Response:
+        """Renew a lease and report."""
+        effect = HoldExecutor(
+            executor.entry.id,
+            executor.entry.address,
+            raw.get("untilMs"),
+            raw["lastSeen"],
+            raw.get("waitMs", 0) / 1000,
+        )
+        report = await executor.async_hold(effect, fence)
+        if not isinstance(report, ExecutorReport):
+            return reply({"clockMs": executor.clock_ms, "reason": REASONS[report]}, 409)
+        return reply(
+            {
+                "clockMs": report.clock_ms,
+                "born": report.born_ms,
+                "running": [[r.task, r.run, r.saved, r.percent, 0] for r in report.running],
+                "ended": [[e.number, e.task, e.run, e.how, e.saved] for e in report.ended],
+            }
+        )
+
+
+def _make_item(item: Item) -> dict[str, Any]:
+    """Return an item as the store shows it."""
+    value = base64.b64encode(item.value).decode()
+    row = {"key": item.key, "value": value, "rev": item.revision}
+    return {**row, "created": item.created, "lease": 0}
+
+
+def _make_change(change: Change) -> dict[str, Any]:
+    """Return a change as a watch shows it."""
+    if change.item is None:
+        return {"key": change.key, "rev": change.revision, "removed": True}
+    return _make_item(change.item)
--- a/wasabiramp/platform/store.py
+++ b/wasabiramp/clients/store.py
@@ -6,10 +6,10 @@
 
 import aiohttp
 
+from wasabiramp.clients.http import CallFailedError, CallUnknownError, async_call_json
 from wasabiramp.core.effects import StoreRead, StoreSwap, StoreWatch
 from wasabiramp.core.events import CONFLICT, FAILED, OK, UNKNOWN, StoreAnswer, StoreItem
 from wasabiramp.core.records import DecodeError, decode_json, encode_json
-from wasabiramp.platform.http import CallFailedError, CallUnknownError, async_call_json
 
 TIMEOUT_S: Final = 1.0
 WATCH_GRACE_S: Final = 5.0
--- a/wasabiramp/platform/targets.py
+++ b/wasabiramp/clients/targets.py
@@ -7,6 +7,12 @@
 
 import aiohttp
 
+from wasabiramp.clients.http import (
+    CallFailedError,
+    CallUnknownError,
+    async_call,
+    async_call_json,
+)
 from wasabiramp.core.effects import CallExecutor, ProbeExecutor, SyncWorker, WatchWorker
 from wasabiramp.core.events import (
     FAILED,
@@ -19,12 +25,6 @@
     TaskSeen,
     WorkerReported,
 )
-from wasabiramp.platform.http import (
-    CallFailedError,
-    CallUnknownError,
-    async_call,
-    async_call_json,
-)
 
 PROBE_TIMEOUT_S: Final = 1.0
 SYNC_TIMEOUT_S: Final = 2.0
--- a/wasabiramp/model/carriers.py
+++ b/wasabiramp/model/carriers.py
@@ -6,10 +6,10 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
+from wasabiramp.clients.targets import parse_report
 from wasabiramp.core import effects as fx
 from wasabiramp.core import events as ev
 from wasabiramp.core.records import decode_json, encode_json
-from wasabiramp.platform.targets import parse_report
 
 if TYPE_CHECKING:
     from wasabiramp.model.world import Node, World
--- a/wasabiramp/platform/__init__.py
+++ b/wasabiramp/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""The users' platform: everything that knows its words, paths and fields."""
--- a/wasabiramp/runtime.py
+++ b/wasabiramp/runtime.py
@@ -10,6 +10,9 @@
 
 import aiohttp
 
+from wasabiramp.clients.http import make_session
+from wasabiramp.clients.store import StoreClient
+from wasabiramp.clients.targets import TargetClient
 from wasabiramp.const import TICK_S
 from wasabiramp.core import effects as fx
 from wasabiramp.core.events import PeerLost, PeerReceived, StopRequested, Tick
@@ -18,9 +21,6 @@
 from wasabiramp.logs import log_event, log_failure
 from wasabiramp.metrics import Metrics
 from wasabiramp.peer.streams import PeerLink, PeerServer
-from wasabiramp.platform.http import make_session
-from wasabiramp.platform.store import StoreClient
-from wasabiramp.platform.targets import TargetClient
 from wasabiramp.settings.schema import Settings
 
 STOP_TIMEOUT_S: Final = 2.0
