Replace an owner whose process is gone at once, and ask the platform less often

Change: a refused connection to the owner lets a daemon claim (fencing makes that safe), leases of 1.0 s, commits 50 ms apart, watches of 2 s, a Retry-After that grows with an outage, SIGHUP reads the settings again.

--- a/wasabiramp/cli/main.py
+++ b/wasabiramp/cli/main.py
@@ -14,6 +14,7 @@
 from wasabiramp.daemon import async_run_daemon
 from wasabiramp.logs import set_up_logs
 from wasabiramp.report.commands import report
+from wasabiramp.report.explain import explain
 from wasabiramp.settings.schema import load_settings
 
 EXIT_SETTINGS = 2
@@ -27,6 +28,7 @@
 checks.add_commands(cli)
 cli.add_typer(bench, name="bench")
 cli.add_typer(report, name="report")
+cli.command(name="explain")(explain)
 
 
 @cli.command()
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -39,10 +39,10 @@
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.model import CellConfig, Queue
 
-CONFIG_WATCH_S: Final = 1.0
+CONFIG_WATCH_S: Final = 2.0
 """How long a watch of the configuration waits; a silent connection is noticed soon after."""
 
-CONTACT_S: Final = 2.5
+CONTACT_S: Final = 3.0
 """A daemon that has not reached the store for this long tells the balancer so."""
 
 BIND_RETRY_S: Final = 0.2
--- a/wasabiramp/entry/desk.py
+++ b/wasabiramp/entry/desk.py
@@ -38,6 +38,7 @@
 )
 from wasabiramp.entry.ports import (
     NoAnswerError,
+    PeerGoneError,
     StoreRefusedError,
     StoreUnknownError,
 )
@@ -72,6 +73,9 @@
 RETRY_AFTER_S: Final = 1.0
 """Told to callers who find the store or the owner away: about the time of a takeover."""
 
+RETRY_AFTER_LIMIT_S: Final = 4.0
+"""Longest time told to callers: somewhat below the time of the outages that the users saw."""
+
 ANNOUNCED_AT_ONCE: Final = 50
 ANNOUNCE_S: Final = 30.0
 """Jobs are announced in groups, and for this long: an owner lists the store far more often."""
@@ -124,7 +128,9 @@
             await asyncio.sleep(RETRY_S)
         outcome = MAY_HAVE_RUN if may_be_stored else NOT_RUN
         log_event("job_not_stored", job=job.id, queue=job.queue.name, outcome=outcome)
-        return Answer(outcome, reason="the store does not answer", retry_after_s=RETRY_AFTER_S)
+        # An outage that has lasted for a while is likely to last as long again.
+        retry_after_s = min(RETRY_AFTER_LIMIT_S, max(RETRY_AFTER_S, self._store.find_silence()))
+        return Answer(outcome, reason="the store does not answer", retry_after_s=retry_after_s)
 
     async def _async_store(self, job: JobDefinition, time_left_s: float) -> str:
         """Store a job here, or through another daemon where the store turns this one away."""
@@ -200,6 +206,10 @@
             return PeerAnswer(NOT_OWNER)
         try:
             return await self._peers.async_call(address, message, timeout_s)
+        except PeerGoneError as err:
+            log_event("owner_process_gone", address=address, error=err)
+            self._membership.replace_owner(address)
+            return PeerAnswer(NOT_OWNER)
         except NoAnswerError as err:
             log_event("owner_silent", address=address, error=err)
             return PeerAnswer(NOT_OWNER)
--- a/wasabiramp/entry/health.py
+++ b/wasabiramp/entry/health.py
@@ -38,11 +38,11 @@
             return False
         is_away = asyncio.get_running_loop().time() - self._answered_at > SILENCE_S
         if is_away and not self._is_away:
-            log_event("store_away", answered_s_ago=self._find_silence())
+            log_event("store_away", answered_s_ago=self.find_silence())
         self._is_away = is_away
         return is_away
 
-    def _find_silence(self) -> float:
+    def find_silence(self) -> float:
         """Return the time since the last good answer in seconds."""
         return round(asyncio.get_running_loop().time() - self._answered_at, 3)
 
@@ -62,7 +62,7 @@
     def _note_answer(self) -> None:
         """Note an answer, whatever it says."""
         if self._is_away:
-            log_event("store_back", silent_s=self._find_silence())
+            log_event("store_back", silent_s=self.find_silence())
         self._is_away = False
         self._failed_at = None
         self._answered_at = asyncio.get_running_loop().time()
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -22,11 +22,14 @@
 )
 from wasabiramp.logs import log_event
 
-LEASE_TTL_S: Final = 1.5
-"""A daemon that is silent for this long has left; half the budget of a takeover."""
+LEASE_TTL_S: Final = 1.0
+"""A daemon that is silent for this long has left; the shortest lease that the store grants."""
 
-RENEW_S: Final = 0.4
-"""Three renewals may be lost before the lease ends."""
+RENEW_S: Final = 0.3
+"""Two renewals may be lost before the lease ends."""
+
+REPLACE_PAUSE_S: Final = 3.0
+"""An owner whose process seems gone is replaced at most this often, as paths may be cut."""
 
 CLAIM_STEP_S: Final = 0.03
 """Pause between the claims of one candidate and the next, so that few of them collide."""
@@ -34,7 +37,7 @@
 INCUMBENT_S: Final = 0.3
 """Time that a living owner gets to claim again after its key was taken away."""
 
-WATCH_S: Final = 1.0
+WATCH_S: Final = 2.0
 """How long a watch waits; also bounds how long a silent connection goes unnoticed."""
 
 
@@ -73,6 +76,8 @@
         self._renewing: asyncio.Task[None] | None = None
         self._claiming: asyncio.Task[None] | None = None
         self._open_claim = b""
+        self._replaced = 0
+        self._replaced_at = -REPLACE_PAUSE_S
         self.tenure: Tenure | None = None
         self.renewed_at: float | None = None
         self.addresses: dict[str, str] = {}
@@ -157,6 +162,8 @@
             log_event("owner_gone", last=self.owner_name)
             self._claim_soon()
         elif key == KEY_OWNER and item is not None:
+            if item.revision != self._replaced:
+                self._replaced = 0
             log_event("owner_seen", owner=_read_name(item))
         elif key == KEY_TERM and item is not None:
             self._take_term(item)
@@ -207,10 +214,24 @@
         if self._claiming is None or self._claiming.done():
             self._claiming = asyncio.get_running_loop().create_task(self._async_claim())
 
+    def replace_owner(self, address: str) -> None:
+        """Claim ownership from an owner whose process is gone, before its lease ends.
+
+        Fencing makes this safe also where the owner lives behind a path that is cut.
+        """
+        now = asyncio.get_running_loop().time()
+        item = self._follower.items.get(KEY_OWNER)
+        if item is None or self.owner_address != address:
+            return
+        if now < self._replaced_at + REPLACE_PAUSE_S:
+            return
+        self._replaced, self._replaced_at = item.revision, now
+        self._claim_soon()
+
     def _is_owned(self) -> bool:
         """Tell whether an owner is there; an entry of this daemon's earlier process is none."""
         item = self._follower.items.get(KEY_OWNER)
-        if item is None:
+        if item is None or item.revision == self._replaced:
             return False
         return self.tenure is not None or _read_name(item) != self._settings.name
 
@@ -223,7 +244,8 @@
         members = [key for key in self._follower.items if key.startswith(PREFIX_MEMBER)]
         members.sort(key=lambda key: -self._follower.items[key].created)
         rank = members.index(self._member_key) if self._member_key in members else len(members)
-        return rank * CLAIM_STEP_S + (INCUMBENT_S if last in self.addresses else 0.0)
+        is_alive = last in self.addresses and not self._replaced
+        return rank * CLAIM_STEP_S + (INCUMBENT_S if is_alive else 0.0)
 
     async def _async_claim(self) -> None:
         """Claim the next term, unless an owner is there by then."""
@@ -258,6 +280,7 @@
         """Become the owner, or go on as the owner in a new term."""
         last = self.tenure
         self._open_claim = b""
+        self._replaced = 0
         if last is not None and last.fence == tenure.fence:
             return
         known = self._follower.items.get(KEY_TERM)
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -80,7 +80,7 @@
 PLACE_PAUSE_S: Final = 0.002
 """Events that come together are decided on together."""
 
-COMMIT_PAUSE_S: Final = 0.015
+COMMIT_PAUSE_S: Final = 0.05
 """Least time between two commits: ends that come together cost one call."""
 
 RETRY_S: Final = 0.2
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -12,7 +12,7 @@
 from grpclib.server import Server, Stream
 
 from wasabiramp.core.records import DecodeError, decode_message, encode_message, record
-from wasabiramp.entry.ports import NoAnswerError
+from wasabiramp.entry.ports import NoAnswerError, PeerGoneError
 from wasabiramp.logs import log_event
 from wasabiramp.peer.streams import BytesCodec
 
@@ -167,6 +167,8 @@
             if self._channels.get(key) is channel:
                 del self._channels[key]
             channel.close()
+            if isinstance(err, ConnectionRefusedError):
+                raise PeerGoneError(f"{address}: nothing listens") from err
             raise NoAnswerError(f"{address}: {type(err).__name__}") from err
 
     def close(self) -> None:
--- a/wasabiramp/entry/ports.py
+++ b/wasabiramp/entry/ports.py
@@ -41,6 +41,10 @@
     """A call to another process had no answer; it may have been carried out."""
 
 
+class PeerGoneError(NoAnswerError):
+    """Nothing listens at a daemon's address: its process has ended."""
+
+
 @dataclass(slots=True, frozen=True)
 class Item:
     """A key of the store; `created` is the revision of its creation."""
--- a/wasabiramp/model/entry/network.py
+++ b/wasabiramp/model/entry/network.py
@@ -9,7 +9,7 @@
 
 from wasabiramp.core.records import decode_message, encode_message
 from wasabiramp.entry.peers import PeerAnswer, Serve
-from wasabiramp.entry.ports import NoAnswerError
+from wasabiramp.entry.ports import NoAnswerError, PeerGoneError
 
 LATENCY_S: Final = (0.0005, 0.003)
 STORE: Final = "store"
@@ -31,6 +31,7 @@
         self._paused: dict[str, float] = {}
         self._dead: set[str] = set()
         self.listeners: dict[str, Serve] = {}
+        self._dark: set[str] = set()
 
     def cut(self, one: str, other: str) -> None:
         """Let nothing pass between two places."""
@@ -49,8 +50,17 @@
         self._paused[place] = until
 
     def kill(self, place: str) -> None:
-        """Drop what a place would still send or take."""
+        """Drop what a place would still send or take.
+
+        Half of the places lose power: their addresses are silent, where those of others refuse.
+        """
         self._dead.add(place)
+        if self._random.random() < 0.5:
+            self._dark.add(place)
+
+    def is_dark(self, place: str) -> bool:
+        """Tell whether a place lost power."""
+        return place in self._dark
 
     def is_cut(self, one: str, other: str) -> bool:
         """Tell whether nothing passes between two places."""
@@ -102,6 +112,9 @@
     async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
         """Return the answer of the daemon whose name stands for its address."""
         data = encode_message(message)
+        if address not in self._network.listeners and not self._network.is_dark(address):
+            await asyncio.sleep(LATENCY_S[0])
+            raise PeerGoneError(address)
 
         async def work() -> Any:
             serve = self._network.listeners.get(address)
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -109,6 +109,11 @@
     def __init__(self, calls: HttpCalls, address: str) -> None:
         """Use the store at an address."""
         self._calls = calls
+        self._base = ""
+        self.move(address)
+
+    def move(self, address: str) -> None:
+        """Use the store at another address from now on."""
         self._base = f"http://{address}/v1/"
 
     async def async_get(self, key: str) -> Item | None:
@@ -307,6 +312,11 @@
     def __init__(self, calls: HttpCalls, address: str) -> None:
         """Use the adviser at an address."""
         self._calls = calls
+        self._url = ""
+        self.move(address)
+
+    def move(self, address: str) -> None:
+        """Ask at another address from now on."""
         self._url = f"http://{address}/v1/advise"
 
     async def async_ask(
--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import fields
 import signal
 import sys
 from typing import Final
@@ -42,14 +43,42 @@
         return self._daemon.config.max_body_bytes
 
 
+class Reloader:
+    """Takes changed settings while the process runs."""
+
+    def __init__(self, settings: EntrySettings, store: StoreClient, adviser: AdviserClient) -> None:
+        """Compare with the settings of the start."""
+        self._settings = settings
+        self._store = store
+        self._adviser = adviser
+
+    def reload(self) -> None:
+        """Read the settings again; bad ones change nothing."""
+        loaded = load_node()
+        if loaded.is_error():
+            log_event("reload_refused", error=loaded.error)
+            return
+        old, self._settings = self._settings, loaded.ok
+        changed = [
+            field.name
+            for field in fields(old)
+            if getattr(old, field.name) != getattr(self._settings, field.name)
+        ]
+        self._store.move(self._settings.store_address)
+        self._adviser.move(self._settings.adviser_address)
+        log_event("reloaded", changed=",".join(changed) or "nothing")
+
+
 async def async_run_entry(settings: EntrySettings) -> None:
     """Run a daemon until SIGTERM, then leave in order."""
     calls = HttpCalls()
+    store = StoreClient(calls, settings.store_address)
+    adviser = AdviserClient(calls, settings.adviser_address)
     daemon = EntryDaemon(
         settings,
-        StoreClient(calls, settings.store_address),
+        store,
         ExecutorClient(calls),
-        AdviserClient(calls, settings.adviser_address),
+        adviser,
         PlatformCodec(),
         PeerCaller(),
         PeerListener,
@@ -57,8 +86,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop_asked.set)
-    # All settings that may change while a process runs are read from the store.
-    loop.add_signal_handler(signal.SIGHUP, log_event, "reload_asked")
+    loop.add_signal_handler(signal.SIGHUP, Reloader(settings, store, adviser).reload)
     server = CallerServer(CallerDesk(daemon))
     await daemon.async_start()
     await server.async_start(
--- /dev/null
+++ b/wasabiramp/report/explain.py
@@ -0,0 +1,73 @@
+"""The history of one id across the logs of several daemons, in the order of time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+import re
+from typing import Annotated
+
+import typer
+
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+CONTEXT = frozenset(
+    {
+        "ownership_taken",
+        "ownership_lost",
+        "owner_ready",
+        "recovery_complete",
+        "loop_stood_still",
+        "store_away",
+        "store_back",
+        "log_lines_dropped",
+    }
+)
+"""Events that touch every request, shown between an id's first line and its last."""
+
+
+def read_pairs(line: str) -> dict[str, str]:
+    """Return the key=value pairs of a line."""
+    return {key: value.strip('"') for key, value in PAIR.findall(line)}
+
+
+def read_lines(path: Path) -> Iterator[tuple[str, str, str]]:
+    """Return time, source and text of each line with a time; the file's name is the source."""
+    with path.open(encoding="utf-8", errors="replace") as lines:
+        for line in lines:
+            start = line.find("time=")
+            if start < 0:
+                continue
+            text = line[start:].rstrip()
+            stamp = text[len("time=") : text.find(" level=")]
+            yield stamp, path.stem, text
+
+
+def select_lines(rows: Iterable[tuple[str, str, str]], wanted: str) -> list[tuple[str, str, str]]:
+    """Return the lines that name the id, with what happened to the owners in between."""
+    ordered = sorted(rows, key=lambda row: row[0])
+    hits = [index for index, row in enumerate(ordered) if wanted in row[2]]
+    if not hits:
+        return []
+    return [
+        row
+        for index, row in enumerate(ordered[hits[0] : hits[-1] + 1], start=hits[0])
+        if wanted in row[2] or read_pairs(row[2]).get("event") in CONTEXT
+    ]
+
+
+def explain(
+    wanted: Annotated[str, typer.Argument(help="Id of a job, a task, an executor or a member.")],
+    logs: Annotated[list[Path], typer.Argument(help="Log files, one of each daemon.")],
+) -> None:
+    """Print the history of one id across the logs of several daemons."""
+    rows = select_lines((row for path in logs for row in read_lines(path)), wanted)
+    for stamp, source, text in rows:
+        pairs = read_pairs(text)
+        pairs.pop("time", None)
+        pairs.pop("level", None)
+        event = pairs.pop("event", "")
+        rest = " ".join(f"{key}={value}" for key, value in pairs.items())
+        print(f"{stamp} {source} {event} {rest}")
+    if not rows:
+        print(f"{wanted}: no line names it")
+        raise typer.Exit(1)
