Decide by tickets instead of by all executors, and forget jobs that are long over

Strong daemons claim first. Ended jobs leave the store. Ruled out: the adviser (387 s of work over 43 callers), the store (no 429).

--- /dev/null
+++ b/tests/entry/test_owner.py
@@ -0,0 +1,159 @@
+"""Tests of the owner with whole daemons on the platform's model."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wasabiramp.entry.keys import PREFIX_JOB, PREFIX_PROGRESS
+from wasabiramp.model.entry.judge import JobRecord
+from wasabiramp.model.entry.schedule import draw_job, find_owner
+from wasabiramp.model.entry.world import World
+from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
+
+
+def make_job(world: World, number: int, estimate_s: float = 0.5) -> JobDefinition:
+    """Return a job of one short task."""
+    steps = (Step(1, Resources(500, 100, 0), estimate_s),)
+    return JobDefinition(
+        f"{number:016x}", world.queues[2], f"spec {number}", steps, world.read_wall_ms()
+    )
+
+
+class TestForgetting:
+    """Jobs that were over for long leave the store, those that run stay."""
+
+    def test_progress_records_are_removed(self) -> None:
+        world = World(1, status_s=4.0)
+
+        async def play() -> None:
+            await world.async_begin()
+            assert await world.async_submit(make_job(world, 1))
+            await world.async_finish(10.0)
+            assert await world.async_show(f"{1:016x}") == DONE
+            assert any(key.startswith(PREFIX_PROGRESS) for key in world.store.items)
+            await asyncio.sleep(20.0)
+            kept = [k for k in world.store.items if k.startswith((PREFIX_JOB, PREFIX_PROGRESS))]
+            assert kept == []
+
+        world.run(play())
+        assert world.judge.breaches == []
+
+    def test_records_that_an_earlier_owner_left(self) -> None:
+        world = World(2, status_s=4.0)
+
+        async def play() -> None:
+            await world.async_begin()
+            assert await world.async_submit(make_job(world, 1))
+            await world.async_finish(10.0)
+            owner = find_owner(world)
+            assert owner is not None
+            world.kill_daemon(owner)
+            await asyncio.sleep(25.0)
+            assert not any(key.startswith(PREFIX_PROGRESS) for key in world.store.items)
+
+        world.run(play())
+        assert world.judge.breaches == []
+
+
+class TestTakeover:
+    """Work goes on soon after the owner is lost: 2 s at the median, 4 s at worst."""
+
+    def measure(self, seed: int) -> float:
+        world = World(seed)
+        gap = 0.0
+
+        async def play() -> None:
+            nonlocal gap
+            await world.async_begin()
+            for number in range(5):
+                await world.async_submit(make_job(world, number))
+            owner = find_owner(world)
+            assert owner is not None
+            await asyncio.sleep(world.random.uniform(0.0, 1.0))
+            world.kill_daemon(owner)
+            killed_at, starts = world.loop.time(), world.judge.starts
+            assert await world.async_submit(make_job(world, 99))
+            while world.judge.starts == starts:
+                await asyncio.sleep(0.01)
+            gap = world.loop.time() - killed_at
+            await world.async_finish(20.0)
+
+        world.run(play())
+        assert world.judge.breaches == []
+        return gap
+
+    def test_gap_without_starts_after_a_kill(self) -> None:
+        gaps = sorted(self.measure(seed) for seed in range(20))
+        assert gaps[10] <= 2.0
+        assert gaps[-1] <= 4.0
+
+
+class TestAcceptance:
+    """A job is stored before it is acknowledged, by whatever daemon took it."""
+
+    def test_daemon_that_dies_right_after_the_acknowledgement(self) -> None:
+        world = World(3)
+
+        async def play() -> None:
+            await world.async_begin()
+            names = sorted(world.daemons)
+            owner = find_owner(world)
+            other = next(name for name in names if name != owner)
+            job = make_job(world, 7)
+            record = world.judge.jobs.setdefault(job.id, JobRecord(job))
+            record.attempts = 1
+            outcome, _revision = await world.daemons[other].desk.admission.async_store(job)
+            assert outcome == "stored"
+            record.accepted_at = world.loop.time()
+            world.kill_daemon(other)
+            await world.async_finish(10.0)
+
+        world.run(play())
+        assert world.judge.breaches == []
+
+    def test_repeat_at_another_daemon_stays_one_job(self) -> None:
+        world = World(4)
+
+        async def play() -> None:
+            await world.async_begin()
+            job = draw_job(world.random, world, 5)
+            for _ in range(4):
+                assert await world.async_submit(job)
+            await world.async_finish(30.0)
+
+        world.run(play())
+        assert world.judge.breaches == []
+
+
+class TestRefusal:
+    """While the store is away jobs are refused at once, and truly."""
+
+    def test_refusal_comes_before_the_callers_time_is_up(self) -> None:
+        world = World(5)
+
+        async def play() -> None:
+            await world.async_begin()
+            world.store.is_down = True
+            await asyncio.sleep(2.5)
+            desk = world.daemons["entry-0"].desk
+            asked_at = world.loop.time()
+            answer = await desk.async_submit(make_job(world, 1), 3.0)
+            assert answer.outcome == "not-run"
+            assert answer.retry_after_s is not None
+            assert answer.retry_after_s >= 1.0
+            assert world.loop.time() - asked_at < 0.1
+            world.store.is_down = False
+
+        world.run(play())
+
+    def test_daemon_that_the_store_turns_away_asks_another(self) -> None:
+        world = World(6)
+
+        async def play() -> None:
+            await world.async_begin()
+            world.clients["entry-1"].is_turned_away = True
+            await asyncio.sleep(2.0)
+            answer = await world.daemons["entry-1"].desk.async_submit(make_job(world, 1), 3.0)
+            assert answer.outcome == "accepted"
+
+        world.run(play())
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -209,6 +209,7 @@
             self._codec,
             self.metrics,
             self.settings.lease_limit_s,
+            self.settings.status_s,
             self._membership.drop_tenure,
             self._read_wall,
         )
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -34,6 +34,16 @@
 CLAIM_STEP_S: Final = 0.03
 """Pause between the claims of one candidate and the next, so that few of them collide."""
 
+CLAIM_RANKS: Final = 10
+"""Candidates behind this rank claim together: the first will have done it by then."""
+
+OWNER_POWER: Final = 1.0
+OWNER_LINK_MBPS: Final = 50.0
+"""An owner of 175 executors needs about this much (docs/CAPACITY.md)."""
+
+WEAK_S: Final = 0.35
+"""Pause of daemons that are weaker than that, so that the others join and claim first."""
+
 INCUMBENT_S: Final = 0.3
 """Time that a living owner gets to claim again after its key was taken away."""
 
@@ -202,7 +212,8 @@
         """Take a lease and write the daemon's entry under it."""
         ttl_s = max(LEASE_TTL_S, self._settings.lease_least_s)
         lease = await self._store.async_grant(ttl_s)
-        value = msgpack.packb((self._settings.name, self._settings.peer_address))
+        settings = self._settings
+        value = msgpack.packb((settings.name, settings.peer_address, settings.power))
         await self._store.async_commit(Transaction(writes={self._member_key: (value, lease)}))
         self._lease = lease
         log_event("joined", lease=lease)
@@ -236,16 +247,20 @@
         return self.tenure is not None or _read_name(item) != self._settings.name
 
     def _find_pause(self) -> float:
-        """Return the pause: the youngest daemon goes first, a living owner before all."""
+        """Return the pause: a living owner first, then the strongest and youngest daemons."""
         term = self._follower.items.get(KEY_TERM)
         last = _read_name(term) if term is not None else ""
         if last == self._settings.name:
             return 0.0
-        members = [key for key in self._follower.items if key.startswith(PREFIX_MEMBER)]
-        members.sort(key=lambda key: -self._follower.items[key].created)
+        items = self._follower.items
+        members = [key for key in items if key.startswith(PREFIX_MEMBER)]
+        members.sort(key=lambda key: (-_read_power(items[key]), -items[key].created))
         rank = members.index(self._member_key) if self._member_key in members else len(members)
+        pause_s = min(rank, CLAIM_RANKS) * CLAIM_STEP_S
+        if self._settings.power < OWNER_POWER or self._settings.link_mbps < OWNER_LINK_MBPS:
+            pause_s += WEAK_S
         is_alive = last in self.addresses and not self._replaced
-        return rank * CLAIM_STEP_S + (INCUMBENT_S if is_alive else 0.0)
+        return pause_s + (INCUMBENT_S if is_alive else 0.0)
 
     async def _async_claim(self) -> None:
         """Claim the next term, unless an owner is there by then."""
@@ -316,6 +331,14 @@
         return ""
 
 
+def _read_power(item: Item) -> float:
+    """Return the processor time of a member, in cores."""
+    try:
+        return float(msgpack.unpackb(item.value)[2])
+    except (ValueError, TypeError, IndexError):
+        return 0.0
+
+
 def _read_term(item: Item) -> int:
     """Return the number of a term."""
     try:
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -80,7 +80,10 @@
 PLACE_PAUSE_S: Final = 0.002
 """Events that come together are decided on together."""
 
-COMMIT_PAUSE_S: Final = 0.05
+PLACE_REST: Final = 3.0
+"""Decisions take at most a quarter of the daemon's time: each rests three times its own."""
+
+COMMIT_PAUSE_S: Final = 0.02
 """Least time between two commits: ends that come together cost one call."""
 
 RETRY_S: Final = 0.2
@@ -101,6 +104,12 @@
 LEASE_TOLERANCE: Final = 1.05
 """Factor for an earlier owner's leases on clocks slower than ours, with the time to lapse."""
 
+KEEP_FACTOR: Final = 1.5
+"""Jobs that are over are kept for longer than callers may ask for them, by this factor."""
+
+FORGOTTEN_AT_ONCE: Final = 30
+"""Keys that one transaction removes, with its condition below the store's 32 entries."""
+
 OLDEST_JOB_S: Final = 3600.0
 """Ages above this make no difference to the order, and may come from a clock that is wrong."""
 
@@ -126,6 +135,7 @@
         codec: Codec,
         metrics: Metrics,
         lease_limit_s: float,
+        status_s: float,
         on_loss: Callable[[str], None],
         read_wall: Callable[[], float],
     ) -> None:
@@ -140,11 +150,14 @@
         self._loop = asyncio.get_running_loop()
         self._lease_s = min(LEASE_S, lease_limit_s)
         self._read_wall = read_wall
+        self._keep_s = status_s * KEEP_FACTOR
+        self._forget_at: dict[str, float] = {}
         offset_s = read_wall() - self._loop.time()
         self.scheduler = Scheduler(tenure.term, self._lease_s, lease_limit_s, offset_s)
         self._follower = Follower(store, codec.executors_prefix, 1.0, self._take_entry)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._place_timer: asyncio.TimerHandle | None = None
+        self._place_at = 0.0
         self._commit_wake = asyncio.Event()
         self._committed = asyncio.Event()
         self._commit_count = 0
@@ -234,7 +247,8 @@
         self._carry_out(self.scheduler.apply(event, self._loop.time()))
         self._commit_wake.set()
         if self._place_timer is None:
-            self._place_timer = self._loop.call_later(PLACE_PAUSE_S, self._place)
+            at = max(self._place_at, self._loop.time() + PLACE_PAUSE_S)
+            self._place_timer = self._loop.call_at(at, self._place)
 
     def _place(self) -> None:
         """Start what fits."""
@@ -243,7 +257,9 @@
             return
         started_at = self._loop.time()
         self._carry_out(self.scheduler.place(started_at))
-        self._metrics.note("place_seconds", self._loop.time() - started_at, {})
+        took_s = self._loop.time() - started_at
+        self._place_at = started_at + took_s * (1 + PLACE_REST)
+        self._metrics.note("place_seconds", took_s, {})
 
     def _carry_out(self, effects: list[Effect]) -> None:
         """Carry out effects; each call runs on its own."""
@@ -341,6 +357,11 @@
         self._commits_revision = commits.revision if commits is not None else 0
         rows = msgpack.unpackb(roster.value) if roster is not None else []
         stored = self._read_jobs(jobs, progress)
+        live = {job.definition.id for job in stored}
+        for item in progress:
+            job_id = item.key.removeprefix(PREFIX_PROGRESS)
+            if job_id not in live:
+                self._forget_at[job_id] = self._loop.time() + self._keep_s
         left_s = self._lease_s * LEASE_TOLERANCE + 0.25
         self._reduce(JobsRecovered(stored, [(row[0], row[1]) for row in rows], left_s, as_of))
         return True
@@ -376,6 +397,7 @@
             if self._last_tick >= self._rescan_at:
                 self._rescan_at = self._last_tick + RESCAN_S
                 self._spawn(self._async_rescan())
+                self._spawn(self._async_forget_jobs())
             if self._last_tick >= self._summary_at:
                 self._summary_at = self._last_tick + SUMMARY_S
                 for row in summarize_queues(self.scheduler.state):
@@ -421,6 +443,7 @@
                 continue
             if await self._async_store(changes):
                 self._reduce(Committed())
+                self._note_ended(changes)
             else:
                 self.scheduler.restore_changes()
                 self._commit_wake.set()
@@ -429,6 +452,34 @@
             self._committed.set()
             await asyncio.sleep(COMMIT_PAUSE_S)
 
+    def _note_ended(self, changes: Changes) -> None:
+        """Choose when the jobs that are over may be forgotten."""
+        forget_at = self._loop.time() + self._keep_s
+        for job in changes.jobs:
+            if job.shown_phase in FINAL_PHASES:
+                self._forget_at.setdefault(job.definition.id, forget_at)
+
+    async def _async_forget_jobs(self) -> None:
+        """Remove jobs that were over for so long that nobody may ask for them any more."""
+        now = self._loop.time()
+        due = [job_id for job_id, at in self._forget_at.items() if at <= now]
+        for start in range(0, len(due), FORGOTTEN_AT_ONCE):
+            group = due[start : start + FORGOTTEN_AT_ONCE]
+            try:
+                await self._store.async_commit(
+                    Transaction(
+                        expected={KEY_TERM: self.tenure.fence},
+                        removed=[key_progress(job_id) for job_id in group],
+                    )
+                )
+            except (StoreConflictError, StoreRefusedError, StoreUnknownError) as err:
+                log_event("forget_failed", jobs=len(group), error=err)
+                return
+            for job_id in group:
+                del self._forget_at[job_id]
+                self.scheduler.state.jobs.pop(job_id, None)
+            log_event("jobs_forgotten", jobs=len(group))
+
     async def _async_store(self, changes: Changes) -> bool:
         """Write changes, each group after the one before; tell whether all are stored."""
         for transaction in self._make_transactions(changes):
--- a/wasabiramp/entry/ports.py
+++ b/wasabiramp/entry/ports.py
@@ -88,7 +88,10 @@
 
 @dataclass(slots=True, frozen=True)
 class EntrySettings:
-    """What a daemon is told about itself; times in seconds."""
+    """What a daemon is told about itself; times in seconds.
+
+    `power` is the processor time that it gets, in cores; `link_mbps` its network link.
+    """
 
     name: str
     zone: str
@@ -104,6 +107,8 @@
     config_s: float
     lease_least_s: float
     store_value_bytes: int
+    power: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class Store(Protocol):
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -107,7 +107,9 @@
     Example: `world = World(7); world.run(world.async_play())`.
     """
 
-    def __init__(self, seed: int, daemons: int = 4, executors: int = 8) -> None:
+    def __init__(
+        self, seed: int, daemons: int = 4, executors: int = 8, status_s: float = 120.0
+    ) -> None:
         """Build a sound cell; nothing runs before `run`."""
         self.loop = VirtualLoop()
         self.random = Random(seed)
@@ -115,6 +117,7 @@
         self.network = Network(self.random)
         self.good_share = 0.7
         self._counts = (daemons, executors)
+        self._status_s = status_s
         self._tasks: dict[str, set[asyncio.Task[Any]]] = {}
         self.daemons: dict[str, EntryDaemon] = {}
         self.clients: dict[str, ModelStoreClient] = {}
@@ -216,7 +219,7 @@
                 adviser_address="",
                 lease_limit_s=6.0,
                 grace_s=6.0,
-                status_s=120.0,
+                status_s=self._status_s,
                 config_s=2.0,
                 lease_least_s=1.0,
                 store_value_bytes=1_000_000,
--- a/wasabiramp/platform/node.py
+++ b/wasabiramp/platform/node.py
@@ -35,6 +35,14 @@
             {vol.Required("front"): check_address, vol.Required("ready"): check_address},
             extra=vol.REMOVE_EXTRA,
         ),
+        vol.Optional("limits", default={}): vol.Schema(
+            {
+                vol.Optional("cpuShare", default=1.0): POSITIVE,
+                vol.Optional("cores", default=1): POSITIVE,
+                vol.Optional("linkMbps", default=1000.0): POSITIVE,
+            },
+            extra=vol.REMOVE_EXTRA,
+        ),
         vol.Required("bounds"): vol.Schema(BOUNDS, extra=vol.REMOVE_EXTRA),
         vol.Required("platform"): vol.Schema(
             {
@@ -57,7 +65,7 @@
         first = err.errors[0]
         field = ".".join(str(part) for part in first.path) or "(file)"
         return Error(f"{source}: {field}: {first.error_message}")
-    bounds, platform = checked["bounds"], checked["platform"]
+    bounds, platform, limits = checked["bounds"], checked["platform"], checked["limits"]
     first_port, last_port = checked["portRange"]
     return Ok(
         EntrySettings(
@@ -75,6 +83,9 @@
             config_s=bounds["configMs"] / 1000,
             lease_least_s=platform["ttlMinMs"] / 1000,
             store_value_bytes=platform["valueBytes"],
+            # The share of one core, on a machine that is `cores` times as fast.
+            power=limits["cpuShare"] * limits["cores"],
+            link_mbps=limits["linkMbps"],
         )
     )
 
--- a/wasabiramp/scheduling/advice.py
+++ b/wasabiramp/scheduling/advice.py
@@ -51,8 +51,6 @@
 
     Return whether a question was asked.
     """
-    if step.is_asking or state.now < step.ask_at:
-        return False
     horizon = state.now + policy.decide_s + TICKET_MARGIN_S
     fresh, known_good, unknown = 0, [], []
     for executor in candidates:
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -46,6 +46,7 @@
 def list_executor(state: SchedulerState, event: ExecutorListed) -> None:
     """Take a new or changed entry; a later birth under the same id is a new life."""
     entry = event.entry
+    state.list_version += 1
     executor = state.executors.get(entry.id)
     if executor is None:
         state.executors[entry.id] = ExecutorState(entry)
@@ -69,6 +70,7 @@
     executor = state.executors.get(event.id)
     if executor is None or not executor.is_listed:
         return
+    state.list_version += 1
     executor.is_listed = False
     executor.unlisted_at = state.now
     state.note("executor_unlisted", executor=event.id, runs=len(executor.runs))
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -19,30 +19,124 @@
 QUESTIONS_AT_ONCE: Final = 12
 """Questions of one queue that may be open: a few for each daemon that can ask."""
 
+UNLIMITED: Final = 1_000
+"""Tasks without any demand that one executor takes at a time."""
+
+LEAST_URGENT: Final = 1_000_000
+"""Above every priority: stands for an executor that is kept for nobody."""
+
 RESERVED_STEPS: Final = 2
 """Gangs for which room is kept free from less urgent work at one time."""
 
 
 class Rooms:
-    """The room of the executors that may get work in one pass."""
+    """The executors that may get work in one pass, and their room."""
 
-    __slots__ = ("left", "usable")
+    __slots__ = ("_groups", "left", "usable")
 
     def __init__(self, state: SchedulerState) -> None:
         """Read the room of all usable executors."""
-        self.usable = [item for item in state.executors.values() if is_usable(state, item)]
-        self.left: dict[str, Resources] = {item.id: item.room for item in self.usable}
+        self.usable = {e.id: e for e in state.executors.values() if is_usable(state, e)}
+        self.left: dict[str, Resources] = {e.id: e.room for e in self.usable.values()}
+        self._groups: dict[tuple[str, str], list[ExecutorState]] = {}
 
     def take(self, executor: ExecutorState, demand: Resources) -> None:
         """Take room for a task."""
         self.left[executor.id] = self.left[executor.id].minus(demand)
 
+    def find_group(self, service: str, label: str) -> list[ExecutorState]:
+        """Return the usable executors of a service with a label, those with most room first."""
+        group = self._groups.get((service, label))
+        if group is None:
+            group = [e for e in self.usable.values() if matches(e, service, label)]
+            group.sort(key=lambda executor: -self.left[executor.id].cpu)
+            self._groups[(service, label)] = group
+        return group
+
+
+def matches(executor: ExecutorState, service: str, label: str) -> bool:
+    """Tell whether an executor belongs to a service and has a label, if one is asked for."""
+    entry = executor.entry
+    return entry.service == service and (not label or label in entry.labels)
+
 
 def find_order(queue: Queue, step: StepRun) -> tuple[int, float]:
     """Return the place of a step among those that wait: urgency, then the objective."""
     return queue.priority, step.job.objective_at
 
 
+class Pass:
+    """One decision over all steps that wait."""
+
+    __slots__ = ("asking", "gangs_kept", "reserved", "rooms", "state", "supplied")
+
+    def __init__(self, state: SchedulerState, ready: list[tuple[Queue, StepRun]]) -> None:
+        """Begin with nothing reserved."""
+        self.state = state
+        self.rooms = Rooms(state)
+        self.supplied: Counter[str] = Counter()
+        self.asking = Counter(queue.name for queue, step in ready if step.is_asking)
+        self.reserved: dict[str, int] = {}
+        self.gangs_kept = 0
+
+    def decide(self, queue: Queue, step: StepRun) -> None:
+        """Start what fits of one step, and see to its advice."""
+        if not _could_run(self.state, queue, step):
+            return
+        group = self.rooms.find_group(queue.service, step.spec.label)
+        waiting = len(step.find_waiting())
+        if queue.advice is not None:
+            self._see_to_advice(queue, step, group, waiting)
+            group = self._find_advised(step)
+        allowed = [e for e in group if self.reserved.get(e.id, LEAST_URGENT) >= queue.priority]
+        if not step.spec.is_gang:
+            _place_tasks(self.state, step, allowed, self.rooms)
+        elif not _place_gang(self.state, step, allowed, self.rooms):
+            self._reserve(queue, step)
+
+    def _find_advised(self, step: StepRun) -> list[ExecutorState]:
+        """Return the usable executors for which the step has a valid ticket."""
+        usable = self.rooms.usable
+        found = [usable[name] for name in step.tickets if name in usable]
+        return [executor for executor in found if has_ticket(self.state, step, executor)]
+
+    def _see_to_advice(
+        self, queue: Queue, step: StepRun, group: list[ExecutorState], waiting: int
+    ) -> None:
+        """Keep the first steps of a queue supplied with tickets, and others that fit now."""
+        if queue.advice is None or self.asking[queue.name] >= QUESTIONS_AT_ONCE:
+            return
+        if step.is_asking or self.state.now < step.ask_at:
+            self.supplied[queue.name] += 1
+            return
+        places = group
+        limit = step.spec.max_per_executor
+        if limit:
+            taken = Counter(run.executor for run in step.iter_runs())
+            places = [executor for executor in group if taken[executor.id] < limit]
+        places = [e for e in places if step.verdicts.get((e.id, e.born_ms), True)]
+        is_first = self.supplied[queue.name] < limit_waiting(queue.advice, len(group))
+        if not places or not (is_first or _fits_now(step, places, self.rooms)):
+            return
+        self.supplied[queue.name] += is_first
+        self.asking[queue.name] += plan_question(self.state, step, queue.advice, places, waiting)
+
+    def _reserve(self, queue: Queue, step: StepRun) -> None:
+        """Keep less urgent work off the executors that will first have room for a gang."""
+        if self.gangs_kept >= RESERVED_STEPS:
+            return
+        self.gangs_kept += 1
+        members = 0
+        for executor in self.rooms.find_group(queue.service, step.spec.label):
+            is_good = step.verdicts.get((executor.id, executor.born_ms))
+            if executor.id in self.reserved or (queue.advice is not None and not is_good):
+                continue
+            members += _count_members(step.spec.demand, executor.entry.capacity)
+            self.reserved[executor.id] = queue.priority
+            if members >= step.spec.count:
+                return
+
+
 def place_work(state: SchedulerState) -> None:
     """Start what fits, in order, and ask for advice on what comes next."""
     if state.is_given_up:
@@ -50,34 +144,9 @@
     ready = _find_ready(state)
     if not ready:
         return
-    rooms = Rooms(state)
-    present = [e for e in state.executors.values() if e.is_listed and not e.entry.is_draining]
-    supplied: Counter[str] = Counter()
-    asking = Counter(queue.name for queue, step in ready if step.is_asking)
-    reserved: dict[str, int] = {}
-    gangs_kept = 0
+    decision = Pass(state, ready)
     for queue, step in ready:
-        candidates = [e for e in rooms.usable if _may_run(queue, step, e)]
-        if not _could_run(queue, step, present):
-            continue
-        allowed = candidates
-        if queue.advice is not None:
-            open_places = [e for e in candidates if _is_below_limit(step, e)]
-            is_first = supplied[queue.name] < limit_waiting(queue.advice, len(candidates))
-            if open_places and (is_first or _fits_now(step, open_places, rooms)):
-                supplied[queue.name] += is_first
-                waiting = len(step.find_waiting())
-                if asking[queue.name] < QUESTIONS_AT_ONCE:
-                    asking[queue.name] += plan_question(
-                        state, step, queue.advice, open_places, waiting
-                    )
-            allowed = [e for e in candidates if has_ticket(state, step, e)]
-        open_to = [e for e in allowed if reserved.get(e.id, 99) >= queue.priority]
-        if not step.spec.is_gang:
-            _place_tasks(state, step, open_to, rooms)
-        elif not _place_gang(state, step, open_to, rooms) and gangs_kept < RESERVED_STEPS:
-            gangs_kept += 1
-            _reserve(state, queue, step, candidates, rooms, reserved)
+        decision.decide(queue, step)
 
 
 def _find_ready(state: SchedulerState) -> list[tuple[Queue, StepRun]]:
@@ -89,7 +158,7 @@
             continue
         if not job.are_ready(step):
             continue
-        is_waiting = any(True for _ in step.find_waiting())
+        is_waiting = bool(step.find_waiting())
         if step.spec.is_gang:
             is_waiting = not any(task.runs for task in step.tasks)
         if is_waiting:
@@ -98,24 +167,31 @@
     return ready
 
 
-def _may_run(queue: Queue, step: StepRun, executor: ExecutorState) -> bool:
-    """Tell whether the configuration and the step's label allow the executor."""
-    entry = executor.entry
-    if entry.service != queue.service:
-        return False
-    return not step.spec.label or step.spec.label in entry.labels
-
-
-def _could_run(queue: Queue, step: StepRun, present: list[ExecutorState]) -> bool:
+def _could_run(state: SchedulerState, queue: Queue, step: StepRun) -> bool:
     """Tell whether the step would fit on empty executors, as far as advice is known.
 
-    A step for which that is not so neither holds a place in the order nor room for itself.
+    A step for which that is not so neither holds a place in the order nor room for itself. The
+    answer is kept until an executor comes, goes or changes, or advice arrives.
     """
+    version = (state.list_version, len(step.verdicts))
+    if step.fit_version != version:
+        step.fit_version = version
+        step.could_run = _fits_when_empty(state, queue, step)
+        if not step.could_run:
+            state.note("step_without_room", step=step.name, known=len(step.verdicts))
+    return step.could_run
+
+
+def _fits_when_empty(state: SchedulerState, queue: Queue, step: StepRun) -> bool:
+    """Tell whether empty executors that may be good would hold the step."""
     wanted = step.spec.count if step.spec.is_gang else 1
     members = 0
-    for executor in present:
-        verdict = step.verdicts.get((executor.id, executor.born_ms), True)
-        if not verdict or not _may_run(queue, step, executor):
+    for executor in state.executors.values():
+        if not executor.is_listed or executor.entry.is_draining:
+            continue
+        if not step.verdicts.get((executor.id, executor.born_ms), True):
+            continue
+        if not matches(executor, queue.service, step.spec.label):
             continue
         fitting = _count_members(step.spec.demand, executor.entry.capacity)
         members += min(fitting, step.spec.max_per_executor or fitting)
@@ -124,19 +200,16 @@
     return False
 
 
-def _is_below_limit(step: StepRun, executor: ExecutorState) -> bool:
-    """Tell whether the spreading limit leaves a place on an executor that may be good."""
-    if not step.verdicts.get((executor.id, executor.born_ms), True):
-        return False
-    limit = step.spec.max_per_executor
-    return not limit or sum(run.executor == executor.id for run in step.iter_runs()) < limit
-
-
 def _fits_now(step: StepRun, places: list[ExecutorState], rooms: Rooms) -> bool:
     """Tell whether the step could start now if all these executors were good."""
-    if step.spec.is_gang:
-        return _choose_gang(step, places, rooms) is not None
-    return any(step.spec.demand.fits(rooms.left[executor.id]) for executor in places)
+    wanted = step.spec.count if step.spec.is_gang else 1
+    members = 0
+    for executor in places:
+        fitting = _count_members(step.spec.demand, rooms.left[executor.id])
+        members += min(fitting, step.spec.max_per_executor or fitting)
+        if members >= wanted:
+            return True
+    return False
 
 
 def _score(step: StepRun, executor: ExecutorState, left: Resources) -> float:
@@ -154,20 +227,21 @@
 
 
 def _choose(
-    step: StepRun, allowed: list[ExecutorState], left: dict[str, Resources], taken: Counter[str]
-) -> ExecutorState | None:
-    """Return the best executor for one more task of the step."""
-    limit = step.spec.max_per_executor
-    demand = step.spec.demand
-    best, best_score = None, 0.0
-    for executor in allowed:
-        room = left[executor.id]
-        if not demand.fits(room) or (limit and taken[executor.id] >= limit):
-            continue
-        score = _score(step, executor, room)
-        if best is None or score < best_score:
-            best, best_score = executor, score
-    return best
+    step: StepRun, allowed: list[ExecutorState], rooms: Rooms, wanted: int, taken: Counter[str]
+) -> list[ExecutorState]:
+    """Return an executor for each of `wanted` tasks, the best first, or for as many as fit."""
+    demand, limit = step.spec.demand, step.spec.max_per_executor
+    fitting = [e for e in allowed if demand.fits(rooms.left[e.id])]
+    fitting.sort(key=lambda executor: _score(step, executor, rooms.left[executor.id]))
+    chosen: list[ExecutorState] = []
+    for executor in fitting:
+        count = min(_count_members(demand, rooms.left[executor.id]), wanted - len(chosen))
+        if limit:
+            count = min(count, limit - taken[executor.id])
+        chosen += [executor] * count
+        if len(chosen) >= wanted:
+            break
+    return chosen
 
 
 def _place_tasks(
@@ -176,12 +250,12 @@
     """Start as many waiting tasks as fit."""
     if not allowed:
         return
-    taken = Counter(run.executor for run in step.iter_runs())
-    for task in step.find_waiting():
-        executor = _choose(step, allowed, rooms.left, taken)
-        if executor is None:
-            return
-        taken[executor.id] += 1
+    waiting = step.find_waiting()
+    taken: Counter[str] = Counter()
+    if step.spec.max_per_executor:
+        taken = Counter(run.executor for run in step.iter_runs())
+    chosen = _choose(step, allowed, rooms, len(waiting), taken)
+    for task, executor in zip(waiting, chosen, strict=False):
         rooms.take(executor, step.spec.demand)
         start_run(state, executor, step, task, state.draw_run_number(task))
 
@@ -208,61 +282,25 @@
     """Return an executor for each task, on one rack where the step wants that and it fits."""
     groups = [allowed]
     if step.spec.wants_one_rack:
-        racks = {executor.entry.rack for executor in allowed}
-        groups = [[e for e in allowed if e.entry.rack == rack] for rack in sorted(racks)] + groups
+        racks = sorted({executor.entry.rack for executor in allowed})
+        groups = [[e for e in allowed if e.entry.rack == rack] for rack in racks] + groups
     for group in groups:
-        left = {executor.id: rooms.left[executor.id] for executor in group}
-        taken: Counter[str] = Counter()
-        chosen: list[ExecutorState] = []
-        for _ in range(step.spec.count):
-            executor = _choose(step, group, left, taken)
-            if executor is None:
-                break
-            taken[executor.id] += 1
-            left[executor.id] = left[executor.id].minus(step.spec.demand)
-            chosen.append(executor)
+        chosen = _choose(step, group, rooms, step.spec.count, Counter())
         if len(chosen) == step.spec.count:
             return chosen
     return None
 
 
-def _reserve(
-    state: SchedulerState,
-    queue: Queue,
-    step: StepRun,
-    candidates: list[ExecutorState],
-    rooms: Rooms,
-    reserved: dict[str, int],
-) -> None:
-    """Keep less urgent work off the executors that will first have room for a waiting gang."""
-    good = [
-        executor
-        for executor in candidates
-        if queue.advice is None
-        or step.verdicts.get((executor.id, executor.born_ms))
-        and executor.id not in reserved
-    ]
-    good.sort(key=lambda executor: -rooms.left[executor.id].cpu)
-    members = 0
-    for executor in good:
-        members += _count_members(step.spec.demand, executor.entry.capacity)
-        reserved[executor.id] = queue.priority
-        if members >= step.spec.count:
-            return
-
-
 def _count_members(demand: Resources, room: Resources) -> int:
     """Return how many tasks of one demand fit into a room."""
-    counts = [
-        have // need
-        for have, need in (
-            (room.cpu, demand.cpu),
-            (room.memory_mb, demand.memory_mb),
-            (room.gpu, demand.gpu),
-        )
-        if need > 0
-    ]
-    return max(0, min(counts, default=1_000))
+    count = UNLIMITED
+    if demand.cpu:
+        count = min(count, room.cpu // demand.cpu)
+    if demand.memory_mb:
+        count = min(count, room.memory_mb // demand.memory_mb)
+    if demand.gpu:
+        count = min(count, room.gpu // demand.gpu)
+    return max(0, count)
 
 
 def summarize_queues(state: SchedulerState) -> list[dict[str, object]]:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -98,7 +98,9 @@
 
     __slots__ = (
         "ask_at",
+        "could_run",
         "due_at",
+        "fit_version",
         "index",
         "is_asking",
         "job",
@@ -128,6 +130,8 @@
         self.started_count = 0
         self.is_asking = False
         self.ask_at = 0.0
+        self.could_run = True
+        self.fit_version = (-1, -1)
         self.tickets: dict[str, Ticket] = {}
         self.verdicts: dict[tuple[str, int], bool] = {}
 
@@ -210,6 +214,7 @@
         "entry",
         "failures",
         "hold_at",
+        "id",
         "is_fenced",
         "is_holding",
         "is_listed",
@@ -233,6 +238,7 @@
 
     def __init__(self, entry: ExecutorEntry) -> None:
         """Start with an entry of the platform's list."""
+        self.id = entry.id
         self.entry = entry
         self.is_listed = True
         self.is_stored = False
@@ -264,11 +270,6 @@
         self.silent_since: float | None = None
         self.lapsed: set[tuple[str, int]] = set()
 
-    @property
-    def id(self) -> str:
-        """Return the executor's id."""
-        return self.entry.id
-
     @property
     def room(self) -> Resources:
         """Return what is not taken by runs that may be alive."""
@@ -289,7 +290,6 @@
     """All that the owner of one domain knows."""
 
     __slots__ = (
-        "adviser_load_s",
         "config",
         "effects",
         "executors",
@@ -298,6 +298,7 @@
         "jobs",
         "lease_limit_s",
         "lease_s",
+        "list_version",
         "now",
         "open_steps",
         "recovered_as_of",
@@ -324,7 +325,7 @@
         self.recovered_as_of = 0
         self.is_given_up = False
         self.is_roster_dirty = False
-        self.adviser_load_s = 0.0
+        self.list_version = 0
 
     def note(self, event: str, **fields: object) -> None:
         """Record a decision for the log."""
