--- a/tests/model/entry/test_guards.py
+++ b/tests/model/entry/test_guards.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wasabiramp.entry import owner as owner_module
+from wasabiramp.entry.journal import Journal
 from wasabiramp.model.entry.schedule import play
 from wasabiramp.scheduling import executors, orders, runs
 from wasabiramp.scheduling.state import ExecutorState
@@ -55,7 +55,7 @@
         assert find_breach("TWICE", ["store_down", "kill_owner", "kill_all"])
 
     def test_commits_in_one_chain(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        commit = owner_module.Owner._async_commit
+        commit = Journal._async_commit
 
         async def commit_loosely(self: Any, transaction: Any) -> bool:
             store = self._store
@@ -66,6 +66,6 @@
             except Exception:
                 return False
 
-        monkeypatch.setattr(owner_module.Owner, "_async_commit", commit_loosely)
+        monkeypatch.setattr(Journal, "_async_commit", commit_loosely)
         assert commit is not commit_loosely
         assert find_breach("", ["lose_answers", "kill_owner", "cut_owner", "pause_owner"])
--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,31 @@
+"""Tests of real daemon processes against the platform's stand-in, and of deployment."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+import tomllib
+
+from soak.run import async_soak
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+
+
+class TestSoak:
+    """A short soak with a fixed seed finds nothing."""
+
+    def test_seed(self) -> None:
+        cell = asyncio.run(async_soak(1, seconds=8.0, daemons=3, executors=6))
+        assert cell.platform.judge.breaches == []
+        assert cell.platform.judge.starts > 50
+
+
+class TestDeployment:
+    """What is deployed is what is tested."""
+
+    def test_pins_are_those_of_the_project(self) -> None:
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))
+        pinned = set(project["project"]["dependencies"])
+        deployed = (ROOT / "deploy" / "requirements.txt").read_text(encoding="utf-8").split()
+        assert set(deployed) <= pinned
+        assert pinned - set(deployed) == {"matplotlib==3.11.2", "psutil==7.2.2"}
--- /dev/null
+++ b/wasabiramp/entry/journal.py
@@ -0,0 +1,193 @@
+"""The journal of the domain: what its owner stores, in one chain of commits, and reads back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgpack
+
+from wasabiramp.core.records import DecodeError
+from wasabiramp.entry.keys import (
+    KEY_COMMITS,
+    KEY_ROSTER,
+    KEY_TERM,
+    PREFIX_JOB,
+    PREFIX_PROGRESS,
+    key_job,
+    key_progress,
+)
+from wasabiramp.entry.membership import Tenure
+from wasabiramp.entry.ports import (
+    Item,
+    Store,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.logs import log_event
+from wasabiramp.scheduling.model import FINAL_PHASES, JobDefinition, JobProgress
+from wasabiramp.scheduling.records import (
+    decode_definition,
+    decode_progress,
+    encode_progress,
+)
+from wasabiramp.scheduling.scheduler import Changes
+
+ENTRIES_A_COMMIT: Final = 32
+"""Entries that the store takes in one transaction."""
+
+ENTRIES_OF_CONDITIONS: Final = 3
+"""Entries of the term and of the key of commits in each transaction."""
+
+FORGOTTEN_AT_ONCE: Final = 30
+"""Keys that one transaction removes, with its condition below the store's 32 entries."""
+
+RETRY_S: Final = 0.05
+"""Pause before a commit without an answer is sent again; its time-out has passed by then."""
+
+
+@dataclass(slots=True)
+class Kept:
+    """What the store keeps: jobs that are not over with their revision, and the ids of others."""
+
+    as_of: int
+    roster: list[tuple[str, str]]
+    jobs: list[tuple[JobDefinition, int, JobProgress | None]] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
+
+
+class Journal:
+    """Stores the changes of one owner, under the condition that its term still holds."""
+
+    def __init__(self, store: Store, tenure: Tenure, on_loss: Callable[[str], None]) -> None:
+        """Tell `on_loss` when the store holds another term."""
+        self._store = store
+        self._on_loss = on_loss
+        self.tenure = tenure
+        self._number = 0
+        self._revision = 0
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """Send nothing any more."""
+        self._is_stopped = True
+
+    async def async_read(self) -> Kept | None:
+        """Read jobs, progress and roster, or None where the store does not answer."""
+        try:
+            (jobs, as_of), (progress, _), roster, commits = await asyncio.gather(
+                self._store.async_list(PREFIX_JOB),
+                self._store.async_list(PREFIX_PROGRESS),
+                self._store.async_get(KEY_ROSTER),
+                self._store.async_get(KEY_COMMITS),
+            )
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("recovery_read_failed", error=err)
+            return None
+        self._revision = commits.revision if commits is not None else 0
+        rows = msgpack.unpackb(roster.value) if roster is not None else []
+        kept = Kept(as_of, [(row[0], row[1]) for row in rows])
+        records = {item.key.removeprefix(PREFIX_PROGRESS): item for item in progress}
+        for item in jobs:
+            _add_job(kept, item, records)
+        live = {job.id for job, _revision, _progress in kept.jobs}
+        kept.ended = [job_id for job_id in records if job_id not in live]
+        return kept
+
+    async def async_store(self, changes: Changes) -> bool:
+        """Write changes, each group after the one before; tell whether all are stored."""
+        for transaction in _make_transactions(changes):
+            if not await self._async_commit(transaction):
+                return False
+        return True
+
+    async def _async_commit(self, transaction: Transaction) -> bool:
+        """Commit one group while the term is this owner's.
+
+        Each commit also replaces the key of commits, so that one whose answer was lost cannot
+        take effect after a later one.
+        """
+        self._number += 1
+        mark = f"{self.tenure.fence}.{self._number}".encode()
+        transaction.expected[KEY_TERM] = self.tenure.fence
+        transaction.expected[KEY_COMMITS] = self._revision
+        transaction.writes[KEY_COMMITS] = (mark, 0)
+        while not self._is_stopped:
+            try:
+                self._revision = await self._store.async_commit(transaction)
+                return True
+            except StoreConflictError as err:
+                return self._settle_conflict(err, mark)
+            except StoreRefusedError as err:
+                log_event("commit_refused", entries=transaction.size, error=err)
+                return False
+            except StoreUnknownError as err:
+                log_event("commit_unanswered", entries=transaction.size, error=err)
+                await asyncio.sleep(RETRY_S)
+        return False
+
+    def _settle_conflict(self, err: StoreConflictError, mark: bytes) -> bool:
+        """Tell whether a commit that conflicts had held before, when its answer was lost."""
+        last, term = err.items.get(KEY_COMMITS), err.items.get(KEY_TERM)
+        if last is not None and last.value == mark:
+            self._revision = last.revision
+            return True
+        if term is None or term.revision != self.tenure.fence:
+            self._on_loss("the store holds another term")
+            return False
+        self._revision = last.revision if last is not None else 0
+        log_event("commit_conflict", revision=self._revision)
+        return False
+
+    async def async_forget(self, job_ids: list[str]) -> list[str]:
+        """Remove the records of jobs that are over; return those that are gone."""
+        gone: list[str] = []
+        for start in range(0, len(job_ids), FORGOTTEN_AT_ONCE):
+            group = job_ids[start : start + FORGOTTEN_AT_ONCE]
+            removed = [key_progress(job_id) for job_id in group]
+            transaction = Transaction(expected={KEY_TERM: self.tenure.fence}, removed=removed)
+            try:
+                await self._store.async_commit(transaction)
+            except (StoreConflictError, StoreRefusedError, StoreUnknownError) as err:
+                log_event("forget_failed", jobs=len(group), error=err)
+                return gone
+            log_event("jobs_forgotten", jobs=len(group))
+            gone += group
+        return gone
+
+
+def _add_job(kept: Kept, item: Item, records: dict[str, Item]) -> None:
+    """Add a job that is not over; one that cannot be read is logged and left where it is."""
+    try:
+        definition = decode_definition(item.value)
+        record = records.get(definition.id)
+        progress = decode_progress(record.value) if record is not None else None
+    except DecodeError as err:
+        log_event("job_unreadable", key=item.key, error=err)
+        return
+    if progress is None or progress.phase not in FINAL_PHASES:
+        kept.jobs.append((definition, item.revision, progress))
+
+
+def _make_transactions(changes: Changes) -> list[Transaction]:
+    """Return the writes in groups that the store takes."""
+    transactions: list[Transaction] = []
+    if changes.is_empty:
+        return transactions
+    current = Transaction()
+    if changes.roster is not None:
+        current.writes[KEY_ROSTER] = (msgpack.packb(changes.roster), 0)
+    for job in changes.jobs:
+        if current.size + 2 > ENTRIES_A_COMMIT - ENTRIES_OF_CONDITIONS:
+            transactions.append(current)
+            current = Transaction()
+        job_id = job.definition.id
+        current.writes[key_progress(job_id)] = (encode_progress(job.progress), 0)
+        if job.progress.phase in FINAL_PHASES:
+            current.removed.append(key_job(job_id))
+    transactions.append(current)
+    return transactions
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -6,19 +6,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-import msgpack
-
 from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.advisers import AdviserPool
 from wasabiramp.entry.follow import Follower
+from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import (
-    KEY_COMMITS,
-    KEY_ROSTER,
     KEY_TERM,
     PREFIX_JOB,
-    PREFIX_PROGRESS,
-    key_job,
-    key_progress,
 )
 from wasabiramp.entry.membership import Tenure
 from wasabiramp.entry.ports import (
@@ -27,10 +21,8 @@
     Item,
     NoAnswerError,
     Store,
-    StoreConflictError,
     StoreRefusedError,
     StoreUnknownError,
-    Transaction,
 )
 from wasabiramp.logs import log_event
 from wasabiramp.metrics import Metrics
@@ -66,11 +58,10 @@
     ExecutorReport,
     JobDefinition,
 )
+from wasabiramp.scheduling.orders import LAPSE_MARGIN_S
 from wasabiramp.scheduling.placement import summarize_queues
 from wasabiramp.scheduling.records import (
     decode_definition,
-    decode_progress,
-    encode_progress,
 )
 from wasabiramp.scheduling.scheduler import Changes, Scheduler
 
@@ -92,12 +83,6 @@
 RESCAN_S: Final = 4.0
 """How often stored jobs are listed, for those whose daemon died before it announced them."""
 
-ENTRIES_A_COMMIT: Final = 32
-"""Entries that the store takes in one transaction."""
-
-ENTRIES_OF_CONDITIONS: Final = 3
-"""Entries of the term and of the key of commits in each transaction."""
-
 LEASE_S: Final = 3.5
 """Lease given to runs: above a takeover, low enough to go on soon where an executor is cut off."""
 
@@ -107,9 +92,6 @@
 KEEP_FACTOR: Final = 1.5
 """Jobs that are over are kept for longer than callers may ask for them, by this factor."""
 
-FORGOTTEN_AT_ONCE: Final = 30
-"""Keys that one transaction removes, with its condition below the store's 32 entries."""
-
 OLDEST_JOB_S: Final = 3600.0
 """Ages above this make no difference to the order, and may come from a clock that is wrong."""
 
@@ -142,6 +124,7 @@
         """Prepare; nothing is sent before `start`."""
         self.tenure = tenure
         self._store = store
+        self._journal = Journal(store, tenure, on_loss)
         self._executors = executors
         self._advisers = advisers
         self._codec = codec
@@ -161,8 +144,6 @@
         self._commit_wake = asyncio.Event()
         self._committed = asyncio.Event()
         self._commit_count = 0
-        self._commit_number = 0
-        self._commits_revision = 0
         self._is_stopped = False
         self._is_placing = True
         self._last_tick = self._loop.time()
@@ -178,6 +159,7 @@
     def stop(self) -> None:
         """Send nothing any more."""
         self._is_stopped = True
+        self._journal.stop()
         for task in self._tasks:
             task.cancel()
         if self._place_timer is not None:
@@ -185,7 +167,7 @@
 
     def renew(self, tenure: Tenure) -> None:
         """Go on in a new term."""
-        self.tenure = tenure
+        self.tenure = self._journal.tenure = tenure
         self.scheduler.state.term = tenure.term
         self._commit_wake.set()
 
@@ -343,48 +325,20 @@
         self._spawn(self._async_tick())
 
     async def _async_recover(self) -> bool:
-        """Read jobs, progress and roster; tell whether the store answered."""
-        try:
-            (jobs, as_of), (progress, _), roster, commits = await asyncio.gather(
-                self._store.async_list(PREFIX_JOB),
-                self._store.async_list(PREFIX_PROGRESS),
-                self._store.async_get(KEY_ROSTER),
-                self._store.async_get(KEY_COMMITS),
-            )
-        except (StoreRefusedError, StoreUnknownError) as err:
-            log_event("recovery_read_failed", error=err)
+        """Take what an earlier owner stored; tell whether the store answered."""
+        kept = await self._journal.async_read()
+        if kept is None:
             return False
-        self._commits_revision = commits.revision if commits is not None else 0
-        rows = msgpack.unpackb(roster.value) if roster is not None else []
-        stored = self._read_jobs(jobs, progress)
-        live = {job.definition.id for job in stored}
-        for item in progress:
-            job_id = item.key.removeprefix(PREFIX_PROGRESS)
-            if job_id not in live:
-                self._forget_at[job_id] = self._loop.time() + self._keep_s
-        left_s = self._lease_s * LEASE_TOLERANCE + 0.25
-        self._reduce(JobsRecovered(stored, [(row[0], row[1]) for row in rows], left_s, as_of))
+        forget_at = self._loop.time() + self._keep_s
+        self._forget_at = dict.fromkeys(kept.ended, forget_at)
+        stored = [
+            StoredJob(job, self._find_accepted(job), revision, progress)
+            for job, revision, progress in kept.jobs
+        ]
+        left_s = self._lease_s * LEASE_TOLERANCE + LAPSE_MARGIN_S
+        self._reduce(JobsRecovered(stored, kept.roster, left_s, kept.as_of))
         return True
 
-    def _read_jobs(self, jobs: list[Item], progress: list[Item]) -> list[StoredJob]:
-        """Return the jobs that are not over, with their progress."""
-        kept: dict[str, Item] = {item.key.removeprefix(PREFIX_PROGRESS): item for item in progress}
-        stored = []
-        for item in jobs:
-            try:
-                definition = decode_definition(item.value)
-                record = kept.get(definition.id)
-                done = decode_progress(record.value) if record is not None else None
-            except DecodeError as err:
-                log_event("job_unreadable", key=item.key, error=err)
-                continue
-            if done is not None and done.phase in FINAL_PHASES:
-                continue
-            stored.append(
-                StoredJob(definition, self._find_accepted(definition), item.revision, done)
-            )
-        return stored
-
     async def _async_tick(self) -> None:
         """Let time pass for the scheduler."""
         while True:
@@ -441,7 +395,7 @@
             changes = self.scheduler.take_changes()
             if changes is None:
                 continue
-            if await self._async_store(changes):
+            if await self._journal.async_store(changes):
                 self._reduce(Committed())
                 self._note_ended(changes)
             else:
@@ -463,86 +417,9 @@
         """Remove jobs that were over for so long that nobody may ask for them any more."""
         now = self._loop.time()
         due = [job_id for job_id, at in self._forget_at.items() if at <= now]
-        for start in range(0, len(due), FORGOTTEN_AT_ONCE):
-            group = due[start : start + FORGOTTEN_AT_ONCE]
-            try:
-                await self._store.async_commit(
-                    Transaction(
-                        expected={KEY_TERM: self.tenure.fence},
-                        removed=[key_progress(job_id) for job_id in group],
-                    )
-                )
-            except (StoreConflictError, StoreRefusedError, StoreUnknownError) as err:
-                log_event("forget_failed", jobs=len(group), error=err)
-                return
-            for job_id in group:
-                del self._forget_at[job_id]
-                self.scheduler.state.jobs.pop(job_id, None)
-            log_event("jobs_forgotten", jobs=len(group))
-
-    async def _async_store(self, changes: Changes) -> bool:
-        """Write changes, each group after the one before; tell whether all are stored."""
-        for transaction in self._make_transactions(changes):
-            if not await self._async_commit(transaction):
-                return False
-        return True
-
-    async def _async_commit(self, transaction: Transaction) -> bool:
-        """Commit one group while the term is this owner's.
-
-        Each commit also replaces the key of commits, so that one whose answer was lost cannot
-        take effect after a later one.
-        """
-        self._commit_number += 1
-        mark = f"{self.tenure.fence}.{self._commit_number}".encode()
-        transaction.expected[KEY_TERM] = self.tenure.fence
-        transaction.expected[KEY_COMMITS] = self._commits_revision
-        transaction.writes[KEY_COMMITS] = (mark, 0)
-        while not self._is_stopped:
-            try:
-                self._commits_revision = await self._store.async_commit(transaction)
-                return True
-            except StoreConflictError as err:
-                return self._settle_conflict(err, mark)
-            except StoreRefusedError as err:
-                log_event("commit_refused", entries=transaction.size, error=err)
-                return False
-            except StoreUnknownError as err:
-                log_event("commit_unanswered", entries=transaction.size, error=err)
-                await asyncio.sleep(RETRY_S / 4)
-        return False
-
-    def _settle_conflict(self, err: StoreConflictError, mark: bytes) -> bool:
-        """Tell whether a commit that conflicts had held before, when its answer was lost."""
-        last, term = err.items.get(KEY_COMMITS), err.items.get(KEY_TERM)
-        if last is not None and last.value == mark:
-            self._commits_revision = last.revision
-            return True
-        if term is None or term.revision != self.tenure.fence:
-            self._on_loss("the store holds another term")
-            return False
-        self._commits_revision = last.revision if last is not None else 0
-        log_event("commit_conflict", revision=self._commits_revision)
-        return False
-
-    def _make_transactions(self, changes: Changes) -> list[Transaction]:
-        """Return the writes in groups that the store takes."""
-        transactions: list[Transaction] = []
-        if changes.is_empty:
-            return transactions
-        current = Transaction()
-        if changes.roster is not None:
-            current.writes[KEY_ROSTER] = (msgpack.packb(changes.roster), 0)
-        for job in changes.jobs:
-            if current.size + 2 > ENTRIES_A_COMMIT - ENTRIES_OF_CONDITIONS:
-                transactions.append(current)
-                current = Transaction()
-            job_id = job.definition.id
-            current.writes[key_progress(job_id)] = (encode_progress(job.progress), 0)
-            if job.progress.phase in FINAL_PHASES:
-                current.removed.append(key_job(job_id))
-        transactions.append(current)
-        return transactions
+        for job_id in await self._journal.async_forget(due):
+            del self._forget_at[job_id]
+            self.scheduler.state.jobs.pop(job_id, None)
 
     def find_phase(self, job_id: str) -> str | None:
         """Return the phase that callers may be shown, or None for an unknown job."""
