Start nothing beside a run whose size is unknown

Ruled out: double placement (all runs of the old owner were adopted), clocks. Before: the new test fails, LIMIT 1.

--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -172,6 +172,20 @@
         assert (stop.task, stop.run) == ("f" * 16 + ".0.0.0", 3)
 
 
+    def test_executor_gets_nothing_while_an_unknown_run_takes_room(self) -> None:
+        """Hunt of rimworks-cairo, hunt-9a2c-7: a cancelled job was over before a takeover."""
+        bench = Bench(executors=1)
+        bench.running["e0"] = [RunReport("f" * 16 + ".0.0.0", 3, "", 100.0, 0.0)]
+        bench.report("e0")
+        bench.submit("a" * 16, "batch", make_step(1))
+        assert bench.place() == []
+        bench.confirm_stop(bench.take(StopTask)[0])
+        bench.running["e0"] = []
+        bench.tick(0.1)
+        bench.report("e0")
+        assert len(bench.place()) == 1
+
+
 class TestFailingExecutor:
     """An executor that fails different steps rests; a step that fails everywhere does not."""
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -256,4 +256,7 @@
         return False
     if not executor.is_listed and state.now > executor.unlisted_at + RELIST_S:
         return False
+    # The room that a run of an unknown job takes is unknown too, until it is gone.
+    if any(run.step is None for run in executor.runs.values()):
+        return False
     return state.now >= executor.resting_until
