--- /dev/null
+++ b/tests/entry/test_parts.py
@@ -0,0 +1,346 @@
+"""Tests of the parts of a daemon: following, admission, the journal, advisers and peers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from wasabiramp.entry.admission import REFUSED, REPEATED, STORED, UNKNOWN, Admission
+from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.follow import Follower
+from wasabiramp.entry.health import MonitoredStore
+from wasabiramp.entry.journal import Journal
+from wasabiramp.entry.keys import KEY_COMMITS, KEY_TERM, key_job, key_progress
+from wasabiramp.entry.membership import Tenure
+from wasabiramp.entry.peers import OK, PeerAnswer, PeerCaller, PeerListener, ShowJob
+from wasabiramp.entry.ports import (
+    Change,
+    HistoryLostError,
+    Item,
+    NoAnswerError,
+    PeerGoneError,
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+from wasabiramp.model.entry.clock import VirtualLoop
+from wasabiramp.scheduling.model import (
+    DONE,
+    JobDefinition,
+    JobProgress,
+    Queue,
+    Resources,
+    Step,
+)
+from wasabiramp.scheduling.scheduler import Changes
+from wasabiramp.scheduling.state import JobRun
+
+QUEUE = Queue("q", "h", "/q/", "s")
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    """Run work on virtual time."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(work)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+def make_job(number: int) -> JobDefinition:
+    """Return a small job."""
+    return JobDefinition(f"{number:016x}", QUEUE, "x", (Step(1, Resources(1, 1, 0), 1.0),))
+
+
+class ScriptedStore:
+    """A store whose answers a test writes down; an exception is raised, a value returned."""
+
+    def __init__(self, **answers: list[Any]) -> None:
+        """Take the answers by call."""
+        self._answers = answers
+        self.commits: list[Transaction] = []
+
+    def _next(self, call: str) -> Any:
+        """Return the next answer of a call."""
+        answer = self._answers[call].pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def async_list(self, prefix: str) -> Any:
+        """Return a list."""
+        await asyncio.sleep(0.001)
+        return self._next("lists")
+
+    async def async_watch(self, prefix: str, after: int, wait_s: float) -> Any:
+        """Return changes, or wait for ever after the last."""
+        await asyncio.sleep(0.001)
+        if not self._answers["watches"]:
+            await asyncio.sleep(3600)
+        return self._next("watches")
+
+    async def async_commit(self, transaction: Transaction) -> Any:
+        """Note a transaction."""
+        await asyncio.sleep(0.001)
+        self.commits.append(
+            Transaction(
+                dict(transaction.expected), dict(transaction.writes), list(transaction.removed)
+            )
+        )
+        return self._next("commits")
+
+    async def async_renew(self, lease: int) -> None:
+        """Answer a renewal."""
+        self._next("renewals")
+
+
+class TestFollower:
+    """A copy of a prefix is complete after gaps and never goes back."""
+
+    def follow(self, store: ScriptedStore, seconds: float = 1.0) -> list[tuple[str, int | None]]:
+        seen: list[tuple[str, int | None]] = []
+
+        async def play() -> None:
+            follower = Follower(
+                store, "p/", 1.0, lambda key, item: seen.append((key, item and item.revision))
+            )
+            task = asyncio.get_running_loop().create_task(follower.async_run())
+            await asyncio.sleep(seconds)
+            task.cancel()
+
+        run(play())
+        return seen
+
+    def test_list_again_after_lost_history(self) -> None:
+        store = ScriptedStore(
+            lists=[([Item("p/a", b"", 3), Item("p/b", b"", 4)], 5), ([Item("p/b", b"", 7)], 9)],
+            watches=[HistoryLostError("p/")],
+        )
+        assert self.follow(store) == [("p/a", 3), ("p/b", 4), ("p/a", None), ("p/b", 7)]
+
+    def test_list_that_is_older_than_the_copy_is_dropped(self) -> None:
+        store = ScriptedStore(
+            lists=[([Item("p/a", b"", 8)], 8), ([Item("p/a", b"", 3)], 4), ([], 9)],
+            watches=[HistoryLostError("p/")],
+        )
+        assert self.follow(store) == [("p/a", 8), ("p/a", None)]
+
+    def test_older_change_is_dropped(self) -> None:
+        late = Change("p/a", 5, Item("p/a", b"", 5))
+        store = ScriptedStore(lists=[([Item("p/a", b"", 8)], 8)], watches=[([late], 9)])
+        assert self.follow(store) == [("p/a", 8)]
+
+    def test_outage_is_waited_out(self) -> None:
+        store = ScriptedStore(
+            lists=[StoreRefusedError("503"), StoreUnknownError("lost"), ([], 2)], watches=[]
+        )
+        assert self.follow(store, 3.0) == []
+
+
+class TestAdmission:
+    """A job is stored once, and callers are told only what is certain."""
+
+    def admit(self, store: ScriptedStore, count: int) -> list[tuple[str, int]]:
+        found: list[tuple[str, int]] = []
+
+        async def play() -> None:
+            admission = Admission(store)
+            task = asyncio.get_running_loop().create_task(admission.async_run())
+            jobs = (admission.async_store(make_job(number)) for number in range(count))
+            found.extend(await asyncio.gather(*jobs))
+            task.cancel()
+
+        run(play())
+        return found
+
+    def test_jobs_that_come_together_share_a_commit(self) -> None:
+        store = ScriptedStore(commits=[7])
+        assert self.admit(store, 5) == [(STORED, 7)] * 5
+        assert store.commits[0].size <= 32
+
+    def test_many_jobs_keep_to_the_stores_limit(self) -> None:
+        store = ScriptedStore(commits=[7, 8, 9])
+        self.admit(store, 25)
+        assert [commit.size <= 32 for commit in store.commits] == [True] * 3
+
+    def test_repeat_does_not_hold_up_the_others(self) -> None:
+        key = key_job(make_job(1).id)
+        conflict = StoreConflictError({key: Item(key, b"", 4)})
+        store = ScriptedStore(commits=[conflict, 9])
+        assert self.admit(store, 3) == [(STORED, 9), (REPEATED, 0), (STORED, 9)]
+
+    def test_job_that_is_over_is_a_repeat(self) -> None:
+        key = key_progress(make_job(0).id)
+        store = ScriptedStore(commits=[StoreConflictError({key: Item(key, b"", 4)})])
+        assert self.admit(store, 1) == [(REPEATED, 0)]
+
+    @pytest.mark.parametrize(
+        ("error", "outcome"),
+        [(StoreRefusedError("503"), REFUSED), (StoreUnknownError("lost"), UNKNOWN)],
+    )
+    def test_failure(self, error: Exception, outcome: str) -> None:
+        assert self.admit(ScriptedStore(commits=[error]), 1) == [(outcome, 0)]
+
+
+class TestJournal:
+    """Commits form one chain, so that a lost one is settled and a late one has no effect."""
+
+    def store(self, store: ScriptedStore) -> tuple[bool, list[str]]:
+        losses: list[str] = []
+        outcome: list[bool] = []
+
+        async def play() -> None:
+            journal = Journal(store, Tenure(1, 50), losses.append)
+            job = JobRun(make_job(1), JobProgress(DONE), 0.0)
+            outcome.append(await journal.async_store(Changes([job], None, {})))
+
+        run(play())
+        return outcome[0], losses
+
+    def test_conditions_and_final_record(self) -> None:
+        store = ScriptedStore(commits=[60])
+        assert self.store(store) == (True, [])
+        commit = store.commits[0]
+        assert commit.expected == {KEY_TERM: 50, KEY_COMMITS: 0}
+        assert commit.removed == [key_job(make_job(1).id)]
+        assert key_progress(make_job(1).id) in commit.writes
+
+    def test_lost_commit_that_held(self) -> None:
+        held = StoreConflictError({KEY_COMMITS: Item(KEY_COMMITS, b"50.1", 60)})
+        store = ScriptedStore(commits=[StoreUnknownError("lost"), held])
+        assert self.store(store) == (True, [])
+
+    def test_lost_commit_that_did_not_hold_is_sent_again(self) -> None:
+        store = ScriptedStore(commits=[StoreUnknownError("lost"), 60])
+        assert self.store(store) == (True, [])
+        assert store.commits[0].expected == store.commits[1].expected
+
+    def test_other_term_ends_the_ownership(self) -> None:
+        taken = StoreConflictError({KEY_TERM: Item(KEY_TERM, b"", 70)})
+        stored, losses = self.store(ScriptedStore(commits=[taken]))
+        assert not stored
+        assert len(losses) == 1
+
+
+class TestHealth:
+    """The store counts as away after failures without a good answer in between."""
+
+    def test_away_and_back(self) -> None:
+        async def play() -> None:
+            refused = StoreRefusedError("503")
+            store = MonitoredStore(ScriptedStore(renewals=[None, refused, refused, None]))
+            await store.async_renew(1)
+            with pytest.raises(StoreRefusedError):
+                await store.async_renew(1)
+            assert not store.is_away()
+            await asyncio.sleep(1.0)
+            with pytest.raises(StoreRefusedError):
+                await store.async_renew(1)
+            assert store.is_away()
+            await store.async_renew(1)
+            assert not store.is_away()
+
+        run(play())
+
+
+class SlowAdviser:
+    """Answers after a time, and counts questions."""
+
+    def __init__(self) -> None:
+        """Start without questions."""
+        self.asked = 0
+
+    async def async_ask(self, step: str, executors: list[str], timeout_s: float) -> Any:
+        """Answer a question."""
+        self.asked += 1
+        await asyncio.sleep(0.5)
+        return {}, 2.5
+
+
+class CountingPeers:
+    """Counts the questions by daemon."""
+
+    def __init__(self, silent: str = "") -> None:
+        """Let one daemon be silent."""
+        self._silent = silent
+        self.asked: list[str] = []
+
+    async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+        """Answer a question."""
+        self.asked.append(address)
+        if address == self._silent:
+            raise NoAnswerError(address)
+        await asyncio.sleep(0.5)
+        return PeerAnswer(OK, ({}, 2.5))
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class TestAdviserPool:
+    """Slow questions go to the daemon that is free first; quick ones stay with the owner."""
+
+    def test_slow_questions_are_spread(self) -> None:
+        peers, adviser = CountingPeers(), SlowAdviser()
+
+        async def play() -> None:
+            pool = AdviserPool(adviser, peers, lambda: ["a", "b", "c"])
+            await asyncio.gather(*(pool.async_ask("s", [], 0.5) for _ in range(6)))
+
+        run(play())
+        assert sorted(peers.asked) == ["a", "a", "b", "b", "c", "c"]
+        assert adviser.asked == 0
+
+    def test_quick_question_is_asked_here(self) -> None:
+        peers, adviser = CountingPeers(), SlowAdviser()
+
+        async def play() -> None:
+            pool = AdviserPool(adviser, peers, lambda: ["a", "b"])
+            await pool.async_ask("s", [], 0.01)
+
+        run(play())
+        assert (peers.asked, adviser.asked) == ([], 1)
+
+    def test_silent_daemon_is_avoided(self) -> None:
+        peers = CountingPeers(silent="a")
+
+        async def play() -> None:
+            pool = AdviserPool(SlowAdviser(), peers, lambda: ["a", "b"])
+            with pytest.raises(NoAnswerError):
+                await pool.async_ask("s", [], 0.5)
+            await pool.async_ask("s", [], 0.5)
+            await pool.async_ask("s", [], 0.5)
+
+        run(play())
+        assert peers.asked == ["a", "b", "b"]
+
+
+class TestPeers:
+    """Calls between daemons over loopback."""
+
+    def test_call_and_refused_connection(self) -> None:
+        async def serve(message: Any) -> PeerAnswer:
+            return PeerAnswer(OK, message.job)
+
+        async def play() -> None:
+            server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            server.close()
+            await server.wait_closed()
+            listener, caller = PeerListener(serve), PeerCaller()
+            await listener.async_start(f"127.0.0.1:{port}")
+            answer = await caller.async_call(f"127.0.0.1:{port}", ShowJob("x"), 2.0)
+            assert answer.value == "x"
+            await listener.async_stop()
+            caller.close()
+            with pytest.raises(PeerGoneError):
+                await PeerCaller().async_call(f"127.0.0.1:{port}", ShowJob("x"), 2.0)
+
+        asyncio.run(play())
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -171,7 +171,6 @@
         (stop,) = bench.take(StopTask)
         assert (stop.task, stop.run) == ("f" * 16 + ".0.0.0", 3)
 
-
     def test_executor_gets_nothing_while_an_unknown_run_takes_room(self) -> None:
         """Hunt of rimworks-cairo, hunt-9a2c-7: a cancelled job was over before a takeover."""
         bench = Bench(executors=1)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,40 @@
+"""Tests of the bounded log output."""
+
+from __future__ import annotations
+
+import os
+
+from wasabiramp.logs import BoundedOutput, format_value
+
+
+class TestBoundedOutput:
+    """Output neither blocks nor exceeds its lines a second, and says what it left out."""
+
+    def test_lines_beyond_the_limit_are_counted(self, monkeypatch) -> None:
+        reader, writer = os.pipe()
+        now = [10.0]
+        monkeypatch.setattr("wasabiramp.logs.time.monotonic", lambda: now[0])
+        output = BoundedOutput(writer, 3)
+        for number in range(8):
+            output.write(f"line {number}\n")
+        now[0] = 11.0
+        output.write("later\n")
+        text = os.read(reader, 65_536).decode()
+        assert text.count("line ") == 3
+        assert "event=log_lines_dropped count=5" in text
+        assert text.endswith("later\n")
+
+    def test_reader_that_is_too_slow_blocks_nobody(self) -> None:
+        _reader, writer = os.pipe()
+        output = BoundedOutput(writer, 1_000_000)
+        for _ in range(200):
+            output.write("x" * 1_000 + "\n")
+
+
+class TestValues:
+    """Values that do not read as one word are quoted."""
+
+    def test_quotes(self) -> None:
+        assert format_value("a b") == '"a b"'
+        assert format_value('a"b') == '"a\\"b"'
+        assert format_value(0.25) == "0.25"
