Drop what the scheduler wrote and nothing read

Cause: Run.percent, TaskState.waiting_since and StepRun.started_count were set on the path of every start, end and report, and no code read them. Behaviour is the same.

--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -63,8 +63,6 @@
     run = Run(step, task.index, step.name_task(task.index), executor.id, number, state.now)
     task.last_run = number
     task.runs.append(run)
-    task.waiting_since = None
-    step.started_count += 1
     step.job.has_started = True
     executor.add_run(run)
     ticket = step.tickets.get(executor.id)
@@ -112,8 +110,6 @@
     task = step.tasks[run.index]
     if run in task.runs:
         task.runs.remove(run)
-    if not task.runs:
-        task.waiting_since = state.now
 
 
 def send_hold(state: SchedulerState, executor: ExecutorState, wait_s: float) -> None:
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -131,7 +131,6 @@
         run = adopt_run(state, executor, row)
     if run.confirmed_at is None:
         run.confirmed_at = sent_at
-    run.percent = row.percent
     if run.step is not None and row.saved:
         run.step.tasks[run.index].saved = row.saved
     if not is_wanted(run) and not _ends_with_gang(run):
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -35,7 +35,6 @@
         "index",
         "is_uncertain",
         "number",
-        "percent",
         "sent_at",
         "step",
         "stop_confirmed_at",
@@ -59,7 +58,6 @@
         self.wants_stop = False
         self.stop_sent_at: float | None = None
         self.stop_confirmed_at: float | None = None
-        self.percent = 100.0
 
     @property
     def demand(self) -> Resources:
@@ -70,7 +68,7 @@
 class TaskState:
     """One task of a step: its runs that may be alive, and what it saved."""
 
-    __slots__ = ("index", "last_run", "runs", "saved", "waiting_since")
+    __slots__ = ("index", "last_run", "runs", "saved")
 
     def __init__(self, index: int, saved: str) -> None:
         """Start without runs."""
@@ -78,7 +76,6 @@
         self.last_run = 0
         self.runs: list[Run] = []
         self.saved = saved
-        self.waiting_since: float | None = None
 
 
 class Ticket:
@@ -108,7 +105,6 @@
         "occurrence",
         "progress",
         "spec",
-        "started_count",
         "tasks",
         "tickets",
         "verdicts",
@@ -127,7 +123,6 @@
             for number in range(self.spec.count)
         ]
         self.due_at = due_at
-        self.started_count = 0
         self.is_asking = False
         self.ask_at = 0.0
         self.could_run = True
