Repeat a start that has no answer, and wait less for lost answers of executors

An executor takes a run only once, so the same order can be sent again. A refusal of the repeat proves nothing of the first order, which keeps its room until a stop and a report settle it. Time-outs: orders 0.6 to 0.3 s, holds 0.7 to 0.4 s beyond their wait, first retry of a hold at once.

Tests: tests/scheduling/test_runs.py TestRepeatedStart, TestLostHold, which fail on the code before. Tests of lost answers lose the repeat too, so they check the same as before.

--- a/tests/scheduling/helpers.py
+++ b/tests/scheduling/helpers.py
@@ -14,6 +14,7 @@
 )
 from wasabiramp.scheduling.events import (
     STARTED,
+    UNKNOWN,
     AdviceAnswered,
     Committed,
     ConfigChanged,
@@ -129,6 +130,11 @@
             self.running.setdefault(start.executor, []).append(row)
         self.apply(StartAnswered(start.executor, start.task, start.run, self.now, outcome))
 
+    def lose(self, start: StartTask) -> None:
+        """Leave a start and its repeat without an answer."""
+        self.confirm(start, UNKNOWN)
+        self.confirm(start, UNKNOWN)
+
     def place_and_confirm(self) -> list[StartTask]:
         """Decide, and confirm all starts."""
         starts = self.place()
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.scheduling.helpers import Bench, HoldExecutor, StopTask, make_step
+from tests.scheduling.helpers import Bench, HoldExecutor, StartTask, StopTask, make_step
 from wasabiramp.scheduling.effects import GiveUpOwnership
 from wasabiramp.scheduling.events import (
     NOT_SENT,
@@ -14,7 +14,9 @@
     REFUSED_LATE,
     REFUSED_OLD,
     REFUSED_ROOM,
+    REFUSED_TICKET,
     UNKNOWN,
+    CancelAsked,
     ExecutorUnlisted,
     HoldFailed,
 )
@@ -28,7 +30,7 @@
         bench = Bench(executors=1)
         bench.submit("a" * 16, "batch", make_step(1))
         (start,) = bench.place()
-        bench.confirm(start, UNKNOWN)
+        bench.lose(start)
         (stop,) = bench.take(StopTask)
         assert bench.place() == []
         bench.confirm_stop(stop)
@@ -42,7 +44,7 @@
         bench = Bench(executors=1)
         bench.submit("a" * 16, "batch", make_step(1))
         (start,) = bench.place()
-        bench.confirm(start, UNKNOWN)
+        bench.lose(start)
         asked_at = bench.now
         bench.tick(0.1)
         bench.confirm_stop(bench.take(StopTask)[0])
@@ -53,12 +55,99 @@
         bench = Bench(executors=1)
         job = bench.submit("a" * 16, "batch", make_step(1))
         (start,) = bench.place()
-        bench.confirm(start, UNKNOWN)
+        bench.lose(start)
         bench.finish(start)
         assert job.is_ended
         assert bench.scheduler.state.executors["e0"].used.cpu == 0
 
 
+class TestRepeatedStart:
+    """Orders left unanswered: a start is repeated, as the executor takes a run only once."""
+
+    def test_repeat_is_the_same_run(self) -> None:
+        bench = Bench(executors=2)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.take(StartTask)
+        bench.tick(0.3)
+        bench.confirm(start, UNKNOWN)
+        (repeat,) = bench.take(StartTask)
+        assert (repeat.executor, repeat.task, repeat.run) == (
+            start.executor,
+            start.task,
+            start.run,
+        )
+        assert repeat.until_ms > start.until_ms
+        assert bench.take(StopTask) == []
+
+    def test_answered_repeat_runs_on(self) -> None:
+        bench = Bench(executors=1)
+        job = bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        bench.confirm(start)
+        assert bench.place() == [] and bench.take(StopTask) == []
+        bench.finish(start)
+        assert job.is_ended
+
+    def test_gang_is_kept_whole(self) -> None:
+        bench = Bench(executors=2)
+        bench.submit("a" * 16, "gangs", make_step(2, 3_000, is_gang=True))
+        first, second = bench.place()
+        bench.confirm(second)
+        bench.confirm(first, UNKNOWN)
+        bench.confirm(first)
+        assert bench.take(StopTask) == []
+
+    @pytest.mark.parametrize("outcome", [REFUSED_OLD, REFUSED_ROOM, REFUSED_TICKET, NOT_SENT])
+    def test_refused_repeat_leaves_the_first_order_open(self, outcome: str) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        bench.confirm(start, outcome)
+        assert len(bench.take(StopTask)) == 1
+        assert bench.scheduler.state.executors["e0"].used.cpu == 1_000
+        bench.tick(1.0)
+        assert bench.place() == []
+
+    def test_listed_run_needs_no_repeat(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.running["e0"] = [RunReport(start.task, start.run, "", 100.0, 0.0)]
+        bench.report("e0")
+        bench.take(StartTask)
+        bench.confirm(start, UNKNOWN)
+        assert bench.take(StartTask) == [] and bench.take(StopTask) == []
+
+    def test_cancelled_run_is_not_repeated(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.take(StartTask)
+        bench.apply(CancelAsked("a" * 16))
+        bench.confirm(start, UNKNOWN)
+        assert bench.take(StartTask) == []
+
+
+class TestLostHold:
+    """Orders left unanswered: the next look follows at once, only later ones after a pause."""
+
+    def test_first_retry_does_not_wait(self) -> None:
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        bench.place_and_confirm()
+        bench.tick()
+        bench.take(HoldExecutor)
+        bench.apply(HoldFailed("e0", bench.now, UNKNOWN))
+        bench.tick()
+        assert len(bench.take(HoldExecutor)) == 1
+        bench.apply(HoldFailed("e0", bench.now, UNKNOWN))
+        bench.tick(0.1)
+        assert bench.take(HoldExecutor) == []
+
+
 class TestRefusal:
     """A refused start frees its room at once."""
 
@@ -149,7 +238,7 @@
         bench = Bench(executors=1)
         bench.submit("a" * 16, "batch", make_step(1))
         (start,) = bench.place()
-        bench.confirm(start, UNKNOWN)
+        bench.lose(start)
         bench.confirm_stop(bench.take(StopTask)[0])
         bench.tick(0.1)
         bench.report("e0")
--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -25,8 +25,8 @@
 
 STOP_S: Final = 0.2
 GANG_S: Final = 3.0
-ORDER_S: Final = 0.6
-HOLD_SLACK_S: Final = 0.7
+ORDER_S: Final = 0.3
+HOLD_SLACK_S: Final = 0.4
 LEASE_LIMIT_S: Final = 6.0
 SLOWEST_CLOCK: Final = 0.98
 LATE_S: Final = (2.0, 12.0)
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -36,11 +36,16 @@
 
 CONNECT_S: Final = 0.5
 STORE_CALL_S: Final = 0.7
-ORDER_S: Final = 0.6
-HOLD_SLACK_S: Final = 0.7
 WATCH_SLACK_S: Final = 0.7
 """Time-outs: several times a slow answer, and short enough to see a silent connection."""
 
+ORDER_S: Final = 0.3
+HOLD_SLACK_S: Final = 0.4
+"""Time-outs towards executors, which answer in milliseconds; a lost answer costs as much."""
+
+CONNECT_SHARE: Final = 0.8
+"""Share of a time-out in which a connection has to stand, so that a failure is seen as such."""
+
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 REFUSALS: Final = {
     "fence": events.REFUSED_FENCE,
@@ -87,7 +92,8 @@
         answer is missing or cut.
         """
         data = orjson.dumps(body) if body is not None else None
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_S)
+        connect_s = min(CONNECT_S, CONNECT_SHARE * timeout_s)
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_s)
         try:
             async with self._session.request(
                 method, url, data=data, headers=headers or JSON_HEADERS, timeout=timeout
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -24,7 +24,7 @@
 """How long a hold waits for an end; a third of a lease, so that a lost one does no harm."""
 
 HOLD_RETRY_S: Final = 0.3
-"""Pause after a hold that failed."""
+"""Pause after a hold that failed, but for the first: a single answer that was lost."""
 
 ENDS_PAUSE_S: Final = 0.04
 """Pause after ends were read: several that come together cost one look."""
@@ -174,10 +174,12 @@
     if event.outcome == REFUSED_FENCE:
         give_up(state, f"{event.executor} refused a hold as fenced")
         return
-    if executor.silent_since is None:
+    executor.hold_at = state.now
+    if executor.silent_since is not None:
+        executor.hold_at += HOLD_RETRY_S
+    else:
         executor.silent_since = state.now
         state.note("executor_silent", executor=executor.id, why=event.outcome)
-    executor.hold_at = state.now + HOLD_RETRY_S
     has_left = not executor.is_listed and executor.entry.is_draining
     if event.outcome == OTHER_LIFE or (has_left and event.outcome == NOT_SENT):
         lapse_runs(state, executor, "another process answers, or none")
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
 from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
@@ -16,6 +17,9 @@
 STOP_RETRY_S: Final = 0.5
 """Pause before a stop without an answer is sent again; a little above its time-out."""
 
+START_RESENDS: Final = 1
+"""Repeats of a start without an answer: one more loss is rare where the executor lives."""
+
 CLOCK_SLOWNESS: Final = 0.02
 """How much slower an executor's clock may run than ours, by the platform's promise."""
 
@@ -66,22 +70,38 @@
     step.job.has_started = True
     executor.add_run(run)
     ticket = step.tickets.get(executor.id)
-    state.effects.append(
-        StartTask(
-            executor.id,
-            executor.entry.address,
-            run.task,
-            number,
-            step.job.definition.spec,
-            until,
-            task.saved,
-            ticket.value if ticket is not None else "",
-        )
+    run.order = StartTask(
+        executor.id,
+        executor.entry.address,
+        run.task,
+        number,
+        step.job.definition.spec,
+        until,
+        task.saved,
+        ticket.value if ticket is not None else "",
     )
+    state.effects.append(run.order)
     executor.hold_at = min(executor.hold_at, state.now)
     state.note("run_started", task=run.task, run=number, executor=executor.id, until=until)
 
 
+def resend_start(state: SchedulerState, executor: ExecutorState, run: Run) -> bool:
+    """Send a start without an answer again, unless it has been or the run is to be stopped.
+
+    An executor takes a run only once, so the repeat does no harm where the first order arrived.
+    Return whether it was sent.
+    """
+    if run.order is None or run.wants_stop or run.resends >= START_RESENDS:
+        return False
+    until = extend_lease(state, executor) if executor.silent_since is None else None
+    if until is None:
+        return False
+    run.resends += 1
+    state.effects.append(replace(run.order, until_ms=until))
+    state.note("start_repeated", task=run.task, run=run.number, executor=executor.id)
+    return True
+
+
 def stop_run(state: SchedulerState, run: Run) -> None:
     """Stop a run; the order is repeated until it is answered."""
     run.wants_stop = True
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -23,7 +23,7 @@
 )
 from wasabiramp.scheduling.jobs import fail_task, finish_task, note_change
 from wasabiramp.scheduling.model import EndReport, RunReport, parse_task
-from wasabiramp.scheduling.orders import release_run, send_stop, stop_run
+from wasabiramp.scheduling.orders import release_run, resend_start, send_stop, stop_run
 from wasabiramp.scheduling.state import (
     ExecutorState,
     Run,
@@ -75,8 +75,13 @@
         "start_refused", task=event.task, run=event.run, executor=event.executor, why=event.outcome
     )
     if event.outcome == UNKNOWN:
-        run.is_uncertain = True
         executor.doubtful[(event.task, event.run)] = event.sent_at
+        is_listed = run.confirmed_at is not None
+        if is_listed or resend_start(state, executor, run):
+            return
+    # A refusal of a repeat says nothing of the first order, which may still be carried out.
+    if event.outcome == UNKNOWN or run.resends:
+        run.is_uncertain = True
         stop_run(state, run)
         stop_gang(state, run)
         return
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from wasabiramp.scheduling.effects import Effect, NoteDecision
+from wasabiramp.scheduling.effects import Effect, NoteDecision, StartTask
 from wasabiramp.scheduling.model import (
     CANCELLED,
     FINAL_PHASES,
@@ -35,6 +35,8 @@
         "index",
         "is_uncertain",
         "number",
+        "order",
+        "resends",
         "sent_at",
         "step",
         "stop_confirmed_at",
@@ -53,6 +55,8 @@
         self.executor = executor
         self.number = number
         self.sent_at = now
+        self.order: StartTask | None = None
+        self.resends = 0
         self.confirmed_at: float | None = None
         self.is_uncertain = False
         self.wants_stop = False
