Learn executors' speed from the progress of runs, and slow down what fills

Two changes of what the owner does with an executor's report.

Cause: an executor that turned slow or stood still was known as such only once its runs had ended, seconds too late for quotes of a second. Slow ones get work last, stuck ones none, and runs that would take far longer than elsewhere are moved, twice at most.

Cause: tasks that fill slowed down tasks that serve without limit, as their fields were not even decoded; a serving task may be over its target for 4 s at most. Each report above the target cuts the pace of what fills to a third; below 0.7 of it the pace rises by 15 points. Executors with both are looked at each 0.4 s. Records keep the fields; older ones decode with none.

Ruled out: early evacuation of executors that leave.

--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,101 @@
+"""Tests of the calls to executors: bodies as the platform takes them, and what answers mean."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import orjson
+import pytest
+
+from wasabiramp.platform.calls import (
+    CONNECT_S,
+    CONNECT_SHARE,
+    ORDER_S,
+    ExecutorClient,
+    NoAnswerError,
+    NotSentError,
+)
+from wasabiramp.scheduling import events
+from wasabiramp.scheduling.effects import PaceTask, StartTask
+
+
+class Calls:
+    """Answers each call as told, and keeps what was sent."""
+
+    def __init__(self, answer: tuple[int, Any] | Exception) -> None:
+        """Answer with a status and a body, or fail."""
+        self.answer = answer
+        self.sent: list[tuple[str, Any, dict[str, str]]] = []
+
+    async def async_send(
+        self, method: str, url: str, timeout_s: float, body: Any, headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        """Keep a call and answer it."""
+        self.sent.append((url, body, headers))
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer[0], orjson.dumps(self.answer[1])
+
+
+def start(answer: tuple[int, Any] | Exception) -> tuple[str, Calls]:
+    """Send a start and return its outcome with what was sent."""
+    calls = Calls(answer)
+    effect = StartTask("i-1", "10.0.0.1:80", "a.0.0.0", 2, "x", 9_000, "", "t")
+    client: Any = ExecutorClient(calls)  # type: ignore[arg-type]
+    return asyncio.run(client.async_start(effect, 7)).outcome, calls
+
+
+class TestStart:
+    """Only a clear refusal says that nothing was done."""
+
+    @pytest.mark.parametrize(
+        ("answer", "outcome"),
+        [
+            ((200, {"clockMs": 5}), events.STARTED),
+            ((409, {"reason": "fence"}), events.REFUSED_FENCE),
+            ((409, {"reason": "old"}), events.REFUSED_OLD),
+            ((409, {"reason": "ticket"}), events.REFUSED_TICKET),
+            ((421, {}), events.OTHER_LIFE),
+            ((503, {}), events.REFUSED_BUSY),
+            ((500, {}), events.UNKNOWN),
+            (NotSentError("no"), events.NOT_SENT),
+            (NoAnswerError("cut"), events.UNKNOWN),
+        ],
+    )
+    def test_outcome(self, answer: Any, outcome: str) -> None:
+        assert start(answer)[0] == outcome
+
+    def test_body_and_intended_life(self) -> None:
+        _outcome, calls = start((200, {}))
+        url, body, headers = calls.sent[0]
+        assert url == "http://10.0.0.1:80/v1/run-start"
+        assert headers["Expect-Instance"] == "i-1"
+        assert body == {
+            "task": "a.0.0.0",
+            "run": 2,
+            "spec": "x",
+            "untilMs": 9_000,
+            "fencingToken": 7,
+            "ticket": "t",
+        }
+
+
+class TestPace:
+    """A pace is an order like others."""
+
+    def test_body(self) -> None:
+        calls = Calls((200, {"clockMs": 5}))
+        client: Any = ExecutorClient(calls)  # type: ignore[arg-type]
+        effect = PaceTask("i-1", "10.0.0.1:80", "a.0.0.0", 2, 30)
+        assert asyncio.run(client.async_pace(effect, 7)).outcome == events.STARTED
+        url, body, _headers = calls.sent[0]
+        assert url == "http://10.0.0.1:80/v1/pace"
+        assert body == {"task": "a.0.0.0", "run": 2, "percent": 30, "fencingToken": 7}
+
+
+class TestTimeouts:
+    """A connection that does not come about is seen as such before the whole time is over."""
+
+    def test_orders_leave_time_after_the_connection(self) -> None:
+        assert min(CONNECT_S, CONNECT_SHARE * ORDER_S) < ORDER_S
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -128,6 +128,11 @@
     def test_step_that_fills_takes_no_processors(self) -> None:
         job = decode({"steps": [{"count": 1, "cpu": 500, "memMb": 7, "fills": True}]})
         assert job.steps[0].demand == Resources(0, 7, 0)
+        assert job.steps[0].fills
+
+    def test_task_that_serves(self) -> None:
+        job = decode({"steps": [{"count": 1, "image": "web", "targetMs": 250}]})
+        assert (job.steps[0].image, job.steps[0].target_s) == ("web", 0.25)
 
     @pytest.mark.parametrize(
         ("body", "field"),
--- a/tests/scheduling/test_jobs.py
+++ b/tests/scheduling/test_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgpack
+
 from tests.scheduling.helpers import Bench, StopTask, make_step
 from wasabiramp.scheduling.events import CancelAsked, Committed, JobsRecovered, StoredJob
 from wasabiramp.scheduling.jobs import check_steps
@@ -228,6 +230,15 @@
         job = JobDefinition("a" * 16, queue, "text", steps, 5, 2, 7, 9)
         assert decode_definition(encode_definition(job)) == job
 
+    def test_definition_of_an_earlier_version_has_no_shares(self) -> None:
+        bench = Bench()
+        queue = bench.scheduler.state.config.find("advised")
+        step = make_step(1, image="web", target_s=0.2, fills=True)
+        row = msgpack.unpackb(encode_definition(JobDefinition("a" * 16, queue, "text", (step,))))
+        row[4] = [fields[:13] for fields in row[4]]
+        decoded = decode_definition(msgpack.packb(row))
+        assert decoded.steps == (make_step(1),)
+
     def test_progress(self) -> None:
         progress = JobProgress(RUNNING, {(1, 0): StepProgress({0, 3}, {2: {1, 5}}, {4: "s"})})
         assert decode_progress(encode_progress(progress)) == progress
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -32,6 +32,7 @@
     GiveUpOwnership,
     HoldExecutor,
     NoteDecision,
+    PaceTask,
     StartTask,
     StopTask,
 )
@@ -46,6 +47,7 @@
     HoldFailed,
     JobAccepted,
     JobsRecovered,
+    PaceAnswered,
     StartAnswered,
     StopAnswered,
     StoredJob,
@@ -270,6 +272,8 @@
                 self._spawn(self._async_start(effect), "order")
             elif isinstance(effect, StopTask):
                 self._spawn(self._async_stop(effect), "order")
+            elif isinstance(effect, PaceTask):
+                self._spawn(self._async_pace(effect), "order")
             elif isinstance(effect, HoldExecutor):
                 self._spawn(self._async_hold(effect))
             elif isinstance(effect, AskAdvice):
@@ -295,6 +299,11 @@
         answer = await self._executors.async_stop(effect, self.tenure.fence)
         self._reduce(StopAnswered(effect.executor, effect.task, effect.run, answer.outcome))
 
+    async def _async_pace(self, effect: PaceTask) -> None:
+        """Send a pace and take its answer."""
+        answer = await self._executors.async_pace(effect, self.tenure.fence)
+        self._reduce(PaceAnswered(effect.executor, effect.task, effect.run, answer.outcome))
+
     async def _async_hold(self, effect: HoldExecutor) -> None:
         """Send a hold and take the report."""
         sent_at = self._loop.time()
--- a/wasabiramp/entry/ports.py
+++ b/wasabiramp/entry/ports.py
@@ -145,6 +145,9 @@
     async def async_stop(self, effect: Any, fence: int) -> OrderAnswer:
         """Stop a run."""
 
+    async def async_pace(self, effect: Any, fence: int) -> OrderAnswer:
+        """Change the pace of a run."""
+
     async def async_hold(self, effect: Any, fence: int) -> ExecutorReport | str:
         """Renew the lease and return the executor's report, or the outcome of a failure."""
 
--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -12,7 +12,7 @@
 from wasabiramp.model.entry.judge import Judge
 from wasabiramp.model.entry.network import Network
 from wasabiramp.scheduling import events
-from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask, StopTask
 from wasabiramp.scheduling.model import (
     DONE,
     FAILED,
@@ -343,6 +343,10 @@
             effect.executor, lambda executor, is_late: executor.stop(effect, fence)
         )
 
+    async def async_pace(self, effect: PaceTask, fence: int) -> OrderAnswer:
+        """Take a pace, which changes nothing here: the model has no tasks that serve."""
+        return await self._async_order(effect.executor, lambda executor, is_late: events.STARTED)
+
     async def async_hold(self, effect: HoldExecutor, fence: int) -> ExecutorReport | str:
         """Hold an executor."""
 
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -25,7 +25,7 @@
 from wasabiramp.logs import log_event
 from wasabiramp.platform.wire import decode_report
 from wasabiramp.scheduling import events
-from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask, StopTask
 from wasabiramp.scheduling.model import ExecutorReport
 
 KEEPALIVE_S: Final = 90.0
@@ -251,6 +251,16 @@
         body = {"task": effect.task, "run": effect.run, "fencingToken": fence}
         return await self._async_order(effect, "run-stop", body)
 
+    async def async_pace(self, effect: PaceTask, fence: int) -> OrderAnswer:
+        """Change the pace of a run."""
+        body = {
+            "task": effect.task,
+            "run": effect.run,
+            "percent": effect.percent,
+            "fencingToken": fence,
+        }
+        return await self._async_order(effect, "pace", body)
+
     async def async_hold(self, effect: HoldExecutor, fence: int) -> ExecutorReport | str:
         """Renew the lease and return the executor's report, or the outcome of a failure."""
         body: dict[str, Any] = {"fencingToken": fence, "lastSeen": effect.last_seen}
@@ -275,7 +285,7 @@
 
     async def _async_post(
         self,
-        effect: StartTask | StopTask | HoldExecutor,
+        effect: StartTask | StopTask | PaceTask | HoldExecutor,
         verb: str,
         body: dict[str, Any],
         timeout_s: float,
@@ -286,7 +296,7 @@
         return await self._calls.async_send("POST", url, timeout_s, body, headers)
 
     async def _async_order(
-        self, effect: StartTask | StopTask, verb: str, body: dict[str, Any]
+        self, effect: StartTask | StopTask | PaceTask, verb: str, body: dict[str, Any]
     ) -> OrderAnswer:
         """Send an order and return its outcome."""
         try:
--- a/wasabiramp/platform/wire.py
+++ b/wasabiramp/platform/wire.py
@@ -220,6 +220,9 @@
         is_lasting=bool(raw.get("longRunning")),
         saves_progress=bool(raw.get("checkpoints")),
         may_miss=_read_field(raw, "mayMiss", where),
+        image=_read_text(raw, "image", where),
+        target_s=_read_field(raw, "targetMs", where) / 1000,
+        fills=bool(raw.get("fills")),
     )
 
 
--- a/wasabiramp/scheduling/effects.py
+++ b/wasabiramp/scheduling/effects.py
@@ -29,6 +29,17 @@
     run: int
 
 
+@dataclass(slots=True)
+class PaceTask:
+    """Let a run work at a share of its speed, in percent."""
+
+    executor: str
+    address: str
+    task: str
+    run: int
+    percent: int
+
+
 @dataclass(slots=True)
 class HoldExecutor:
     """Renew the lease of all runs of an executor, and read what runs and what ended."""
@@ -64,4 +75,4 @@
     fields: dict[str, object]
 
 
-Effect = StartTask | StopTask | HoldExecutor | AskAdvice | GiveUpOwnership | NoteDecision
+Effect = StartTask | StopTask | PaceTask | HoldExecutor | AskAdvice | GiveUpOwnership | NoteDecision
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -127,6 +127,16 @@
     outcome: str
 
 
+@dataclass(slots=True)
+class PaceAnswered:
+    """A change of pace was answered, or its answer was lost (`UNKNOWN`)."""
+
+    executor: str
+    task: str
+    run: int
+    outcome: str
+
+
 @dataclass(slots=True)
 class AdviceAnswered:
     """The adviser named the good executors, each with a ticket, among those asked about."""
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -17,7 +17,9 @@
 )
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import find_lapse, release_run, send_hold, send_stop
+from wasabiramp.scheduling.progress import judge_pace, note_progress
 from wasabiramp.scheduling.runs import give_up, take_end, take_running
+from wasabiramp.scheduling.sharing import SHARED_WAIT_S, is_shared, share_executor
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
 
 HOLD_WAIT_S: Final = 1.0
@@ -137,11 +139,11 @@
             executor.read_end = end.number
             executor.new_ends = True
             take_end(state, executor, end)
-    listed = set()
-    for row in report.running:
-        listed.add((row.task, row.run))
-        take_running(state, executor, row, sent_at)
-    return listed
+    rows = {take_running(state, executor, row, sent_at): row for row in report.running}
+    paces = {run: note_progress(state, run, row) for run, row in rows.items()}
+    judge_pace(state, executor, {run: pace for run, pace in paces.items() if pace is not None})
+    share_executor(state, executor, rows)
+    return {(row.task, row.run) for row in report.running}
 
 
 def _drop_vanished(
@@ -223,7 +225,8 @@
         send_hold(state, executor, 0.0)
     elif executor.runs or executor.silent_since is not None:
         is_settled = executor.read_end <= executor.last_seen and executor.silent_since is None
-        send_hold(state, executor, HOLD_WAIT_S if is_settled else 0.0)
+        wait_s = SHARED_WAIT_S if is_shared(executor) else HOLD_WAIT_S
+        send_hold(state, executor, wait_s if is_settled else 0.0)
     elif executor.last_seen > executor.noted_end or not executor.is_listed:
         send_hold(state, executor, 0.0)
     else:
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -40,7 +40,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Step:
-    """One step of a job: `count` like tasks with one demand and one set of wishes."""
+    """One step of a job: `count` like tasks with one demand and one set of wishes.
+
+    The response times of a lasting task should stay below `target_s` where that is not 0. A task
+    that fills takes the processors that others leave, so its demand names none.
+    """
 
     count: int
     demand: Resources
@@ -55,6 +59,9 @@
     is_lasting: bool = False
     saves_progress: bool = False
     may_miss: int = 0
+    image: str = ""
+    target_s: float = 0.0
+    fills: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -60,6 +60,9 @@
         step.is_lasting,
         step.saves_progress,
         step.may_miss,
+        step.image,
+        step.target_s,
+        step.fills,
     )
 
 
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -129,8 +129,8 @@
 
 def take_running(
     state: SchedulerState, executor: ExecutorState, row: RunReport, sent_at: float
-) -> None:
-    """Note a run that an executor lists; adopt it, or stop it where nobody wants it."""
+) -> Run:
+    """Return a run that an executor lists; adopt it, or stop it where nobody wants it."""
     run = executor.runs.get((row.task, row.run))
     if run is None:
         run = adopt_run(state, executor, row)
@@ -142,6 +142,7 @@
         run.wants_stop = True
     if run.wants_stop:
         send_stop(state, run)
+    return run
 
 
 def _ends_with_gang(run: Run) -> bool:
@@ -153,6 +154,7 @@
     """Count a run that an earlier owner started, or that was given up too early."""
     step, index = find_step(state, row.task)
     run = Run(step, index, row.task, executor.id, row.run, state.now)
+    run.pace = None
     executor.add_run(run)
     if step is None:
         run.wants_stop = True
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -5,14 +5,14 @@
 from typing import Any, Final
 
 from wasabiramp.core.registry import EVENT_HANDLERS, handles
-from wasabiramp.scheduling import advice, executors, jobs, runs
+from wasabiramp.scheduling import advice, executors, jobs, runs, sharing
 from wasabiramp.scheduling.effects import Effect
 from wasabiramp.scheduling.events import Committed
 from wasabiramp.scheduling.model import FINAL_PHASES
 from wasabiramp.scheduling.placement import place_work
 from wasabiramp.scheduling.state import JobRun, SchedulerState
 
-SUBJECTS: Final = (advice, executors, jobs, runs)
+SUBJECTS: Final = (advice, executors, jobs, runs, sharing)
 """Modules whose decorators fill the registry of handlers."""
 
 
--- /dev/null
+++ b/wasabiramp/scheduling/sharing.py
@@ -0,0 +1,86 @@
+"""Sharing: tasks that fill give way to tasks that serve on the same executor."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.core.registry import handles
+from wasabiramp.scheduling.effects import PaceTask
+from wasabiramp.scheduling.events import REFUSED_FENCE, STARTED, PaceAnswered
+from wasabiramp.scheduling.model import RunReport
+from wasabiramp.scheduling.runs import give_up
+from wasabiramp.scheduling.state import FULL_PACE, ExecutorState, Run, SchedulerState
+
+SLOWER_FACTOR: Final = 0.3
+"""Each report above the target cuts the pace to this share: two reports stop what fills."""
+
+LEAST_PACE: Final = 10
+"""A pace below this percent becomes a full stop."""
+
+FASTER_POINTS: Final = 15
+"""Percent added at a report with room to spare; slower than the way down, so that it settles."""
+
+CALM_SHARE: Final = 0.7
+"""Share of the target below which what fills may work faster."""
+
+SHARED_WAIT_S: Final = 0.4
+"""Wait of a hold where tasks that serve and tasks that fill meet: figures cover half a second."""
+
+
+def is_shared(executor: ExecutorState) -> bool:
+    """Tell whether tasks that serve and tasks that fill meet on an executor."""
+    steps = [run.step.spec for run in executor.runs.values() if run.step is not None]
+    return any(step.fills for step in steps) and any(step.target_s > 0 for step in steps)
+
+
+def share_executor(
+    state: SchedulerState, executor: ExecutorState, rows: dict[Run, RunReport]
+) -> None:
+    """Slow down what fills where a task that serves is over its target, and let it recover."""
+    filling = [run for run in rows if run.step is not None and run.step.spec.fills]
+    if not filling:
+        return
+    strain = max((_find_strain(run, row) for run, row in rows.items()), default=0.0)
+    for run in filling:
+        pace = _choose_pace(run, strain)
+        if pace != run.pace and not run.wants_stop:
+            _send_pace(state, executor, run, pace, strain)
+
+
+def _find_strain(run: Run, row: RunReport) -> float:
+    """Return a serving task's response time as a share of its target, 0 for other tasks."""
+    if run.step is None or run.step.spec.target_s <= 0:
+        return 0.0
+    return row.figure / 1000 / run.step.spec.target_s
+
+
+def _choose_pace(run: Run, strain: float) -> int:
+    """Return the pace of a filling task; one that an earlier owner set is not known."""
+    known = FULL_PACE if run.pace is None else run.pace
+    if strain > 1.0:
+        slower = int(known * SLOWER_FACTOR)
+        return slower if slower >= LEAST_PACE else 0
+    if strain < CALM_SHARE:
+        return FULL_PACE if run.pace is None else min(FULL_PACE, known + FASTER_POINTS)
+    return known
+
+
+def _send_pace(
+    state: SchedulerState, executor: ExecutorState, run: Run, pace: int, strain: float
+) -> None:
+    """Order a pace; an order without an answer is repeated after the next report."""
+    run.pace = pace
+    state.effects.append(PaceTask(executor.id, executor.entry.address, run.task, run.number, pace))
+    state.note("run_paced", task=run.task, run=run.number, pace=pace, strain=round(strain, 2))
+
+
+@handles(PaceAnswered)
+def take_pace_answer(state: SchedulerState, event: PaceAnswered) -> None:
+    """Forget a pace that may not hold, so that the next report orders one again."""
+    if event.outcome == REFUSED_FENCE:
+        give_up(state, f"{event.executor} refused a pace as fenced")
+        return
+    executor = state.executors.get(event.executor)
+    run = executor.runs.get((event.task, event.run)) if executor is not None else None
+    if run is not None and event.outcome != STARTED:
+        run.pace = None
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -22,6 +22,9 @@
     name_step,
 )
 
+FULL_PACE: Final = 100
+"""Percent of its speed at which a task starts."""
+
 RUNS_PER_TERM: Final = 100_000
 """Run numbers that one term may use, so that numbers rise from owner to owner."""
 
@@ -34,8 +37,11 @@
         "executor",
         "index",
         "is_uncertain",
+        "looked_at",
         "number",
         "order",
+        "pace",
+        "percent",
         "resends",
         "sent_at",
         "step",
@@ -57,6 +63,9 @@
         self.sent_at = now
         self.order: StartTask | None = None
         self.resends = 0
+        self.percent = 0.0
+        self.looked_at: float | None = None
+        self.pace: int | None = FULL_PACE if step is not None else None
         self.confirmed_at: float | None = None
         self.is_uncertain = False
         self.wants_stop = False
@@ -72,12 +81,13 @@
 class TaskState:
     """One task of a step: its runs that may be alive, and what it saved."""
 
-    __slots__ = ("index", "last_run", "runs", "saved")
+    __slots__ = ("index", "last_run", "moves", "runs", "saved")
 
     def __init__(self, index: int, saved: str) -> None:
         """Start without runs."""
         self.index = index
         self.last_run = 0
+        self.moves = 0
         self.runs: list[Run] = []
         self.saved = saved
 
@@ -105,6 +115,7 @@
         "index",
         "is_asking",
         "job",
+        "lacks_room",
         "name",
         "occurrence",
         "progress",
@@ -130,6 +141,7 @@
         self.is_asking = False
         self.ask_at = 0.0
         self.could_run = True
+        self.lacks_room = False
         self.fit_version = (-1, -1)
         self.tickets: dict[str, Ticket] = {}
         self.verdicts: dict[tuple[str, int], bool] = {}
