Keep the executors that are free first for a waiting gang, and let short work go past it

The log shows gangs of 20 to 33 tasks waiting up to 25 s with valid tickets while narrower gangs of the same queue took the room they waited for; some knew 27 good executors of 100 asked, among 175, and never asked about the others. Room was kept for two gangs only, against less urgent work only, and on the executors with most room rather than on those that are free first.

Now the ends of runs, by progress, tell where and when a whole gang first fits; these executors are kept against all later work but what ends before then (EASY backfill), more urgent work avoids them where it can, one gang in 24 executors is kept room for, and a gang without room asks about further ones.

Ruled out: advice as the bottleneck (answers came 1.7 s after the hand-in).

--- a/wasabiramp/scheduling/advice.py
+++ b/wasabiramp/scheduling/advice.py
@@ -49,7 +49,8 @@
 ) -> bool:
     """Ask about executors that are not known, or whose tickets expire during a new decision.
 
-    Return whether a question was asked.
+    A gang that found no room among the good ones is asked about further ones. Return whether a
+    question was asked.
     """
     horizon = state.now + policy.decide_s + TICKET_MARGIN_S
     fresh, known_good, unknown = 0, [], []
@@ -64,7 +65,8 @@
             fresh += 1
     wanted = min(ASKED_MOST, max(ASKED_LEAST, int(ASKED_EACH_TASK * waiting)))
     known = len(step.verdicts)
-    unknown = unknown[: max(0, wanted - known)] if known else unknown[:wanted]
+    if not step.lacks_room:
+        unknown = unknown[: max(0, wanted - known)]
     if not unknown and (fresh or not known_good):
         return False
     asked = (known_good + unknown)[:ASKED_MOST]
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -9,6 +9,12 @@
 from wasabiramp.scheduling.executors import is_usable
 from wasabiramp.scheduling.model import Queue, Resources
 from wasabiramp.scheduling.orders import start_run
+from wasabiramp.scheduling.reservations import (
+    Reservation,
+    count_members,
+    find_first_room,
+    list_ends,
+)
 from wasabiramp.scheduling.state import ExecutorState, SchedulerState, StepRun
 
 SLOWNESS_WEIGHT: Final = 1.0
@@ -19,26 +25,45 @@
 QUESTIONS_AT_ONCE: Final = 12
 """Questions of one queue that may be open: a few for each daemon that can ask."""
 
-UNLIMITED: Final = 1_000
-"""Tasks without any demand that one executor takes at a time."""
+RESERVED_WEIGHT: Final = 2.0
+"""Weight of an executor that is kept for a gang: more urgent work goes elsewhere where it can."""
 
-LEAST_URGENT: Final = 1_000_000
-"""Above every priority: stands for an executor that is kept for nobody."""
+BACKFILL_MARGIN: Final = 1.25
+"""Factor on estimates, which are rough, for work that has to end before a gang starts."""
 
 RESERVED_STEPS: Final = 2
-"""Gangs for which room is kept free from less urgent work at one time."""
+EXECUTORS_A_RESERVATION: Final = 24
+"""Gangs for which room is kept at one time: two on a small site, more where it is large."""
 
 
 class Rooms:
-    """The executors that may get work in one pass, and their room."""
+    """The executors that may get work in one pass, their room, and what is kept for gangs."""
 
-    __slots__ = ("_groups", "left", "usable")
+    __slots__ = ("_ends", "_groups", "left", "now", "reserved", "usable")
 
     def __init__(self, state: SchedulerState) -> None:
         """Read the room of all usable executors."""
+        self.now = state.now
         self.usable = {e.id: e for e in state.executors.values() if is_usable(state, e)}
         self.left: dict[str, Resources] = {e.id: e.room for e in self.usable.values()}
+        self.reserved: dict[str, Reservation] = {}
         self._groups: dict[tuple[str, str], list[ExecutorState]] = {}
+        self._ends: dict[str, list[tuple[float, Resources]]] = {}
+
+    def find_ends(self, executor: ExecutorState) -> list[tuple[float, Resources]]:
+        """Return when an executor's runs should end and what they free, the first one first."""
+        ends = self._ends.get(executor.id)
+        if ends is None:
+            ends = self._ends[executor.id] = list_ends(executor, self.now)
+        return ends
+
+    def is_open(self, executor: ExecutorState, queue: Queue, step: StepRun) -> bool:
+        """Tell whether a step may use an executor: what is kept only briefly, or if urgent."""
+        kept = self.reserved.get(executor.id)
+        if kept is None or queue.priority < kept.priority:
+            return True
+        ends_at = self.now + BACKFILL_MARGIN * step.spec.estimate_s
+        return not step.spec.is_lasting and ends_at <= kept.starts_at
 
     def take(self, executor: ExecutorState, demand: Resources) -> None:
         """Take room for a task."""
@@ -68,7 +93,7 @@
 class Pass:
     """One decision over all steps that wait."""
 
-    __slots__ = ("asking", "gangs_kept", "reserved", "rooms", "state", "supplied")
+    __slots__ = ("asking", "gangs_kept", "rooms", "state", "supplied")
 
     def __init__(self, state: SchedulerState, ready: list[tuple[Queue, StepRun]]) -> None:
         """Begin with nothing reserved."""
@@ -76,7 +101,6 @@
         self.rooms = Rooms(state)
         self.supplied: Counter[str] = Counter()
         self.asking = Counter(queue.name for queue, step in ready if step.is_asking)
-        self.reserved: dict[str, int] = {}
         self.gangs_kept = 0
 
     def decide(self, queue: Queue, step: StepRun) -> None:
@@ -88,10 +112,12 @@
         if queue.advice is not None:
             self._see_to_advice(queue, step, group, waiting)
             group = self._find_advised(step)
-        allowed = [e for e in group if self.reserved.get(e.id, LEAST_URGENT) >= queue.priority]
+        allowed = [e for e in group if self.rooms.is_open(e, queue, step)]
         if not step.spec.is_gang:
             _place_tasks(self.state, step, allowed, self.rooms)
-        elif not _place_gang(self.state, step, allowed, self.rooms):
+            return
+        step.lacks_room = not _place_gang(self.state, step, allowed, self.rooms)
+        if step.lacks_room:
             self._reserve(queue, step)
 
     def _find_advised(self, step: StepRun) -> list[ExecutorState]:
@@ -122,19 +148,27 @@
         self.asking[queue.name] += plan_question(self.state, step, queue.advice, places, waiting)
 
     def _reserve(self, queue: Queue, step: StepRun) -> None:
-        """Keep less urgent work off the executors that will first have room for a gang."""
-        if self.gangs_kept >= RESERVED_STEPS:
+        """Keep later work off the executors that will first have room for a gang.
+
+        Work that ends before the gang can start may still go there.
+        """
+        limit = max(RESERVED_STEPS, len(self.rooms.usable) // EXECUTORS_A_RESERVATION)
+        if self.gangs_kept >= limit:
+            return
+        candidates = [
+            executor
+            for executor in self.rooms.find_group(queue.service, step.spec.label)
+            if executor.id not in self.rooms.reserved
+            and (queue.advice is None or step.verdicts.get((executor.id, executor.born_ms)))
+        ]
+        kept, starts_at = find_first_room(
+            self.state.now, step, candidates, self.rooms.left, self.rooms.find_ends
+        )
+        if not kept:
             return
         self.gangs_kept += 1
-        members = 0
-        for executor in self.rooms.find_group(queue.service, step.spec.label):
-            is_good = step.verdicts.get((executor.id, executor.born_ms))
-            if executor.id in self.reserved or (queue.advice is not None and not is_good):
-                continue
-            members += _count_members(step.spec.demand, executor.entry.capacity)
-            self.reserved[executor.id] = queue.priority
-            if members >= step.spec.count:
-                return
+        for executor_id in kept:
+            self.rooms.reserved[executor_id] = Reservation(queue.priority, starts_at)
 
 
 def place_work(state: SchedulerState) -> None:
@@ -193,7 +227,7 @@
             continue
         if not matches(executor, queue.service, step.spec.label):
             continue
-        fitting = _count_members(step.spec.demand, executor.entry.capacity)
+        fitting = count_members(step.spec.demand, executor.entry.capacity)
         members += min(fitting, step.spec.max_per_executor or fitting)
         if members >= wanted:
             return True
@@ -205,7 +239,7 @@
     wanted = step.spec.count if step.spec.is_gang else 1
     members = 0
     for executor in places:
-        fitting = _count_members(step.spec.demand, rooms.left[executor.id])
+        fitting = count_members(step.spec.demand, rooms.left[executor.id])
         members += min(fitting, step.spec.max_per_executor or fitting)
         if members >= wanted:
             return True
@@ -226,16 +260,22 @@
     )
 
 
+def _rank(step: StepRun, executor: ExecutorState, rooms: Rooms) -> float:
+    """Return how badly an executor suits a task now; the lowest is best."""
+    is_kept = executor.id in rooms.reserved
+    return _score(step, executor, rooms.left[executor.id]) + RESERVED_WEIGHT * is_kept
+
+
 def _choose(
     step: StepRun, allowed: list[ExecutorState], rooms: Rooms, wanted: int, taken: Counter[str]
 ) -> list[ExecutorState]:
     """Return an executor for each of `wanted` tasks, the best first, or for as many as fit."""
     demand, limit = step.spec.demand, step.spec.max_per_executor
     fitting = [e for e in allowed if demand.fits(rooms.left[e.id])]
-    fitting.sort(key=lambda executor: _score(step, executor, rooms.left[executor.id]))
+    fitting.sort(key=lambda executor: _rank(step, executor, rooms))
     chosen: list[ExecutorState] = []
     for executor in fitting:
-        count = min(_count_members(demand, rooms.left[executor.id]), wanted - len(chosen))
+        count = min(count_members(demand, rooms.left[executor.id]), wanted - len(chosen))
         if limit:
             count = min(count, limit - taken[executor.id])
         chosen += [executor] * count
@@ -291,18 +331,6 @@
     return None
 
 
-def _count_members(demand: Resources, room: Resources) -> int:
-    """Return how many tasks of one demand fit into a room."""
-    count = UNLIMITED
-    if demand.cpu:
-        count = min(count, room.cpu // demand.cpu)
-    if demand.memory_mb:
-        count = min(count, room.memory_mb // demand.memory_mb)
-    if demand.gpu:
-        count = min(count, room.gpu // demand.gpu)
-    return max(0, count)
-
-
 def summarize_queues(state: SchedulerState) -> list[dict[str, object]]:
     """Return a row for each queue with open steps: what waits, and why it may."""
     rows: dict[str, dict[str, Any]] = {}
--- /dev/null
+++ b/wasabiramp/scheduling/reservations.py
@@ -0,0 +1,91 @@
+"""Reservations: which executors will first have room for a gang, and from when on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from operator import itemgetter
+from typing import Final
+
+from wasabiramp.scheduling.model import Resources
+from wasabiramp.scheduling.state import ExecutorState, Run, StepRun
+
+UNLIMITED: Final = 1_000
+"""Tasks without any demand that one executor takes at a time."""
+
+OVERDUE_S: Final = 0.3
+"""A run that should have ended by its estimate is reckoned to end this much later than now."""
+
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """An executor kept for a gang of a priority, which may start at a time on the loop's clock."""
+
+    priority: int
+    starts_at: float
+
+
+def count_members(demand: Resources, room: Resources) -> int:
+    """Return how many tasks of one demand fit into a room."""
+    count = UNLIMITED
+    if demand.cpu:
+        count = min(count, room.cpu // demand.cpu)
+    if demand.memory_mb:
+        count = min(count, room.memory_mb // demand.memory_mb)
+    if demand.gpu:
+        count = min(count, room.gpu // demand.gpu)
+    return max(0, count)
+
+
+def estimate_end(run: Run, now: float) -> float:
+    """Return when a run should end, by its progress where it is known."""
+    step = run.step
+    if step is None or step.spec.is_lasting:
+        return float("inf")
+    left_s = step.spec.estimate_s * (1 - run.percent / 100)
+    since = run.sent_at if run.looked_at is None else run.looked_at
+    return max(since + left_s, now + OVERDUE_S)
+
+
+def list_ends(executor: ExecutorState, now: float) -> list[tuple[float, Resources]]:
+    """Return when an executor's runs should end and what they free, the first one first."""
+    ends = [(estimate_end(run, now), run.demand) for run in executor.runs.values()]
+    ends.sort(key=itemgetter(0))
+    return ends
+
+
+def find_first_room(
+    now: float,
+    step: StepRun,
+    candidates: list[ExecutorState],
+    left: dict[str, Resources],
+    find_ends: Callable[[ExecutorState], list[tuple[float, Resources]]],
+) -> tuple[set[str], float]:
+    """Return the executors that together hold a whole gang first, and when that will be.
+
+    Nothing is returned where the candidates could not hold it even when they are empty.
+    """
+    demand = step.spec.demand
+    kept: set[str] = set()
+    members = 0
+    gains: list[tuple[float, str, int]] = []
+    for executor in candidates:
+        room = left[executor.id]
+        fitting = count_members(demand, room)
+        if fitting:
+            gains.append((now, executor.id, fitting))
+        for ends_at, freed in find_ends(executor):
+            room = room.plus(freed)
+            more = count_members(demand, room)
+            if more > fitting:
+                gains.append((ends_at, executor.id, more - fitting))
+                fitting = more
+    gains.sort()
+    for at, executor_id, gained in gains:
+        if at == float("inf"):
+            break
+        kept.add(executor_id)
+        members += gained
+        if members >= step.spec.count:
+            return kept, at
+    return set(), now
