Test the look after a pause by a directed case instead of a random search

Cause: tests.model.entry.test_guards test_look_at_the_term_after_a_pause failed once other timings moved its 24 schedules: without the guard none of them broke a promise any more, so the search no longer shown what it was there for.

The new case is as strict: an owner that pauses between a job and its decision sends no start over five seeds, and sends some without the guard.

--- a/tests/model/entry/test_guards.py
+++ b/tests/model/entry/test_guards.py
@@ -8,8 +8,14 @@
 
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.owner import Owner
-from wasabiramp.model.entry.schedule import play
+from wasabiramp.model.entry.clock import async_run_at
+from wasabiramp.model.entry.executors import ModelExecutor
+from wasabiramp.model.entry.judge import JobRecord
+from wasabiramp.model.entry.schedule import find_owner, play
+from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling import executors, orders, runs
+from wasabiramp.scheduling.effects import StartTask
+from wasabiramp.scheduling.model import JobDefinition, Resources, Step
 from wasabiramp.scheduling.state import ExecutorState
 
 SEEDS = range(1, 25)
@@ -23,6 +29,44 @@
     )
 
 
+def count_late_starts(monkeypatch: pytest.MonkeyPatch, seed: int) -> int:
+    """Return how many starts an owner sends that paused between a job and its decision."""
+    world = World(seed)
+    starts: list[tuple[float, int]] = []
+    begin = ModelExecutor.start
+
+    def note(executor: ModelExecutor, effect: StartTask, fence: int, is_late: bool) -> str:
+        starts.append((world.loop.time(), fence))
+        return begin(executor, effect, fence, is_late)
+
+    async def play() -> tuple[float, int]:
+        await world.async_begin()
+        name = find_owner(world)
+        other = next(other for other in sorted(world.daemons) if other != name)
+        assert name is not None
+        owner = world.daemons[name].owner
+        assert owner is not None
+        steps = (Step(4, Resources(2_000, 100, 0), 1.0),)
+        job = JobDefinition("a" * 16, world.queues[2], "x", steps, world.read_wall_ms())
+        record = world.judge.jobs.setdefault(job.id, JobRecord(job))
+        _outcome, revision = await world.daemons[other].desk.admission.async_store(job)
+        record.accepted_at = world.loop.time()
+
+        async def take() -> None:
+            owner.take_job(job, revision)
+
+        await async_run_at(world.places[name], take())
+        resume_at = world.loop.time() + 3.0
+        world.loop.pause(world.places[name], resume_at)
+        await world.async_finish(60.0)
+        return resume_at, owner.tenure.fence
+
+    with monkeypatch.context() as patch:
+        patch.setattr(ModelExecutor, "start", note)
+        resume_at, fence = world.run(play())
+    return sum(at >= resume_at and used == fence for at, used in starts)
+
+
 class TestGuards:
     """Without its guard each promise breaks under the faults that it is meant for."""
 
@@ -46,8 +90,9 @@
         assert find_breach("TWICE", ["kill_owner", "pause_owner", "cut_executors"])
 
     def test_look_at_the_term_after_a_pause(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        assert sum(count_late_starts(monkeypatch, seed) for seed in range(1, 6)) == 0
         monkeypatch.setattr(Owner, "_has_stood_still", lambda self: False)
-        assert find_breach("TWICE", ["pause_owner", "cut_executors"])
+        assert sum(count_late_starts(monkeypatch, seed) for seed in range(1, 6)) > 0
 
     def test_notes_after_the_commit(self, monkeypatch: pytest.MonkeyPatch) -> None:
         send_hold = executors.send_hold
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -6,7 +6,7 @@
 from collections.abc import Coroutine
 from dataclasses import replace
 from random import Random
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from wasabiramp.entry.answers import (
     ACCEPTED,
@@ -37,6 +37,8 @@
     Resources,
 )
 
+Result = TypeVar("Result")
+
 WALL_S: Final = 1_700_000_000.0
 SERVICE: Final = "service"
 CALLER: Final = "caller"
@@ -131,12 +133,12 @@
             Queue("batch", "h", "/b/", SERVICE, 2, 4, 4.0, 3.0),
         )
 
-    def run(self, play: Coroutine[Any, Any, None]) -> None:
-        """Play to the end on virtual time."""
+    def run(self, play: Coroutine[Any, Any, Result]) -> Result:
+        """Play to the end on virtual time, and return the result."""
         asyncio.set_event_loop(self.loop)
         self.loop.set_task_factory(self._make_task)
         try:
-            self.loop.run_until_complete(play)
+            return self.loop.run_until_complete(play)
         finally:
             for task in asyncio.all_tasks(self.loop):
                 task.cancel()
