Extend time-outs by the process's own lateness, and let an owner that stays late give up

A timer measures how late the loop is, and all time-outs are extended by four such turns. An owner that is 0.25 s late for a second gives up ownership, once in 5 s at most.

--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -10,6 +10,7 @@
 
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.keys import KEY_TERM, PREFIX_JOB, PREFIX_PROGRESS
+from wasabiramp.entry.owner import LEAST_TENURE_S, OVERLOAD_LAG_S, OVERLOAD_S
 from wasabiramp.model.entry.clock import async_run_at
 from wasabiramp.model.entry.judge import JobRecord
 from wasabiramp.model.entry.schedule import draw_job, find_owner
@@ -246,3 +247,54 @@
         world.run(play())
         assert phases == [DONE]
         assert reads == []
+
+
+class TestOverload:
+    """The owner's machine turns slow: another daemon takes over, and no task runs twice."""
+
+    def test_owner_that_stays_late_gives_up(self) -> None:
+        world = World(5)
+        owners: list[str | None] = []
+
+        async def play() -> None:
+            await world.async_begin()
+            await asyncio.sleep(LEAST_TENURE_S)
+            slow = find_owner(world)
+            assert slow is not None
+            for number in range(12):
+                assert await world.async_submit(make_job(world, number))
+            late = world.daemons[slow].owner
+            assert late is not None
+            late._lag.value_s = 2 * OVERLOAD_LAG_S
+            await asyncio.sleep(OVERLOAD_S + 0.5)
+            owners.extend((slow, find_owner(world)))
+            for number in range(20, 24):
+                assert await world.async_submit(make_job(world, number))
+            await world.async_finish(20.0)
+            await asyncio.sleep(3.0)
+            owners.append(find_owner(world))
+
+        world.run(play())
+        assert world.judge.breaches == []
+        assert owners[1] is not None
+        assert owners[0] != owners[1]
+        assert owners[1] == owners[2]
+
+    def test_moment_of_lateness_changes_nothing(self) -> None:
+        world = World(5)
+
+        async def play() -> tuple[str | None, str | None]:
+            await world.async_begin()
+            await asyncio.sleep(LEAST_TENURE_S)
+            before = find_owner(world)
+            assert before is not None
+            owner = world.daemons[before].owner
+            assert owner is not None
+            owner._lag.value_s = 2 * OVERLOAD_LAG_S
+            await asyncio.sleep(OVERLOAD_S / 2)
+            owner._lag.value_s = 0.0
+            await asyncio.sleep(2.0)
+            return before, find_owner(world)
+
+        before, after = world.run(play())
+        assert before == after
--- a/tests/entry/test_parts.py
+++ b/tests/entry/test_parts.py
@@ -15,7 +15,9 @@
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import KEY_COMMITS, KEY_TERM, key_job, key_progress
+from wasabiramp.entry.lag import LIMIT_S, TURNS, LoopLag
 from wasabiramp.entry.membership import LEASE_TTL_S, RENEW_S, Membership, Tenure
+from wasabiramp.entry.owner import OVERLOAD_LAG_S
 from wasabiramp.entry.peers import OK, PeerAnswer, PeerCaller, PeerListener, ShowJob
 from wasabiramp.entry.ports import (
     Change,
@@ -193,6 +195,46 @@
         assert max(gaps) <= 1.2 * RENEW_S
 
 
+class TestLoopLag:
+    """A machine that turns slow: calls get the time that their own process needs."""
+
+    def test_late_timers_extend_time_outs(self) -> None:
+        loop = VirtualLoop()
+        lag = LoopLag()
+
+        async def play() -> None:
+            lag.start()
+            await asyncio.sleep(1.0)
+            assert lag.extend(0.3) == pytest.approx(0.3)
+            loop.pause("", loop.time() + 0.3)
+            await asyncio.sleep(0.0)
+            await asyncio.sleep(0.06)
+            assert lag.extend(0.3) > 0.3 + 2 * 0.2
+            await asyncio.sleep(3.0)
+            assert lag.extend(0.3) < 0.32
+            lag.stop()
+
+        loop.run_until_complete(play())
+        loop.close()
+
+    def test_pause_of_a_minute_counts_little(self) -> None:
+        loop = VirtualLoop()
+        lag = LoopLag()
+
+        async def play() -> None:
+            lag.start()
+            loop.pause("", loop.time() + 60.0)
+            await asyncio.sleep(0.0)
+            await asyncio.sleep(0.06)
+            assert lag.extend(0.3) <= 0.3 + TURNS * LIMIT_S
+            await asyncio.sleep(0.5)
+            assert lag.value_s < OVERLOAD_LAG_S
+            lag.stop()
+
+        loop.run_until_complete(play())
+        loop.close()
+
+
 class TestAdmission:
     """A job is stored once, and callers are told only what is certain."""
 
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -13,6 +13,7 @@
 from wasabiramp.entry.desk import Desk
 from wasabiramp.entry.follow import Follower
 from wasabiramp.entry.health import MonitoredStore
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Membership, Tenure
 from wasabiramp.entry.owner import Owner
 from wasabiramp.entry.peers import (
@@ -73,6 +74,7 @@
         codec: Codec,
         peers: Peers,
         make_listener: Callable[[Serve], Listener],
+        lag: LoopLag,
         read_wall: Callable[[], float] = time.time,
         read_awake: Callable[[], float] = read_boottime,
     ) -> None:
@@ -85,6 +87,7 @@
         self._codec = codec
         self._peers = peers
         self._listener = make_listener(self._async_serve_peer)
+        self._lag = lag
         self._read_wall = read_wall
         self._read_awake = read_awake
         self._membership = Membership(
@@ -131,7 +134,7 @@
     async def async_stop(self) -> None:
         """Stop what runs and close the connections."""
         self._membership.stop()
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         if self._owner is not None:
             self._owner.stop()
@@ -218,11 +221,19 @@
             self.settings.lease_limit_s,
             self.settings.status_s,
             self._membership.drop_tenure,
+            self._yield_tenure,
+            self._lag,
             self._read_wall,
             self._read_awake,
         )
         self._owner.start(self.config)
 
+    def _yield_tenure(self) -> None:
+        """Leave ownership to a daemon that is not overloaded."""
+        task = asyncio.get_running_loop().create_task(self._membership.async_yield())
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
+
     def _lose_tenure(self, reason: str) -> None:
         """Stop acting for the domain."""
         if self._owner is not None:
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -48,6 +48,12 @@
 WEAK_S: Final = 0.35
 """Pause of daemons that are weaker than that, so that the others join and claim first."""
 
+REJOIN_S: Final = 2.0
+"""An owner that gave up stays out for this long, so that the others see it leave and claim."""
+
+CLAIMS_LAST_S: Final = 15.0
+"""For this long after that it claims behind the others: machines are slow for seconds."""
+
 INCUMBENT_S: Final = 0.3
 """Time that a living owner gets to claim again after its key was taken away."""
 
@@ -90,6 +96,8 @@
         self._renewing: asyncio.Task[None] | None = None
         self._renewals: set[asyncio.Task[None]] = set()
         self._has_ended = asyncio.Event()
+        self._rejoin_at = 0.0
+        self._claims_last_until = 0.0
         self._claiming: asyncio.Task[None] | None = None
         self._open_claim = b""
         self._replaced = 0
@@ -150,6 +158,21 @@
         except (StoreRefusedError, StoreUnknownError) as err:
             log_event("lease_not_ended", error=err)
 
+    async def async_yield(self) -> None:
+        """Leave ownership to another daemon, and join again later as one that claims last."""
+        others = [name for name in self.addresses if name != self.name]
+        if self.tenure is None or not others or not self._lease:
+            return
+        loop = asyncio.get_running_loop()
+        lease, self._lease = self._lease, 0
+        self._rejoin_at = loop.time() + REJOIN_S
+        self._claims_last_until = loop.time() + CLAIMS_LAST_S
+        self.drop_tenure("overloaded")
+        try:
+            await self._store.async_end(lease)
+        except (StoreRefusedError, StoreUnknownError) as err:
+            log_event("lease_not_ended", error=err)
+
     def stop(self) -> None:
         """Stop following the others."""
         for task in (self._following, self._renewing, *self._renewals):
@@ -200,7 +223,8 @@
             started_at = loop.time()
             self._has_ended.clear()
             if not self._lease:
-                await self._async_join_once(started_at)
+                if started_at >= self._rejoin_at:
+                    await self._async_join_once(started_at)
             elif len(self._renewals) < RENEWALS_AT_ONCE:
                 renewal = loop.create_task(self._async_renew_once(self._lease, started_at))
                 self._renewals.add(renewal)
@@ -281,7 +305,8 @@
         """Return the pause: a living owner first, then the strongest and youngest daemons."""
         term = self._follower.items.get(KEY_TERM)
         last = _read_name(term) if term is not None else ""
-        if last == self._settings.name:
+        is_last = asyncio.get_running_loop().time() < self._claims_last_until
+        if last == self._settings.name and not is_last:
             return 0.0
         items = self._follower.items
         members = [key for key in items if key.startswith(PREFIX_MEMBER)]
@@ -290,6 +315,8 @@
         pause_s = min(rank, CLAIM_RANKS) * CLAIM_STEP_S
         if self._settings.power < OWNER_POWER or self._settings.link_mbps < OWNER_LINK_MBPS:
             pause_s += WEAK_S
+        if is_last:
+            pause_s += WEAK_S
         is_alive = last in self.addresses and not self._replaced
         return pause_s + (INCUMBENT_S if is_alive else 0.0)
 
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -14,6 +14,7 @@
     KEY_TERM,
     PREFIX_JOB,
 )
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Tenure
 from wasabiramp.entry.ports import (
     Codec,
@@ -103,6 +104,13 @@
 PAUSED_S: Final = 0.8
 """A loop that stood still for this long asks the store before it orders anything."""
 
+OVERLOAD_LAG_S: Final = 0.25
+OVERLOAD_S: Final = 1.0
+"""An owner that is this late for this long holds up all work; a single pause is over sooner."""
+
+LEAST_TENURE_S: Final = 5.0
+"""Least time between two such changes of owner: where all daemons are slow, none is better."""
+
 PAUSE_POLL_S: Final = 0.01
 """Interval at which a held-back start looks whether the tenure has been checked."""
 
@@ -124,6 +132,8 @@
         lease_limit_s: float,
         status_s: float,
         on_loss: Callable[[str], None],
+        on_overload: Callable[[], None],
+        lag: LoopLag,
         read_wall: Callable[[], float],
         read_awake: Callable[[], float],
     ) -> None:
@@ -142,6 +152,10 @@
         self._on_loss = on_loss
         self._loop = asyncio.get_running_loop()
         self._lease_s = min(LEASE_S, lease_limit_s)
+        self._on_overload = on_overload
+        self._lag = lag
+        self._began_at = self._loop.time()
+        self._overloaded_since: float | None = None
         self._read_wall = read_wall
         self._read_awake = read_awake
         self._keep_s = status_s * KEEP_FACTOR
@@ -375,6 +389,7 @@
             self._last_tick = self._read_awake()
             self._reduce(TimePassed())
             now = self._loop.time()
+            self._watch_load(now)
             if now >= self._rescan_at:
                 self._rescan_at = now + RESCAN_S
                 self._spawn(self._async_rescan())
@@ -385,6 +400,20 @@
                     log_event("queue_state", **row)
             await asyncio.sleep(TICK_S)
 
+    def _watch_load(self, now: float) -> None:
+        """Give up ownership where this process stays late: its machine may have turned slow."""
+        if self._lag.value_s < OVERLOAD_LAG_S:
+            self._overloaded_since = None
+            return
+        if self._overloaded_since is None:
+            self._overloaded_since = now
+        late_for_s = now - self._overloaded_since
+        if late_for_s < OVERLOAD_S or now - self._began_at < LEAST_TENURE_S:
+            return
+        log_event("owner_overloaded", lag_s=round(self._lag.value_s, 3), late_for_s=late_for_s)
+        self._began_at = now
+        self._on_overload()
+
     async def _async_check_tenure(self) -> None:
         """Ask the store whether another daemon took over; without an answer, go on."""
         try:
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -17,6 +17,7 @@
     Answer,
 )
 from wasabiramp.entry.daemon import EntryDaemon
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.ports import EntrySettings, NoAnswerError
 from wasabiramp.model.entry.clock import PLACE, VirtualLoop, async_run_at
 from wasabiramp.model.entry.executors import (
@@ -232,6 +233,7 @@
                 self.codec,
                 ModelPeers(self.network, place),
                 lambda serve: ModelListener(self.network, serve),
+                LoopLag(),
                 lambda: WALL_S + self.loop.time(),
                 self.loop.time,
             )
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -11,6 +11,7 @@
 import orjson
 
 from wasabiramp.core.records import DecodeError
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.ports import (
     Change,
     HistoryLostError,
@@ -78,8 +79,9 @@
 class HttpCalls:
     """A session for all calls to the platform."""
 
-    def __init__(self) -> None:
+    def __init__(self, lag: LoopLag) -> None:
         """Open the session; it belongs to the running loop."""
+        self._lag = lag
         connector = aiohttp.TCPConnector(
             limit=0, limit_per_host=CONNECTIONS_PER_EXECUTOR, keepalive_timeout=KEEPALIVE_S
         )
@@ -97,12 +99,16 @@
     ) -> tuple[int, bytes]:
         """Return the status and the whole body of an answer.
 
+        The time-out is extended by the time that this process itself is late.
+
         Raises NotSentError where no connection was made, and NoAnswerError where one was and the
         answer is missing or cut.
         """
         data = orjson.dumps(body) if body is not None else None
         connect_s = min(CONNECT_S, CONNECT_SHARE * timeout_s)
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=connect_s)
+        timeout = aiohttp.ClientTimeout(
+            total=self._lag.extend(timeout_s), sock_connect=self._lag.extend(connect_s)
+        )
         try:
             async with self._session.request(
                 method, url, data=data, headers=headers or JSON_HEADERS, timeout=timeout
--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from wasabiramp.entry.daemon import ROTATION_S, EntryDaemon
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.peers import PeerCaller, PeerListener
 from wasabiramp.entry.ports import EntrySettings
 from wasabiramp.logs import log_event, set_up_logs
@@ -71,7 +72,9 @@
 
 async def async_run_entry(settings: EntrySettings) -> None:
     """Run a daemon until SIGTERM, then leave in order."""
-    calls = HttpCalls()
+    lag = LoopLag()
+    lag.start()
+    calls = HttpCalls(lag)
     store = StoreClient(calls, settings.store_address)
     adviser = AdviserClient(calls, settings.adviser_address)
     daemon = EntryDaemon(
@@ -82,6 +85,7 @@
         PlatformCodec(),
         PeerCaller(),
         PeerListener,
+        lag,
     )
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -100,6 +104,7 @@
     await server.async_stop()
     await daemon.async_stop()
     await calls.async_close()
+    lag.stop()
 
 
 def run() -> None:
