--- a/wasabiramp/bench/commands.py
+++ b/wasabiramp/bench/commands.py
@@ -9,6 +9,8 @@
 import typer
 
 from wasabiramp.bench.decisions import run_decisions
+from wasabiramp.bench.load import LoadModel
+from wasabiramp.bench.profiles import PROFILES
 from wasabiramp.cli.operate import Output, show
 
 bench = typer.Typer(help="Measures against baselines and targets.", no_args_is_help=True)
@@ -55,3 +57,22 @@
         "growth": round(growth, 3),
     }
     show(value, output, rows)
+
+
+@bench.command()
+def load(
+    profile: Annotated[str, typer.Option(help="Cell and its work: small or grown.")] = "small",
+    times: Annotated[float, typer.Option(min=0.1, max=10.0, help="Times the usual traffic.")] = 1.0,
+    seconds: Annotated[float, typer.Option(min=1.0, max=600.0)] = 30.0,
+    seed: Seed = 1,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Show how unlike work fares in the pure scheduler under load, in virtual time."""
+    if profile not in PROFILES:
+        raise typer.BadParameter(f"profile: expected one of {', '.join(PROFILES)}")
+    results = LoadModel(PROFILES[profile], seed).run(seconds, times)
+    rows = [["KIND", "JOBS", "IN TIME", "WAIT P50 S", "WAIT P99 S"]]
+    for item in results:
+        values = (item.kind, item.jobs, item.in_time, item.wait_p50_s, item.wait_p99_s)
+        rows.append([str(value) for value in values])
+    show({"seed": seed, "results": [asdict(item) for item in results]}, output, rows)
--- /dev/null
+++ b/wasabiramp/bench/profiles.py
@@ -0,0 +1,109 @@
+"""Profiles of load: kinds of work with their widths, sizes and times, and the cells they run on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+import math
+from random import Random
+from typing import Final
+
+from wasabiramp.scheduling.model import AdvicePolicy, Queue, Resources
+
+ADVISED_EXECUTORS: Final = 30
+"""Executors in the one question that an objective allows for."""
+
+
+@dataclass(slots=True, frozen=True, eq=False)
+class Kind:
+    """One kind of work; drawn figures are lognormal around a mean, up to a limit."""
+
+    queue: Queue
+    per_s: float
+    width: tuple[float, float, int]
+    cpu: tuple[float, float, int]
+    memory_mb: int
+    work_s: tuple[float, float, float]
+    estimate_error: float
+    good_share: float
+    is_gang: bool = False
+    max_per_executor: int = 0
+
+    def draw_width(self, random: Random) -> int:
+        """Return the number of tasks of a job."""
+        return max(1, round(_draw(random, *self.width)))
+
+    def draw_work(self, random: Random) -> float:
+        """Return the true time of a task in seconds."""
+        return _draw(random, *self.work_s)
+
+    def draw_demand(self, random: Random) -> Resources:
+        """Return the demand of a task."""
+        return Resources(max(100, round(_draw(random, *self.cpu))), self.memory_mb, 0)
+
+    def find_objective(self, work_s: float) -> float:
+        """Return the time from the hand-in within which a job counts as in time."""
+        advice = self.queue.advice
+        asked_s = advice.decide_s + ADVISED_EXECUTORS * advice.each_s if advice is not None else 0.0
+        return self.queue.stretch * (work_s + asked_s) + self.queue.target_s
+
+
+@dataclass(slots=True, frozen=True)
+class Profile:
+    """A cell and its load; `callers` is how many daemons may ask the adviser."""
+
+    name: str
+    executors: int
+    rack: int
+    cpu: int
+    memory_mb: int
+    callers: int
+    kinds: tuple[Kind, ...]
+
+
+def _draw(random: Random, mean: float, spread: float, limit: float) -> float:
+    """Return a lognormal figure with a mean and a relative spread, at most a limit."""
+    sigma = math.sqrt(math.log(1 + spread * spread))
+    return min(limit, random.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma))
+
+
+def make_profile(name: str, executors: int, rack: int, callers: int, scale: float) -> Profile:
+    """Return a cell with gangs, wide batch work and quotes; `scale` widens jobs and traffic."""
+    gangs = Kind(
+        Queue("gangs", "h", "/g/", "service", 1, 4, 2.2, 1.0, 3.0, AdvicePolicy(0.5, 0.007, 2.5)),
+        per_s=0.75 * scale,
+        width=(6.0 * scale, 0.8, round(40 * scale)),
+        cpu=(18_000, 0.4, 30_000),
+        memory_mb=18_000,
+        work_s=(5.0, 0.5, 12.0),
+        estimate_error=0.2,
+        good_share=0.35,
+        is_gang=True,
+    )
+    batch = Kind(
+        Queue("batch", "h", "/b/", "service", 2, 4, 4.0, 3.0, 3.0, AdvicePolicy(0.1, 0.002, 2.5)),
+        per_s=1.8 * math.sqrt(scale),
+        width=(10.0 * scale, 0.8, round(50 * scale)),
+        cpu=(5_000, 0.45, 15_000),
+        memory_mb=9_000,
+        work_s=(3.2, 0.5, 8.4),
+        estimate_error=0.2,
+        good_share=0.45,
+        max_per_executor=2,
+    )
+    quotes = Kind(
+        Queue("quotes", "h", "/q/", "service", 0, 2, 1.5, 0.25, 3.0, AdvicePolicy(0.01, 2e-4, 2.5)),
+        per_s=14.0 * scale,
+        width=(2.0, 0.8, 12),
+        cpu=(6_000, 0.45, 18_000),
+        memory_mb=8_000,
+        work_s=(0.9, 0.5, 2.5),
+        estimate_error=0.5,
+        good_share=0.7,
+    )
+    return Profile(name, executors, rack, 64_000, 131_072, callers, (gangs, batch, quotes))
+
+
+PROFILES: Final = {
+    "small": make_profile("small", executors=24, rack=6, callers=7, scale=1.0),
+    "grown": make_profile("grown", executors=175, rack=8, callers=39, scale=2.7),
+}
