Bar the first order of a repeated start at an executor's next life

Cause: where the first order had no answer and its repeat ran, a crash and a rebirth of the executor left the run counted as confirmed, so no stop went to the new life; the first order arrived there 11.7 s later and ran beside the task's next run (TWICE).

Ruled out: four of the five seeds found broke in the model alone, which let an executor return twice after two crashes that overlapped, without ending what ran there (seeds 16 and 69); the model ends it now.

--- a/tests/model/entry/test_schedules.py
+++ b/tests/model/entry/test_schedules.py
@@ -39,6 +39,12 @@
     def test_many_faults(self, seed: int) -> None:
         assert play(seed, count=12).judge.breaches == []
 
+    @pytest.mark.parametrize("seed", [16, 39, 69])
+    def test_late_orders_and_crashes(self, seed: int) -> None:
+        """39: a repeated start was not barred at a new life; 16, 69: the model's own."""
+        faults = ["apply_late", "crash_executor", "cut_executors", "kill_owner"]
+        assert play(seed, faults, 8).judge.breaches == []
+
     def test_late_order_at_a_new_life(self) -> None:
         """Open: an order may reach a new life of an executor before the owner does."""
         assert play(523).judge.breaches == []
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -334,3 +334,29 @@
         bench.apply(HoldFailed("e0", bench.now, NOT_SENT))
         bench.tick(3.0)
         assert bench.scheduler.state.executors == {}
+
+
+class TestLateOrderAtANewLife:
+    """Orders left unanswered, then a crash: the first order may reach the executor's next life."""
+
+    def test_repeated_start_is_barred_there(self) -> None:
+        """Model seed 39 of apply_late, crash_executor, cut_executors, kill_owner: it ran again."""
+        bench = Bench(executors=2)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        bench.confirm(start)
+        bench.running[start.executor] = []
+        bench.born[start.executor] = 2
+        bench.take(StopTask)
+        bench.list_executor(start.executor, born_ms=2)
+        bench.report(start.executor)
+        bench.tick(0.1)
+        stops = bench.take(StopTask)
+        assert [(stop.task, stop.run) for stop in stops][:1] == [(start.task, start.run)]
+        assert bench.place() == []
+        bench.confirm_stop(stops[0])
+        bench.tick(0.1)
+        bench.report(start.executor)
+        (again,) = bench.place()
+        assert again.run > start.run
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -269,6 +269,8 @@
         executor.crash()
         await asyncio.sleep(dark_s)
         if returns:
+            # Another crash may have returned it meanwhile: what runs there ends now.
+            executor.crash()
             executor.begin_life(self.read_wall_ms())
             self.list_executor(executor)
             return
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -96,10 +96,13 @@
     for (task, number), sent_at in list(executor.doubtful.items()):
         if state.now > sent_at + LATE_ORDER_S:
             del executor.doubtful[(task, number)]
-        elif (task, number) not in executor.runs:
+            continue
+        run = executor.runs.get((task, number))
+        if run is None:
             run = Run(None, 0, task, executor.id, number, state.now)
-            run.wants_stop = True
             executor.add_run(run)
+        # Its repeat may have run in the life before; the first order may come to this one.
+        run.wants_stop = True
 
 
 @handles(HoldAnswered)
