Let the load model use the owner's own pauses and lease, and drop an unused field

Cause: a read of the whole change found that bench/load.py repeated the tick, the pause before a decision and the lease of runs that entry/owner.py defines, so a change there would have left the model behind; and ModelWorker.hold_until was written and never read.

--- a/wasabiramp/bench/load.py
+++ b/wasabiramp/bench/load.py
@@ -10,6 +10,7 @@
 
 from wasabiramp.bench.profiles import Kind, Profile
 from wasabiramp.core.records import record
+from wasabiramp.entry.owner import LEASE_S, PLACE_PAUSE_S, TICK_S
 from wasabiramp.scheduling.effects import (
     AskAdvice,
     Effect,
@@ -50,10 +51,7 @@
 COMMIT_S: Final = 0.024
 """A group commit: the pause between two and an answer of the store."""
 
-TICK_S: Final = 0.05
-PLACE_PAUSE_S: Final = 0.002
 STOP_S: Final = 0.2
-LEASE_S: Final = 3.5
 LEASE_LIMIT_S: Final = 6.0
 DRAIN_S: Final = 60.0
 """After the last arrival the model goes on for this long at most."""
@@ -86,7 +84,7 @@
 class ModelWorker:
     """An executor of the model: what runs, what ended, and the hold that waits."""
 
-    __slots__ = ("ends", "hold_until", "holds", "name", "next_end", "slowness", "tasks")
+    __slots__ = ("ends", "holds", "name", "next_end", "slowness", "tasks")
 
     def __init__(self, name: str, slowness: float) -> None:
         """Start empty; work takes `slowness` times as long as on a usual executor."""
@@ -96,7 +94,6 @@
         self.ends: list[EndReport] = []
         self.next_end = 1
         self.holds: list[float] = []
-        self.hold_until = 0.0
 
 
 class LoadModel:
