Hold an idle executor while an order without an answer may still arrive

A start had no answer, its repeat ran and ended, and the first order was carried out 7 s later by a new life of the executor. The owner had nothing running there, so it met the new life only when the platform listed it, 0.7 s after that start. Ruled out: recovery (term 2 had stored the end), a second run (the numbers are the same). Left: an order that arrives before the first hold of the new life does (docs/PROOFS.md).

--- a/tests/model/entry/test_schedules.py
+++ b/tests/model/entry/test_schedules.py
@@ -17,6 +17,7 @@
     9: "a task ran again after the owner lost a late announcement's order",
     58: "a daemon that stood still announced a job that was over by then",
     12: "an owner that stood still started tasks before it looked whether another took over",
+    20: "a late first order met a new life that the owner, with nothing running there, had not met",
     117: "an owner that stood still showed an old phase",
     390: "starts that had met a new life of an executor were forgotten",
     392: "an order of 11 s before arrived at a new life that knew no stop",
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -20,6 +20,7 @@
     ExecutorUnlisted,
     HoldFailed,
 )
+from wasabiramp.scheduling.executors import LATE_ORDER_S
 from wasabiramp.scheduling.model import RunReport
 
 
@@ -90,6 +91,27 @@
         bench.finish(start)
         assert job.is_ended
 
+    def test_idle_executor_is_held_while_the_first_order_may_arrive(self) -> None:
+        """Model seed 20: the order met a new life that the owner had not met yet."""
+        bench = Bench(executors=1)
+        bench.submit("a" * 16, "batch", make_step(1))
+        (start,) = bench.place()
+        bench.confirm(start, UNKNOWN)
+        bench.confirm(start)
+        bench.finish(start)
+        bench.commit()
+        bench.report("e0")
+        for _ in range(3):
+            bench.take(HoldExecutor)
+            bench.tick(0.1)
+            assert len(bench.take(HoldExecutor)) == 1
+            bench.report("e0")
+        bench.tick(LATE_ORDER_S)
+        bench.report("e0")
+        bench.take(HoldExecutor)
+        bench.tick(1.0)
+        assert bench.take(HoldExecutor) == []
+
     def test_gang_is_kept_whole(self) -> None:
         bench = Bench(executors=2)
         bench.submit("a" * 16, "gangs", make_step(2, 3_000, is_gang=True))
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -226,7 +226,7 @@
         return
     if executor.clock_ms is None or not executor.is_fenced:
         send_hold(state, executor, 0.0)
-    elif executor.runs or executor.silent_since is not None:
+    elif executor.runs or executor.silent_since is not None or _may_carry_out(state, executor):
         is_settled = executor.read_end <= executor.last_seen and executor.silent_since is None
         wait_s = SHARED_WAIT_S if is_shared(executor) else HOLD_WAIT_S
         send_hold(state, executor, wait_s if is_settled else 0.0)
@@ -237,6 +237,15 @@
     executor.noted_end = executor.last_seen
 
 
+def _may_carry_out(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Tell whether an order without an answer may still arrive, perhaps at a new life.
+
+    Such an executor is held although it runs nothing: a new life is then met, and late orders to
+    it are barred, at once rather than when the platform lists it.
+    """
+    return any(state.now <= sent_at + LATE_ORDER_S for sent_at in executor.doubtful.values())
+
+
 def _forget_if_gone(state: SchedulerState, executor: ExecutorState) -> None:
     """Forget an executor that left the list and can run nothing any more."""
     if executor.is_listed or executor.runs or executor.must_answer:
