Drop log lines beyond the limit before they are formatted

Ruled out: a lower limit, which would cost lines that explain a failure. Conclusion: the limit is asked first; what is written and the count of dropped lines stay the same.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -24,6 +24,20 @@
         assert "event=log_lines_dropped count=5" in text
         assert text.endswith("later\n")
 
+    def test_room_is_told_without_writing(self, monkeypatch) -> None:
+        reader, writer = os.pipe()
+        now = [10.0]
+        monkeypatch.setattr("wasabiramp.logs.time.monotonic", lambda: now[0])
+        output = BoundedOutput(writer, 2)
+        for number in range(5):
+            if output.has_room():
+                output.write(f"line {number}\n")
+        now[0] = 11.0
+        output.write("later\n")
+        text = os.read(reader, 65_536).decode()
+        assert text.count("line ") == 2
+        assert "event=log_lines_dropped count=3" in text
+
     def test_reader_that_is_too_slow_blocks_nobody(self) -> None:
         _reader, writer = os.pipe()
         output = BoundedOutput(writer, 1_000_000)
--- a/wasabiramp/logs.py
+++ b/wasabiramp/logs.py
@@ -30,15 +30,21 @@
         self._dropped = 0
         os.set_blocking(descriptor, False)
 
-    def write(self, text: str) -> None:
-        """Write a line, or count it as dropped."""
+    def has_room(self) -> bool:
+        """Tell whether a line may be written now; one that may not counts as dropped."""
         second = int(time.monotonic())
         if second != self._second:
             self._second, self._lines = second, 0
-        self._lines += 1
-        if self._lines > self._limit:
-            self._dropped += 1
+        if self._lines < self._limit:
+            return True
+        self._dropped += 1
+        return False
+
+    def write(self, text: str) -> None:
+        """Write a line, or count it as dropped."""
+        if not self.has_room():
             return
+        self._lines += 1
         if self._dropped:
             text = f"level=warning event=log_lines_dropped count={self._dropped}\n{text}"
         try:
@@ -76,6 +82,28 @@
     return f'"{quoted}"'
 
 
+class PairLog:
+    """Writes events to a bounded output, once there is one."""
+
+    def __init__(self) -> None:
+        """Write to the standard handlers until `begin`."""
+        self._output: BoundedOutput | None = None
+
+    def begin(self, output: BoundedOutput) -> None:
+        """Drop what exceeds an output's limit before any work is spent on it."""
+        self._output = output
+
+    def write(self, event: str, fields: dict[str, Any]) -> None:
+        """Write one event."""
+        if self._output is not None and not self._output.has_room():
+            return
+        pairs = " ".join(f"{name}={format_value(value)}" for name, value in fields.items())
+        logging.info("event=%s %s", event, pairs)
+
+
+_LOG: Final = PairLog()
+
+
 def set_up_logs() -> None:
     """Write to standard output from the level INFO on."""
     flags.FLAGS.mark_as_parsed()
@@ -83,6 +111,7 @@
     logging.use_absl_handler()
     output = BoundedOutput(sys.stdout.fileno(), LINES_A_SECOND)
     logging.get_absl_handler().python_handler.stream = output
+    _LOG.begin(output)
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(PairFormatter())
     # The stream library reports each ended stream; the daemon logs its own event for that.
@@ -91,8 +120,7 @@
 
 def log_event(event: str, **fields: Any) -> None:
     """Write one event."""
-    pairs = " ".join(f"{name}={format_value(value)}" for name, value in fields.items())
-    logging.info("event=%s %s", event, pairs)
+    _LOG.write(event, fields)
 
 
 def log_failure(event: str) -> None:
