Ask executors again that are slow to answer after a takeover

Ruled out: reading the store (0.15 s), the claim (0.02 s after the lease ended). Change: an executor that has not answered after 0.15 s is asked a second time beside the first call, until its first time-out; a failure of a call that left before the last answer counts for nothing.

--- a/tests/scheduling/test_jobs.py
+++ b/tests/scheduling/test_jobs.py
@@ -4,8 +4,16 @@
 
 import msgpack
 
-from tests.scheduling.helpers import Bench, StopTask, make_step
-from wasabiramp.scheduling.events import CancelAsked, Committed, JobsRecovered, StoredJob
+from tests.scheduling.helpers import Bench, HoldExecutor, StopTask, make_step
+from wasabiramp.scheduling.events import (
+    UNKNOWN,
+    CancelAsked,
+    Committed,
+    HoldFailed,
+    JobsRecovered,
+    StoredJob,
+)
+from wasabiramp.scheduling.executors import HOLD_RETRY_S
 from wasabiramp.scheduling.jobs import check_steps
 from wasabiramp.scheduling.model import (
     CANCELLED,
@@ -200,6 +208,37 @@
         bench.tick()
         assert len(bench.place()) == 1
 
+    def test_executor_that_is_slow_to_answer_is_asked_again(self) -> None:
+        """Load pattern: a takeover while answers of executors are lost."""
+        bench = Bench()
+        self.recover(bench, [("other", "other")])
+        bench.tick()
+        (first,) = [hold for hold in bench.take(HoldExecutor) if hold.executor == "other"]
+        asked_at = bench.now
+        bench.tick(0.1)
+        assert bench.take(HoldExecutor) == []
+        bench.tick(0.06)
+        assert [hold.executor for hold in bench.take(HoldExecutor)] == ["other"]
+        bench.born["other"] = 1
+        bench.report("other")
+        bench.apply(HoldFailed("other", asked_at, UNKNOWN))
+        executor = bench.scheduler.state.executors["other"]
+        assert executor.silent_since is None and not executor.must_answer
+        assert first.wait_s == 0.0
+
+    def test_executor_that_stays_silent_is_not_asked_in_a_rush(self) -> None:
+        bench = Bench()
+        self.recover(bench, [("gone", "gone")])
+        holds = 0
+        for _ in range(40):
+            bench.tick(0.05)
+            asked = bench.take(HoldExecutor)
+            holds += len(asked)
+            if asked:
+                bench.apply(HoldFailed("gone", bench.now, UNKNOWN))
+        # The first failure is followed by another hold at once, the others by a pause.
+        assert holds <= 2 + 2.0 / HOLD_RETRY_S
+
     def test_late_announcement_of_a_job_that_was_over(self) -> None:
         """Model seed 58: a daemon that stood still announced a job that was done by then."""
         bench = Bench()
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -9,6 +9,7 @@
     NOT_SENT,
     OTHER_LIFE,
     REFUSED_FENCE,
+    UNKNOWN,
     ExecutorListed,
     ExecutorUnlisted,
     HoldAnswered,
@@ -25,6 +26,10 @@
 HOLD_WAIT_S: Final = 1.0
 """How long a hold waits for an end; a third of a lease, so that a lost one does no harm."""
 
+RECOVERY_HOLD_S: Final = 0.15
+"""After a takeover an executor that has not answered for this long is asked again beside the first
+question, as work of the earlier owner waits for the last answer."""
+
 HOLD_RETRY_S: Final = 0.3
 """Pause after a hold that failed, but for the first: a single answer that was lost."""
 
@@ -113,6 +118,7 @@
         return
     report = event.report
     executor.is_holding = False
+    executor.heard_at = max(executor.heard_at, event.sent_at)
     if report.born_ms < executor.born_ms:
         return
     if report.born_ms > executor.born_ms:
@@ -175,10 +181,12 @@
     executor = state.executors.get(event.executor)
     if executor is None:
         return
-    executor.is_holding = False
     if event.outcome == REFUSED_FENCE:
         give_up(state, f"{event.executor} refused a hold as fenced")
         return
+    if event.sent_at < executor.heard_at and event.outcome == UNKNOWN:
+        return
+    executor.is_holding = False
     executor.hold_at = state.now
     if executor.silent_since is not None:
         executor.hold_at += HOLD_RETRY_S
@@ -209,6 +217,8 @@
             lapse_runs(state, executor, "lease ended")
         if not executor.is_holding and state.now >= executor.hold_at:
             _hold_if_needed(state, executor)
+        elif executor.must_answer and not is_silent and _is_overdue(state, executor):
+            send_hold(state, executor, 0.0)
         for run in list(executor.runs.values()):
             if run.wants_stop:
                 send_stop(state, run)
@@ -220,6 +230,11 @@
         state.note("recovery_complete")
 
 
+def _is_overdue(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Tell whether a hold should have been answered by now, though its time-out has not passed."""
+    return state.now >= executor.held_at + RECOVERY_HOLD_S
+
+
 def _hold_if_needed(state: SchedulerState, executor: ExecutorState) -> None:
     """Hold an executor that runs something, has something to tell, or has not been met."""
     if executor.read_end > executor.last_seen and not executor.runs:
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -139,6 +139,7 @@
     the time from which its tasks may run elsewhere.
     """
     executor.is_holding = True
+    executor.held_at = state.now
     is_renewed = bool(executor.runs) and executor.silent_since is None
     until = extend_lease(state, executor) if is_renewed else None
     state.effects.append(
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -226,6 +226,8 @@
         "doubtful",
         "entry",
         "failures",
+        "heard_at",
+        "held_at",
         "hold_at",
         "id",
         "is_fenced",
@@ -270,6 +272,8 @@
         self.born_ms = born_ms
         self.is_fenced = False
         self.is_holding = False
+        self.heard_at = float("-inf")
+        self.held_at = 0.0
         self.hold_at = 0.0
         self.clock_ms: int | None = None
         self.clock_at = 0.0
