Show no old phase while a commit of a job's end has no answer

A caller read "done" from the store; then the store went away, and the next caller was told "running" by the owner, which did not know. Ruled out: an owner that is cut off (it was confirmed), a second owner. Change: while a commit is on its way or unanswered, the owner leaves jobs whose end it may hold to the store; a daemon that cannot read it says so and when to come back.

--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -8,6 +8,7 @@
 import msgpack
 import pytest
 
+from wasabiramp.entry.answers import NOT_READY, Answer
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.keys import KEY_TERM, PREFIX_JOB, PREFIX_PROGRESS
 from wasabiramp.entry.owner import LEAST_TENURE_S, OVERLOAD_LAG_S, OVERLOAD_S
@@ -248,6 +249,32 @@
         assert phases == [DONE]
         assert reads == []
 
+    def test_old_phase_is_not_shown_after_a_lost_commit(self) -> None:
+        """Model seed 10: the store held the end and went away; the owner did not know it held."""
+        world = World(9)
+        shown: list[Answer] = []
+
+        async def play() -> None:
+            await world.async_begin()
+            name = find_owner(world)
+            assert name is not None
+            owner = world.daemons[name].owner
+            assert owner is not None
+            job = make_job(world, 1)
+            assert await world.async_submit(job)
+            await asyncio.sleep(0.2)
+            world.store.answers_lost = 1.0
+            while await world.async_show(job.id) != DONE:
+                await asyncio.sleep(0.05)
+            assert owner.is_storing_end(job.id)
+            world.store.is_down = True
+            other = next(n for n in sorted(world.daemons) if n != name)
+            desk = world.daemons[other].desk
+            shown.append(await async_run_at(world.places[other], desk.async_show(job.id, 3.0)))
+
+        world.run(play())
+        assert [answer.outcome for answer in shown] == [NOT_READY]
+
 
 class TestOverload:
     """The owner's machine turns slow: another daemon takes over, and no task runs twice."""
--- a/tests/model/entry/test_schedules.py
+++ b/tests/model/entry/test_schedules.py
@@ -16,6 +16,7 @@
 FAILED_ONCE = {
     9: "a task ran again after the owner lost a late announcement's order",
     58: "a daemon that stood still announced a job that was over by then",
+    10: "a commit of a job's end held, its answer was lost, and the owner showed the old phase",
     12: "an owner that stood still started tasks before it looked whether another took over",
     20: "a late first order met a new life that the owner, with nothing running there, had not met",
     117: "an owner that stood still showed an old phase",
--- a/wasabiramp/entry/desk.py
+++ b/wasabiramp/entry/desk.py
@@ -24,6 +24,7 @@
 from wasabiramp.entry.membership import Membership
 from wasabiramp.entry.owner import Owner
 from wasabiramp.entry.peers import (
+    ENDING,
     FAILED,
     NOT_OWNER,
     OK,
@@ -261,6 +262,8 @@
             return PeerAnswer(UNKNOWN_JOB)
         if isinstance(message, ShowJob):
             phase = await self._async_await_end(owner, message.job, phase)
+            if owner.may_be_shown_as_over(message.job):
+                return PeerAnswer(ENDING)
             is_certain = self._membership.is_confirmed() and not owner.is_storing_end(message.job)
             return PeerAnswer(OK if is_certain else UNCONFIRMED, phase)
         if isinstance(message, CancelJob) and phase not in FINAL_PHASES:
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -74,6 +74,7 @@
         self._number = 0
         self._revision = 0
         self._is_stopped = False
+        self.is_unanswered = False
 
     def stop(self) -> None:
         """Send nothing any more."""
@@ -118,17 +119,23 @@
         transaction.expected[KEY_TERM] = self.tenure.fence
         transaction.expected[KEY_COMMITS] = self._revision
         transaction.writes[KEY_COMMITS] = (mark, 0)
+        was_unanswered = False
         while not self._is_stopped:
             try:
+                self.is_unanswered = True
                 self._revision = await self._store.async_commit(transaction)
+                self.is_unanswered = False
                 return True
             except StoreConflictError as err:
+                self.is_unanswered = False
                 return self._settle_conflict(err, mark)
             except StoreRefusedError as err:
+                self.is_unanswered = was_unanswered
                 log_event("commit_refused", entries=transaction.size, error=err)
                 return False
             except StoreUnknownError as err:
                 log_event("commit_unanswered", entries=transaction.size, error=err)
+                was_unanswered = True
                 await asyncio.sleep(RETRY_S)
         return False
 
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -489,6 +489,10 @@
         job = self.scheduler.state.jobs.get(job_id)
         return job is not None and job.is_ended and job.shown_phase not in FINAL_PHASES
 
+    def may_be_shown_as_over(self, job_id: str) -> bool:
+        """Tell whether a job's end may be in the store already, as a commit has no answer."""
+        return self._journal.is_unanswered and self.is_storing_end(job_id)
+
     def count_waiting(self) -> dict[str, int]:
         """Return the number of jobs of which no task has started, by queue."""
         return dict(
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -26,6 +26,9 @@
 OK: Final = "ok"
 NOT_OWNER: Final = "not-owner"
 UNCONFIRMED: Final = "unconfirmed"
+ENDING: Final = "ending"
+"""The job is over, and whether that is stored is not known: only the store may tell."""
+
 UNKNOWN_JOB: Final = "unknown-job"
 FAILED: Final = "failed"
 
