Keep an unexpected error from ending a loop of the daemon

The process stayed, but an error in a tick, a commit or a followed change ended that loop for good: the owner went on renewing its lease and did nothing. An error in a call to an executor left its run without an answer, or the executor without holds. One announced job that could not be read held up the others of its group, and an answer of the store that lacks a field ended a watch. Ruled out: messages between daemons, which were already refused where they cannot be read. Change: loops begin again after a logged error, calls of the owner always have an outcome, an admission that fails is settled as unknown, odd answers of the store count as lost, recovery that fails gives the ownership up.

--- a/wasabiramp/bench/profiles.py
+++ b/wasabiramp/bench/profiles.py
@@ -103,7 +103,46 @@
     return Profile(name, executors, rack, 64_000, 131_072, callers, (gangs, batch, quotes))
 
 
+def make_large_profile() -> Profile:
+    """Return a cell of 270 executors at nine tenths of its room: wide gangs, batch and quotes."""
+    gangs = Kind(
+        Queue("gangs", "h", "/g/", "service", 1, 4, 2.2, 1.0, 3.0, AdvicePolicy(0.5, 0.007, 2.5)),
+        per_s=4.7,
+        width=(13.0, 0.6, 64),
+        cpu=(18_000, 0.4, 30_000),
+        memory_mb=68_000,
+        work_s=(6.2, 0.5, 16.0),
+        estimate_error=0.2,
+        good_share=0.35,
+        is_gang=True,
+    )
+    batch = Kind(
+        Queue("batch", "h", "/b/", "service", 2, 4, 4.0, 3.0, 3.0, AdvicePolicy(0.18, 0.0026, 2.5)),
+        per_s=6.1,
+        width=(15.0, 0.6, 76),
+        cpu=(11_000, 0.45, 33_000),
+        memory_mb=41_000,
+        work_s=(3.4, 0.5, 8.4),
+        estimate_error=0.2,
+        good_share=0.45,
+    )
+    quotes = Kind(
+        Queue(
+            "quotes", "h", "/q/", "service", 0, 2, 1.5, 0.25, 3.0, AdvicePolicy(0.026, 4e-4, 2.5)
+        ),
+        per_s=43.4,
+        width=(3.1, 0.8, 19),
+        cpu=(16_000, 0.45, 47_000),
+        memory_mb=45_000,
+        work_s=(1.0, 0.5, 2.5),
+        estimate_error=0.5,
+        good_share=0.7,
+    )
+    return Profile("large", 270, 8, 64_000, 262_144, 96, (gangs, batch, quotes))
+
+
 PROFILES: Final = {
     "small": make_profile("small", executors=24, rack=6, callers=7, scale=1.0),
     "grown": make_profile("grown", executors=175, rack=8, callers=39, scale=2.7),
+    "large": make_large_profile(),
 }
--- a/wasabiramp/entry/admission.py
+++ b/wasabiramp/entry/admission.py
@@ -13,7 +13,7 @@
     StoreUnknownError,
     Transaction,
 )
-from wasabiramp.logs import log_event
+from wasabiramp.logs import log_event, log_failure
 from wasabiramp.scheduling.model import JobDefinition
 from wasabiramp.scheduling.records import encode_definition
 
@@ -26,6 +26,7 @@
 UNKNOWN: Final = "unknown"
 
 Outcome = tuple[str, int]
+Group = list[tuple[JobDefinition, asyncio.Future[Outcome]]]
 
 
 class Admission:
@@ -59,11 +60,17 @@
             while self._waiting:
                 group = self._waiting[:JOBS_A_COMMIT]
                 del self._waiting[:JOBS_A_COMMIT]
-                await self._async_store_group(group)
+                await self._async_store_or_settle(group)
 
-    async def _async_store_group(
-        self, group: list[tuple[JobDefinition, asyncio.Future[Outcome]]]
-    ) -> None:
+    async def _async_store_or_settle(self, group: Group) -> None:
+        """Store a group; an unexpected error leaves open whether it is stored."""
+        try:
+            await self._async_store_group(group)
+        except Exception:
+            log_failure("admission_failed")
+            _settle(group, UNKNOWN)
+
+    async def _async_store_group(self, group: Group) -> None:
         """Store a group; without those that exist already, if there are any."""
         unique = {job.id: job for job, _future in group}
         transaction = Transaction()
@@ -84,9 +91,7 @@
         else:
             _settle(group, STORED, revision)
 
-    def _settle_conflict(
-        self, group: list[tuple[JobDefinition, asyncio.Future[Outcome]]], err: StoreConflictError
-    ) -> None:
+    def _settle_conflict(self, group: Group, err: StoreConflictError) -> None:
         """Tell who exists already, and try the others again."""
         rest = []
         for job, future in group:
@@ -98,9 +103,7 @@
         self._wake.set()
 
 
-def _settle(
-    group: list[tuple[JobDefinition, asyncio.Future[Outcome]]], outcome: str, revision: int = 0
-) -> None:
+def _settle(group: Group, outcome: str, revision: int = 0) -> None:
     """Tell the waiting requests of a group."""
     for _job, future in group:
         if not future.done():
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -36,6 +36,7 @@
     StoreRefusedError,
     StoreUnknownError,
 )
+from wasabiramp.entry.upkeep import async_keep_running
 from wasabiramp.logs import log_event
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.model import CellConfig, Queue
@@ -107,9 +108,12 @@
         await _async_bind(lambda: self._listener.async_start(self.settings.peer_address))
         self._membership.start()
         self._tasks = [
-            loop.create_task(self._config_follower.async_run()),
-            loop.create_task(self.desk.admission.async_run()),
-            loop.create_task(self.desk.async_run_announcer()),
+            loop.create_task(async_keep_running(name, work))
+            for name, work in (
+                ("configuration", self._config_follower.async_run),
+                ("admission", self.desk.admission.async_run),
+                ("announcer", self.desk.async_run_announcer),
+            )
         ]
 
     async def async_hand_over(self) -> None:
--- a/wasabiramp/entry/desk.py
+++ b/wasabiramp/entry/desk.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from wasabiramp.core.records import DecodeError
 from wasabiramp.entry import admission as stored
 from wasabiramp.entry.admission import Admission
 from wasabiramp.entry.answers import (
@@ -250,8 +251,7 @@
         if owner is None or not owner.is_recovered:
             return PeerAnswer(NOT_OWNER)
         if isinstance(message, AnnounceJobs):
-            for data, revision in message.jobs:
-                owner.take_job(decode_definition(data), revision)
+            _take_announced(owner, message)
             return PeerAnswer(OK)
         if isinstance(message, CountWaiting):
             return PeerAnswer(OK, owner.count_waiting())
@@ -370,3 +370,12 @@
     def read_wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
         return int(self._read_wall() * 1000)
+
+
+def _take_announced(owner: Owner, message: AnnounceJobs) -> None:
+    """Take announced jobs; one that cannot be read does not hold up the others."""
+    for data, revision in message.jobs:
+        try:
+            owner.take_job(decode_definition(data), revision)
+        except DecodeError as err:
+            log_event("job_unreadable", revision=revision, error=err)
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -21,6 +21,7 @@
     StoreUnknownError,
     Transaction,
 )
+from wasabiramp.entry.upkeep import async_keep_running
 from wasabiramp.logs import log_event
 
 LEASE_TTL_S: Final = 1.0
@@ -144,8 +145,8 @@
     def start(self) -> None:
         """Begin to follow the others and to renew the lease."""
         loop = asyncio.get_running_loop()
-        self._following = loop.create_task(self._follower.async_run())
-        self._renewing = loop.create_task(self._async_renew())
+        self._following = loop.create_task(async_keep_running("members", self._follower.async_run))
+        self._renewing = loop.create_task(async_keep_running("renewals", self._async_renew))
 
     async def async_leave(self) -> None:
         """Give up ownership and the entry, so that others take over at once."""
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -24,11 +24,13 @@
     Executors,
     Item,
     NoAnswerError,
+    OrderAnswer,
     Store,
     StoreRefusedError,
     StoreUnknownError,
 )
-from wasabiramp.logs import log_event
+from wasabiramp.entry.upkeep import async_keep_running, async_log_failure, async_settle
+from wasabiramp.logs import log_event, log_failure
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.effects import (
     AskAdvice,
@@ -41,6 +43,7 @@
     StopTask,
 )
 from wasabiramp.scheduling.events import (
+    UNKNOWN,
     AdviceAnswered,
     AdviceFailed,
     Committed,
@@ -190,7 +193,7 @@
     def start(self, config: CellConfig) -> None:
         """Recover what is stored, then act."""
         self._reduce(ConfigChanged(config))
-        self._spawn(self._async_begin())
+        self._spawn(self._async_begin_or_give_up())
 
     def stop(self) -> None:
         """Send nothing any more."""
@@ -249,8 +252,8 @@
             await self._committed.wait()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Run a coroutine until the owner stops."""
-        task = self._loop.create_task(coroutine)
+        """Run a coroutine until the owner stops; an unexpected error ends just this one."""
+        task = self._loop.create_task(async_log_failure(coroutine))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -307,7 +310,9 @@
         while self._has_stood_still():
             await asyncio.sleep(PAUSE_POLL_S)
         sent_at = self._loop.time()
-        answer = await self._executors.async_start(effect, self.tenure.fence)
+        answer = await async_settle(
+            self._executors.async_start(effect, self.tenure.fence), OrderAnswer(UNKNOWN)
+        )
         self._metrics.note("start_seconds", self._loop.time() - sent_at, {})
         self._reduce(
             StartAnswered(
@@ -317,18 +322,22 @@
 
     async def _async_stop(self, effect: StopTask) -> None:
         """Send a stop and take its answer."""
-        answer = await self._executors.async_stop(effect, self.tenure.fence)
+        answer = await async_settle(
+            self._executors.async_stop(effect, self.tenure.fence), OrderAnswer(UNKNOWN)
+        )
         self._reduce(StopAnswered(effect.executor, effect.task, effect.run, answer.outcome))
 
     async def _async_pace(self, effect: PaceTask) -> None:
         """Send a pace and take its answer."""
-        answer = await self._executors.async_pace(effect, self.tenure.fence)
+        answer = await async_settle(
+            self._executors.async_pace(effect, self.tenure.fence), OrderAnswer(UNKNOWN)
+        )
         self._reduce(PaceAnswered(effect.executor, effect.task, effect.run, answer.outcome))
 
     async def _async_hold(self, effect: HoldExecutor) -> None:
         """Send a hold and take the report."""
         sent_at = self._loop.time()
-        report = await self._executors.async_hold(effect, self.tenure.fence)
+        report = await async_settle(self._executors.async_hold(effect, self.tenure.fence), UNKNOWN)
         if isinstance(report, ExecutorReport):
             self._reduce(HoldAnswered(effect.executor, sent_at, report))
         else:
@@ -358,19 +367,27 @@
         else:
             log_event("executor_entry_unreadable", key=key, revision=item.revision)
 
+    async def _async_begin_or_give_up(self) -> None:
+        """Begin; where something unexpected prevents it, leave ownership to another try."""
+        try:
+            await self._async_begin()
+        except Exception:
+            log_failure("recovery_failed")
+            self._on_loss("recovery failed")
+
     async def _async_begin(self) -> None:
         """Read what is stored, meet the executors, then run the loops."""
         began_at = self._loop.time()
         while not await self._async_recover():
             await asyncio.sleep(RETRY_S)
-        self._spawn(self._follower.async_run())
-        self._spawn(self._jobs_follower.async_run())
-        self._spawn(self._async_commit_loop())
+        self._spawn(async_keep_running("executors", self._follower.async_run))
+        self._spawn(async_keep_running("stored jobs", self._jobs_follower.async_run))
+        self._spawn(async_keep_running("commits", self._async_commit_loop))
         await self._follower.is_known.wait()
         self.is_recovered = True
         self._metrics.note("recovery_seconds", self._loop.time() - began_at, {})
         log_event("owner_ready", term=self.tenure.term, took_s=self._loop.time() - began_at)
-        self._spawn(self._async_tick())
+        self._spawn(async_keep_running("ticks", self._async_tick))
 
     async def _async_recover(self) -> bool:
         """Take what an earlier owner stored; tell whether the store answered."""
@@ -447,6 +464,7 @@
 
     async def _async_commit_loop(self) -> None:
         """Store changes, one group after the other."""
+        self.scheduler.restore_changes()
         while True:
             await self._commit_wake.wait()
             self._commit_wake.clear()
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import base64
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
 
 import aiohttp
@@ -30,6 +31,8 @@
 from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask, StopTask
 from wasabiramp.scheduling.model import ExecutorReport
 
+T = TypeVar("T")
+
 KEEPALIVE_S: Final = 90.0
 """Idle connections are kept this long: each new one to an executor has a price."""
 
@@ -172,7 +175,7 @@
         """Return an item, or None."""
         query = urlencode({"key": key})
         status, raw = await self._async_call("GET", f"kv-key?{query}")
-        return None if status == 404 else _parse_item(raw)
+        return None if status == 404 else _read(lambda: _parse_item(raw))
 
     async def async_list(self, prefix: str) -> tuple[list[Item], int]:
         """Return all items under a prefix, and a revision from which a watch misses nothing."""
@@ -185,9 +188,10 @@
             _status, raw = await self._async_call(
                 "GET", f"kv-range?{urlencode(query)}", whole_s=LIST_S
             )
-            items += [_parse_item(row) for row in raw["items"]]
-            as_of = as_of or int(raw["asOf"])
-            if not raw.get("hasMore") or not raw["items"]:
+            page, page_as_of, has_more = _read(lambda raw=raw: _parse_page(raw))
+            items += page
+            as_of = as_of or page_as_of
+            if not has_more or not page:
                 return items, as_of
 
     async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
@@ -198,7 +202,7 @@
         )
         if status == 410:
             raise HistoryLostError(prefix)
-        return [_parse_change(row) for row in raw["events"]], int(raw["asOf"])
+        return _read(lambda: ([_parse_change(row) for row in raw["events"]], int(raw["asOf"])))
 
     async def async_commit(self, transaction: Transaction) -> int:
         """Carry out a transaction and return its revision."""
@@ -211,16 +215,15 @@
         }
         status, raw = await self._async_call("POST", "kv-txn", body)
         if status == 412:
-            rows = [row for row in raw.get("items") or [] if row and row.get("rev")]
-            raise StoreConflictError({row["key"]: _parse_item(row) for row in rows})
+            raise StoreConflictError(_read(lambda: _parse_present(raw)))
         if status == 404:
             raise LeaseEndedError("the transaction names a lease that has ended")
-        return int(raw["rev"])
+        return _read(lambda: int(raw["rev"]))
 
     async def async_grant(self, ttl_s: float) -> int:
         """Return a new lease."""
         _status, raw = await self._async_call("POST", "kv-lease", {"ttlMs": int(ttl_s * 1000)})
-        return int(raw["lease"])
+        return _read(lambda: int(raw["lease"]))
 
     async def async_renew(self, lease: int) -> None:
         """Renew a lease."""
@@ -276,6 +279,25 @@
     return row
 
 
+def _read(parse: Callable[[], T]) -> T:
+    """Parse an answer; one that cannot be read counts as lost."""
+    try:
+        return parse()
+    except (KeyError, TypeError, ValueError, AttributeError) as err:
+        raise StoreUnknownError(f"the answer cannot be read: {err!r}") from err
+
+
+def _parse_page(raw: dict[str, Any]) -> tuple[list[Item], int, bool]:
+    """Return a page of a list: its items, the revision, and whether more follow."""
+    return [_parse_item(row) for row in raw["items"]], int(raw["asOf"]), bool(raw.get("hasMore"))
+
+
+def _parse_present(raw: dict[str, Any]) -> dict[str, Item]:
+    """Return the keys of failed conditions that exist."""
+    rows = [row for row in raw.get("items") or [] if row and row.get("rev")]
+    return {row["key"]: _parse_item(row) for row in rows}
+
+
 def _parse_item(row: dict[str, Any]) -> Item:
     """Return an item of the store."""
     value = base64.b64decode(row.get("value") or "")
@@ -378,11 +400,13 @@
         raw = orjson.loads(data) if data else {}
     except ValueError:
         raw = {}
-    clock = raw.get("clockMs") if isinstance(raw, dict) else None
+    raw = raw if isinstance(raw, dict) else {}
+    clock = raw.get("clockMs")
+    clock = clock if isinstance(clock, int) else None
     if status == 200:
         return OrderAnswer(events.STARTED, clock)
     if status == 409:
-        return OrderAnswer(REFUSALS.get(raw.get("reason", ""), events.REFUSED_BUSY), clock)
+        return OrderAnswer(REFUSALS.get(str(raw.get("reason")), events.REFUSED_BUSY), clock)
     return OrderAnswer(STATUSES.get(status, events.UNKNOWN), clock)
 
 
