Index the queues of a configuration by name and host

Cause: the queue of each ready step, and of each job at a new configuration, was looked for in a list. With 1,400 routes (`big_config`) a look-up costs tens of microseconds, so 2,800 jobs stall the owner. Ruled out: decoding, which is done once a version.

--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -113,15 +113,25 @@
     version: int
     queues: tuple[Queue, ...]
     max_body_bytes: int = 262_144
+    _by_name: dict[str, Queue] = field(init=False, repr=False, compare=False)
+    _by_host: dict[str, list[Queue]] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Index the queues, of which there may be thousands."""
+        by_host: dict[str, list[Queue]] = {}
+        for queue in sorted(self.queues, key=lambda queue: -len(queue.prefix)):
+            by_host.setdefault(queue.host, []).append(queue)
+        object.__setattr__(self, "_by_name", {q.name: q for q in reversed(self.queues)})
+        object.__setattr__(self, "_by_host", by_host)
 
     def find(self, name: str) -> Queue | None:
         """Return the queue of a name."""
-        return next((queue for queue in self.queues if queue.name == name), None)
+        return self._by_name.get(name)
 
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue whose host matches and whose prefix is the longest that fits."""
-        fitting = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
-        return max(fitting, key=lambda queue: len(queue.prefix), default=None)
+        fitting = (q for q in self._by_host.get(host, ()) if path.startswith(q.prefix))
+        return next(fitting, None)
 
 
 @dataclass(slots=True, frozen=True)
