Let long answers of the store take their time while more of them arrives

Cause: a configuration of 1,000 routes and more is some hundred KB, which takes 0.5 s on a link of 5 Mbit/s; keys and watches had 0.4 s for the whole answer, and 0.7 s beyond the wait. Change: as for lists, the time-out bounds each pause, and 5 s the whole. Before: a key and a watch in parts of 0.13 s count as lost. After: they arrive; one that stops still counts as lost after the time-out.

--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,107 @@
+"""Tests of the store's client against a small server: long answers, and odd ones."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+import orjson
+import pytest
+
+from wasabiramp.entry.lag import LoopLag
+from wasabiramp.entry.ports import StoreUnknownError, Transaction
+from wasabiramp.platform.calls import STORE_CALL_S, HttpCalls, StoreClient
+
+PARTS = 6
+PART_PAUSE_S = STORE_CALL_S[0] / 3
+"""The whole answer takes twice the least time-out, with no long pause between its parts."""
+
+Call = Callable[[StoreClient], Awaitable[Any]]
+
+
+def play(handler: Callable[[web.BaseRequest], Awaitable[Any]], call: Call) -> Any:
+    """Call a store whose answers a handler makes."""
+
+    async def run() -> Any:
+        runner = web.ServerRunner(web.Server(handler, access_log=None), shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = runner.addresses[0][1]
+        calls = HttpCalls(LoopLag())
+        try:
+            return await call(StoreClient(calls, f"127.0.0.1:{port}"))
+        finally:
+            await calls.async_close()
+            await runner.cleanup()
+
+    return asyncio.run(run())
+
+
+def make_item(size: int) -> dict[str, Any]:
+    """Return an item of the store with a large value."""
+    return {"key": "op/config", "value": base64.b64encode(b"x" * size).decode(), "rev": 5}
+
+
+class TestLongAnswers:
+    """Load pattern: 1,400 routes come at once, and daemons read them over narrow links."""
+
+    def read(self, call: Call, body: dict[str, Any], stops_after: int = PARTS) -> Any:
+        """Let an answer arrive in parts, perhaps not to its end."""
+        data = orjson.dumps(body)
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            response = web.StreamResponse(headers={"Content-Length": str(len(data))})
+            await response.prepare(request)
+            size = len(data) // PARTS + 1
+            for number in range(stops_after):
+                await asyncio.sleep(PART_PAUSE_S)
+                await response.write(data[number * size : (number + 1) * size])
+            if stops_after < PARTS:
+                await asyncio.sleep(5.0)
+            return response
+
+        return play(answer, call)
+
+    def test_key(self) -> None:
+        item = self.read(lambda store: store.async_get("op/config"), make_item(60_000))
+        assert len(item.value) == 60_000
+
+    def test_list(self) -> None:
+        body = {"items": [make_item(60_000)], "asOf": 9, "hasMore": False}
+        items, as_of = self.read(lambda store: store.async_list("op/"), body)
+        assert (len(items), as_of) == (1, 9)
+
+    def test_watch(self) -> None:
+        body = {"events": [make_item(60_000)], "asOf": 9}
+        changes, as_of = self.read(lambda store: store.async_watch("op/", 4, 0.1), body)
+        assert (changes[0].revision, as_of) == (5, 9)
+
+    def test_answer_that_stops_counts_as_lost(self) -> None:
+        with pytest.raises(StoreUnknownError):
+            self.read(lambda store: store.async_get("op/config"), make_item(60_000), 2)
+
+
+class TestOddAnswers:
+    """An answer that lacks what it should hold counts as lost."""
+
+    @pytest.mark.parametrize(
+        "call",
+        [
+            lambda store: store.async_get("k"),
+            lambda store: store.async_list("k"),
+            lambda store: store.async_watch("k", 1, 0.1),
+            lambda store: store.async_commit(Transaction()),
+            lambda store: store.async_grant(1.0),
+        ],
+    )
+    @pytest.mark.parametrize("body", [{}, [], {"rev": "x", "items": 3}, "text"])
+    def test_counts_as_lost(self, call: Call, body: Any) -> None:
+        async def answer(request: web.BaseRequest) -> web.Response:
+            return web.Response(body=orjson.dumps(body))
+
+        with pytest.raises(StoreUnknownError):
+            play(answer, call)
--- a/wasabiramp/platform/calls.py
+++ b/wasabiramp/platform/calls.py
@@ -47,7 +47,7 @@
 """Least and longest time-out of a call to the store: a lost answer costs the least one."""
 
 LIST_S: Final = 5.0
-"""Longest time for a page of a list, as long as more of it keeps arriving on a narrow link."""
+"""Longest time for an answer that may be long, as long as more of it keeps arriving."""
 
 ANSWER_FACTOR: Final = 5.0
 """A time-out is this many times the usual answer: few slow answers are given up."""
@@ -174,7 +174,7 @@
     async def async_get(self, key: str) -> Item | None:
         """Return an item, or None."""
         query = urlencode({"key": key})
-        status, raw = await self._async_call("GET", f"kv-key?{query}")
+        status, raw = await self._async_call("GET", f"kv-key?{query}", whole_s=LIST_S)
         return None if status == 404 else _read(lambda: _parse_item(raw))
 
     async def async_list(self, prefix: str) -> tuple[list[Item], int]:
@@ -198,7 +198,10 @@
         """Wait for changes; return them and the revision to go on from."""
         query = urlencode({"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)})
         status, raw = await self._async_call(
-            "GET", f"kv-watch?{query}", wait_s=wait_s + WATCH_SLACK_S
+            "GET",
+            f"kv-watch?{query}",
+            wait_s=wait_s + WATCH_SLACK_S,
+            whole_s=wait_s + LIST_S,
         )
         if status == 410:
             raise HistoryLostError(prefix)
