Order waiting work by its latest start in time instead of its objective

Ruled out: advice (answered in time), room that is kept (one gang in 24 executors), the owner (one tenure, no pause).

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -6,6 +6,8 @@
 
 from tests.scheduling.helpers import AskAdvice, Bench, StopTask, make_step
 from wasabiramp.scheduling.events import REFUSED_ROOM, AdviceFailed
+from wasabiramp.scheduling.model import Resources, Step
+from wasabiramp.scheduling.state import find_left
 
 
 class TestRoom:
@@ -91,6 +93,39 @@
         assert {start.executor for start in bench.place()} == {"x0", "x2"}
 
 
+class TestLatestStart:
+    """Load pattern: long gangs and short ones wait for the same room."""
+
+    def make_gang(self, estimate_s: float, after: tuple[int, ...] = ()) -> Step:
+        return Step(2, Resources(3_000, 100, 0), estimate_s, after, is_gang=True)
+
+    def test_long_gang_goes_first_when_it_would_be_late_sooner(self) -> None:
+        bench = Bench(executors=2)
+        bench.submit("f" * 16, "gangs", self.make_gang(1.0))
+        blocking = bench.place_and_confirm()
+        bench.submit("a" * 16, "gangs", self.make_gang(6.0))
+        long = bench.scheduler.state.jobs["a" * 16]
+        bench.tick(6.5)
+        short = bench.submit("b" * 16, "gangs", self.make_gang(2.0))
+        # The short one should be done sooner, but may start later.
+        assert short.objective_at < long.objective_at
+        for start in blocking:
+            bench.end(start, "done")
+        for start in blocking:
+            bench.report(start.executor)
+        starts = bench.place()
+        assert {start.task[0] for start in starts} == {"a"}
+
+    def test_all_that_follows_counts(self) -> None:
+        steps = (
+            make_step(1),
+            self.make_gang(5.0, (0,)),
+            self.make_gang(2.0, (0,)),
+            self.make_gang(3.0, (1, 2)),
+        )
+        assert [find_left(steps, index) for index in range(4)] == [9.0, 8.0, 5.0, 3.0]
+
+
 class TestSpreadWork:
     """Steps that wait for nothing but their spreading limit hold no place for advice."""
 
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -86,8 +86,11 @@
 
 
 def find_order(queue: Queue, step: StepRun) -> tuple[int, float]:
-    """Return the place of a step among those that wait: urgency, then the objective."""
-    return queue.priority, step.job.objective_at
+    """Return the place of a step among those that wait: urgency, then its latest start in time.
+
+    By the objective alone, long work would wait until it is late, as its objective is later.
+    """
+    return queue.priority, step.job.objective_at - step.left_s
 
 
 class Pass:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -118,6 +118,7 @@
         "is_asking",
         "job",
         "lacks_room",
+        "left_s",
         "name",
         "occurrence",
         "progress",
@@ -140,6 +141,7 @@
             for number in range(self.spec.count)
         ]
         self.due_at = due_at
+        self.left_s = find_left(job.definition.steps, index)
         self.is_asking = False
         self.ask_at = 0.0
         self.could_run = True
@@ -168,6 +170,15 @@
         return f"{self.name}.{index}"
 
 
+def find_left(steps: tuple[Step, ...], index: int) -> float:
+    """Return the longest estimated chain of work from the begin of a step to the job's end."""
+    left = [step.estimate_s for step in steps]
+    for number in range(len(steps) - 1, index, -1):
+        for before in steps[number].after:
+            left[before] = max(left[before], steps[before].estimate_s + left[number])
+    return left[index]
+
+
 class JobRun:
     """A job at its owner; `shown_phase` is the last phase that is stored."""
 
