Give the sending of orders and questions a module of its own

The dispatcher sends and reduces answers; the owner decides when, and stores. No behaviour changes: tests of the entry and the load model pass as before.

--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from functools import partial
 from typing import Any, Final
 
 from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.dispatcher import Dispatcher
 from wasabiramp.entry.follow import Follower
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import (
@@ -18,45 +18,29 @@
 )
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Tenure
-from wasabiramp.entry.orders import OrderQueue
 from wasabiramp.entry.ports import (
     Codec,
     Executors,
     Item,
-    NoAnswerError,
-    OrderAnswer,
     Store,
     StoreRefusedError,
     StoreUnknownError,
 )
-from wasabiramp.entry.upkeep import async_keep_running, async_log_failure, async_settle
+from wasabiramp.entry.upkeep import async_keep_running, async_log_failure
 from wasabiramp.logs import log_event, log_failure
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.effects import (
-    AskAdvice,
     Effect,
     GiveUpOwnership,
-    HoldExecutor,
     NoteDecision,
-    PaceTask,
-    StartTask,
-    StopTask,
 )
 from wasabiramp.scheduling.events import (
-    UNKNOWN,
-    AdviceAnswered,
-    AdviceFailed,
     Committed,
     ConfigChanged,
     ExecutorListed,
     ExecutorUnlisted,
-    HoldAnswered,
-    HoldFailed,
     JobAccepted,
     JobsRecovered,
-    PaceAnswered,
-    StartAnswered,
-    StopAnswered,
     StoredJob,
     TimePassed,
 )
@@ -64,7 +48,6 @@
     FINAL_PHASES,
     PENDING,
     CellConfig,
-    ExecutorReport,
     JobDefinition,
 )
 from wasabiramp.scheduling.orders import LAPSE_MARGIN_S
@@ -124,9 +107,6 @@
 PAUSE_POLL_S: Final = 0.01
 """Interval at which a held-back start looks whether the tenure has been checked."""
 
-ADVICE_RETRY_S: Final = 0.2
-"""Pause before a question to the adviser that had no answer is asked again."""
-
 
 class Owner:
     """Acts for the domain during one or more terms in a row."""
@@ -155,8 +135,6 @@
         self.tenure = tenure
         self._store = store
         self._journal = Journal(store, tenure, on_loss)
-        self._executors = executors
-        self._advisers = advisers
         self._codec = codec
         self._metrics = metrics
         self._on_loss = on_loss
@@ -177,7 +155,15 @@
             store, PREFIX_JOB, JOBS_WATCH_S, self._take_stored_job, JOBS_GATHER_S
         )
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._orders = OrderQueue(self._spawn)
+        self._dispatcher = Dispatcher(
+            executors,
+            advisers,
+            metrics,
+            self._spawn,
+            self._reduce,
+            lambda: self.tenure.fence,
+            self._async_await_tenure,
+        )
         self._place_timer: asyncio.TimerHandle | None = None
         self._place_at = 0.0
         self._commit_wake = asyncio.Event()
@@ -216,7 +202,7 @@
 
     async def async_flush(self) -> None:
         """Wait until all orders are answered, and what they changed is stored."""
-        while not self._orders.is_idle:
+        while not self._dispatcher.orders.is_idle:
             await asyncio.sleep(0.01)
         self._commit_wake.set()
         while self.scheduler.has_changes():
@@ -272,7 +258,7 @@
         self._place_timer = None
         if self._is_stopped or not self.is_recovered or not self._is_placing:
             return
-        if self._has_stood_still() or self._orders.has_backlog:
+        if self._has_stood_still() or self._dispatcher.orders.has_backlog:
             return
         started_at = self._loop.time()
         self._carry_out(self.scheduler.place(started_at))
@@ -292,70 +278,15 @@
             if isinstance(effect, NoteDecision):
                 log_event(effect.event, **effect.fields)
                 self._metrics.note("decisions", 1, {"event": effect.event})
-            elif isinstance(effect, StartTask):
-                self._orders.add(partial(self._async_start, effect))
-            elif isinstance(effect, StopTask):
-                self._orders.add(partial(self._async_stop, effect))
-            elif isinstance(effect, PaceTask):
-                self._orders.add(partial(self._async_pace, effect))
-            elif isinstance(effect, HoldExecutor):
-                self._spawn(self._async_hold(effect))
-            elif isinstance(effect, AskAdvice):
-                self._spawn(self._async_ask(effect))
             elif isinstance(effect, GiveUpOwnership):
                 self._on_loss(effect.reason)
+            else:
+                self._dispatcher.send(effect)
 
-    async def _async_start(self, effect: StartTask) -> None:
-        """Send a start and take its answer; after a pause the tenure is checked first."""
+    async def _async_await_tenure(self) -> None:
+        """Hold a start back after a pause until the tenure has been checked."""
         while self._has_stood_still():
             await asyncio.sleep(PAUSE_POLL_S)
-        sent_at = self._loop.time()
-        answer = await async_settle(
-            self._executors.async_start(effect, self.tenure.fence), OrderAnswer(UNKNOWN)
-        )
-        self._metrics.note("start_seconds", self._loop.time() - sent_at, {})
-        self._reduce(
-            StartAnswered(
-                effect.executor, effect.task, effect.run, sent_at, answer.outcome, answer.clock_ms
-            )
-        )
-
-    async def _async_stop(self, effect: StopTask) -> None:
-        """Send a stop and take its answer."""
-        answer = await async_settle(
-            self._executors.async_stop(effect, self.tenure.fence), OrderAnswer(UNKNOWN)
-        )
-        self._reduce(StopAnswered(effect.executor, effect.task, effect.run, answer.outcome))
-
-    async def _async_pace(self, effect: PaceTask) -> None:
-        """Send a pace and take its answer."""
-        answer = await async_settle(
-            self._executors.async_pace(effect, self.tenure.fence), OrderAnswer(UNKNOWN)
-        )
-        self._reduce(PaceAnswered(effect.executor, effect.task, effect.run, answer.outcome))
-
-    async def _async_hold(self, effect: HoldExecutor) -> None:
-        """Send a hold and take the report."""
-        sent_at = self._loop.time()
-        report = await async_settle(self._executors.async_hold(effect, self.tenure.fence), UNKNOWN)
-        if isinstance(report, ExecutorReport):
-            self._reduce(HoldAnswered(effect.executor, sent_at, report))
-        else:
-            self._reduce(HoldFailed(effect.executor, sent_at, report))
-
-    async def _async_ask(self, effect: AskAdvice) -> None:
-        """Ask the adviser and take the answer."""
-        sent_at = self._loop.time()
-        try:
-            good, valid_s = await self._advisers.async_ask(
-                effect.step, effect.executors, effect.cost_s
-            )
-        except NoAnswerError as err:
-            log_event("adviser_silent", step=effect.step, error=err)
-            self._reduce(AdviceFailed(effect.step, ADVICE_RETRY_S))
-            return
-        self._metrics.note("advice_seconds", self._loop.time() - sent_at, {})
-        self._reduce(AdviceAnswered(effect.step, effect.executors, good, valid_s, sent_at))
 
     def _take_entry(self, key: str, item: Item | None) -> None:
         """Take a change of the list of executors."""
