Let orders to executors that are cut off leave their slots soon

Cause: read in the change "few orders at once": 24 slots held for the time-out of 0.3 s pass 80 orders a second, while stops to some cut executors are repeated each 0.5 s, hundreds of them after a wave of cancels. Starts would stand behind them, and no decision is made while orders wait. Change: an order counts for 0.05 s at most, extended by the process's own lateness. Before: a start behind 120 unanswered stops left after 1.5 s (five time-outs). After: 0.25 s.

--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -7,7 +7,9 @@
 from functools import partial
 from typing import Any
 
-from wasabiramp.entry.orders import ORDERS_AT_ONCE, OrderQueue
+from wasabiramp.entry.lag import LoopLag
+from wasabiramp.entry.orders import ORDERS_AT_ONCE, SLOT_S, OrderQueue
+from wasabiramp.model.entry.clock import VirtualLoop
 
 ORDERS = 5 * ORDERS_AT_ONCE
 
@@ -32,7 +34,7 @@
             def spawn(work: Coroutine[Any, Any, None]) -> None:
                 tasks.add(asyncio.create_task(work))
 
-            queue = OrderQueue(spawn)
+            queue = OrderQueue(spawn, LoopLag())
             for number in range(ORDERS):
                 queue.add(partial(send, number))
             assert queue.has_backlog
@@ -52,7 +54,7 @@
 
         async def play() -> None:
             tasks: list[asyncio.Task[Any]] = []
-            queue = OrderQueue(lambda work: tasks.append(asyncio.create_task(work)))
+            queue = OrderQueue(lambda work: tasks.append(asyncio.create_task(work)), LoopLag())
             for number in range(2 * ORDERS_AT_ONCE):
                 queue.add(partial(send, number))
             while not queue.is_idle:
@@ -71,7 +73,7 @@
 
         async def play() -> None:
             tasks: list[asyncio.Task[Any]] = []
-            queue = OrderQueue(lambda work: tasks.append(asyncio.create_task(work)))
+            queue = OrderQueue(lambda work: tasks.append(asyncio.create_task(work)), LoopLag())
             for number in range(3 * ORDERS_AT_ONCE):
                 queue.add(partial(send, number))
             await asyncio.sleep(0)
@@ -81,3 +83,28 @@
 
         asyncio.run(play())
         assert len(sent) == ORDERS_AT_ONCE
+
+    def test_executors_that_are_cut_off_do_not_hold_up_the_others(self) -> None:
+        """Load pattern: hundreds of stops to executors that do not answer, then a start."""
+        started: list[float] = []
+        loop = VirtualLoop()
+
+        async def stop() -> None:
+            await asyncio.sleep(0.3)
+
+        async def start() -> None:
+            started.append(loop.time())
+
+        async def play() -> None:
+            tasks: list[asyncio.Task[Any]] = []
+            queue = OrderQueue(lambda work: tasks.append(asyncio.create_task(work)), LoopLag())
+            for _ in range(5 * ORDERS_AT_ONCE):
+                queue.add(stop)
+            queue.add(start)
+            while not queue.is_idle:
+                await asyncio.sleep(0.01)
+
+        loop.run_until_complete(play())
+        loop.close()
+        assert started[0] <= 5 * SLOT_S + 0.01
+        assert loop.time() >= 0.3
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.orders import OrderQueue
 from wasabiramp.entry.ports import Executors, NoAnswerError, OrderAnswer
 from wasabiramp.entry.upkeep import async_settle
@@ -50,6 +51,7 @@
         reduce: Callable[[Any], None],
         find_fence: Callable[[], int],
         async_await_tenure: Callable[[], Awaitable[None]],
+        lag: LoopLag,
     ) -> None:
         """Send with the newest fencing token; starts wait until the tenure is sure."""
         self._executors = executors
@@ -60,7 +62,7 @@
         self._find_fence = find_fence
         self._async_await_tenure = async_await_tenure
         self._loop = asyncio.get_running_loop()
-        self.orders = OrderQueue(spawn)
+        self.orders = OrderQueue(spawn, lag)
 
     def send(self, effect: Sent) -> None:
         """Send an order in its turn, a hold or a question at once."""
--- a/wasabiramp/entry/orders.py
+++ b/wasabiramp/entry/orders.py
@@ -7,12 +7,34 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
+from wasabiramp.entry.lag import LoopLag
+
 ORDERS_AT_ONCE: Final = 24
 """Orders that may wait for an answer: enough for the round trips of several thousand a second."""
 
+SLOT_S: Final = 0.05
+"""An order counts for this long at most: executors that are cut off do not hold up the others."""
+
 Send = Callable[[], Coroutine[Any, Any, None]]
 
 
+class Slot:
+    """The place of one order among those on their way."""
+
+    __slots__ = ("_is_free", "_on_free")
+
+    def __init__(self, on_free: Callable[[], None]) -> None:
+        """Call `on_free` once, when the place is given up."""
+        self._on_free = on_free
+        self._is_free = False
+
+    def free(self) -> None:
+        """Give up the place, unless that was done before."""
+        if not self._is_free:
+            self._is_free = True
+            self._on_free()
+
+
 class OrderQueue:
     """Sends orders in their turn, a limited number side by side.
 
@@ -20,18 +42,20 @@
     after the time-outs, which costs repeats and stops on top.
     """
 
-    __slots__ = ("_open", "_spawn", "_waiting")
+    __slots__ = ("_lag", "_open", "_spawn", "_unanswered", "_waiting")
 
-    def __init__(self, spawn: Callable[[Coroutine[Any, Any, None]], None]) -> None:
-        """Run what is sent as tasks that `spawn` makes."""
+    def __init__(self, spawn: Callable[[Coroutine[Any, Any, None]], None], lag: LoopLag) -> None:
+        """Run what is sent as tasks that `spawn` makes; the lag extends the time of a slot."""
         self._spawn = spawn
+        self._lag = lag
         self._waiting: deque[Send] = deque()
         self._open = 0
+        self._unanswered = 0
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no order waits for its turn or for an answer."""
-        return not self._waiting and not self._open
+        return not self._waiting and not self._unanswered
 
     @property
     def has_backlog(self) -> bool:
@@ -47,15 +71,25 @@
         """Send what may leave."""
         while self._waiting and self._open < ORDERS_AT_ONCE:
             self._open += 1
+            self._unanswered += 1
             self._spawn(self._async_send(self._waiting.popleft()))
 
+    def _free_slot(self) -> None:
+        """Let the next order leave."""
+        self._open -= 1
+        self._send_next()
+
     async def _async_send(self, send: Send) -> None:
-        """Send one order, then let the next one leave."""
+        """Send one order; its slot is free once it is answered, or soon after."""
+        slot = Slot(self._free_slot)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(self._lag.extend(SLOT_S), slot.free)
         try:
             await send()
         except asyncio.CancelledError:
             self._waiting.clear()
             raise
         finally:
-            self._open -= 1
-            self._send_next()
+            timer.cancel()
+            self._unanswered -= 1
+            slot.free()
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -163,6 +163,7 @@
             self._reduce,
             lambda: self.tenure.fence,
             self._async_await_tenure,
+            lag,
         )
         self._place_timer: asyncio.TimerHandle | None = None
         self._place_at = 0.0
