--- a/tests/entry/test_upkeep.py
+++ b/tests/entry/test_supervision.py
@@ -12,7 +12,7 @@
 from wasabiramp.entry.owner import Owner
 from wasabiramp.entry.peers import OK, AnnounceJobs
 from wasabiramp.entry.ports import Transaction
-from wasabiramp.entry.upkeep import RESTART_S, async_keep_running, async_settle
+from wasabiramp.entry.supervision import RESTART_S, async_keep_running, async_settle
 from wasabiramp.model.entry.clock import VirtualLoop, async_run_at
 from wasabiramp.model.entry.executors import ModelExecutorClient
 from wasabiramp.model.entry.schedule import find_owner
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -36,7 +36,7 @@
     StoreRefusedError,
     StoreUnknownError,
 )
-from wasabiramp.entry.upkeep import async_keep_running
+from wasabiramp.entry.supervision import async_keep_running
 from wasabiramp.logs import log_event
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.model import CellConfig, Queue
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -11,7 +11,7 @@
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.orders import OrderQueue
 from wasabiramp.entry.ports import Executors, NoAnswerError, OrderAnswer
-from wasabiramp.entry.upkeep import async_settle
+from wasabiramp.entry.supervision import async_settle
 from wasabiramp.logs import log_event
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.effects import (
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -21,7 +21,7 @@
     StoreUnknownError,
     Transaction,
 )
-from wasabiramp.entry.upkeep import async_keep_running
+from wasabiramp.entry.supervision import async_keep_running
 from wasabiramp.logs import log_event
 
 LEASE_TTL_S: Final = 1.0
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -26,7 +26,7 @@
     StoreRefusedError,
     StoreUnknownError,
 )
-from wasabiramp.entry.upkeep import async_keep_running, async_log_failure
+from wasabiramp.entry.supervision import async_keep_running, async_log_failure
 from wasabiramp.logs import log_event, log_failure
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.effects import (
