--- a/tests/entry/test_parts.py
+++ b/tests/entry/test_parts.py
@@ -311,6 +311,22 @@
         assert self.store(store) == (True, [])
         assert store.commits[0].expected == store.commits[1].expected
 
+    def test_refusals_do_not_settle_a_lost_commit(self) -> None:
+        refused = StoreRefusedError("503")
+        lost = StoreUnknownError("lost")
+        store = ScriptedStore(commits=[lost, refused, refused, 60])
+        unanswered: list[bool] = []
+
+        async def play() -> None:
+            journal = Journal(store, Tenure(1, 50), lambda reason: None)
+            job = JobRun(make_job(1), JobProgress(DONE), 0.0)
+            for _ in range(3):
+                await journal.async_store(Changes([job], None, {}))
+                unanswered.append(journal.is_unanswered)
+
+        run(play())
+        assert unanswered == [True, True, False]
+
     def test_other_term_ends_the_ownership(self) -> None:
         taken = StoreConflictError({KEY_TERM: Item(KEY_TERM, b"", 70)})
         stored, losses = self.store(ScriptedStore(commits=[taken]))
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -126,7 +126,7 @@
         transaction.expected[KEY_TERM] = self.tenure.fence
         transaction.expected[KEY_COMMITS] = self._revision
         transaction.writes[KEY_COMMITS] = (mark, 0)
-        was_unanswered = False
+        was_unanswered = self.is_unanswered
         while not self._is_stopped:
             try:
                 self.is_unanswered = True
