Close four ways in which a lasting task can stay without a run, or run twice

On small sites all executors are asked about anyway; - a question that ended with an unexpected error had no outcome, so its step never asked again; - a lasting task that ended `done` counted as finished and was not started again; - tickets that had expired were not renewed while another ticket of the step was valid, even if only their executors had room. Found beside it, the other way round: after a takeover, a first hold without a connection expired runs that a second hold had just listed, although the earlier owner's lease on them still held, so that their tasks could run twice.

Tests: one for each, all seen failing before.

--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -11,6 +11,7 @@
 
 from wasabiramp.entry.admission import REFUSED, REPEATED, STORED, UNKNOWN, Admission
 from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.dispatcher import Dispatcher
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import KEY_COMMITS, KEY_TERM, build_job_key, build_progress_key
@@ -30,8 +31,12 @@
     StoreUnknownError,
     Transaction,
 )
+from wasabiramp.entry.supervision import async_log_failure
 from wasabiramp.entry.watcher import PrefixWatcher
+from wasabiramp.metrics import Metrics
 from wasabiramp.model.entry.clock import VirtualLoop
+from wasabiramp.scheduling.effects import AskAdvice
+from wasabiramp.scheduling.events import AdviceFailed
 from wasabiramp.scheduling.model import (
     DONE,
     JobDefinition,
@@ -427,6 +432,36 @@
         assert peers.asked == ["a", "b", "b"]
 
 
+class TestDispatcher:
+    """The scheduler gets an event for each question, also if asking fails unexpectedly."""
+
+    def test_unexpected_error_of_a_question_is_an_answer(self) -> None:
+        """Guards against a step that never asks again, as its last question has no outcome."""
+        events: list[Any] = []
+
+        class BrokenPool:
+            async def async_ask(self, *_options: Any) -> Any:
+                raise KeyError("a fault of a library")
+
+        async def run_scenario() -> None:
+            tasks: list[asyncio.Task[None]] = []
+            dispatcher = Dispatcher(
+                executors=None,
+                advisers=BrokenPool(),
+                metrics=Metrics(),
+                spawn=lambda work: tasks.append(asyncio.ensure_future(async_log_failure(work))),
+                reduce=events.append,
+                get_fencing_token=lambda: 1,
+                async_wait_for_tenure=None,
+                lag=LoopLag(),
+            )
+            dispatcher.send(AskAdvice("a.0.0", ["e0"], 0.1))
+            await asyncio.gather(*tasks)
+
+        run(run_scenario())
+        assert [type(event) for event in events] == [AdviceFailed]
+
+
 class TestPeers:
     """Calls between daemons over loopback."""
 
--- a/tests/scheduling/test_jobs.py
+++ b/tests/scheduling/test_jobs.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import msgpack
+import pytest
 
 from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, StopTask, make_step
 from wasabiramp.scheduling.events import (
+    NOT_SENT,
     UNKNOWN,
     CancelAsked,
     Committed,
@@ -23,6 +25,7 @@
     RUNNING,
     JobDefinition,
     JobProgress,
+    RunReport,
     StepProgress,
 )
 from wasabiramp.scheduling.records import (
@@ -116,14 +119,16 @@
         assert job.progress.steps[(0, 0)].failed == {0: {start.run}}
         assert not job.is_ended
 
-    def test_lasting_task_starts_again_however_it_ends(self) -> None:
+    @pytest.mark.parametrize("how", ["failed", "done", "stopped", "lapsed"])
+    def test_lasting_task_starts_again_however_it_ends(self, how: str) -> None:
         harness = SchedulerHarness()
-        harness.submit("a" * 16, "urgent", make_step(1, is_lasting=True))
+        job = harness.submit("a" * 16, "urgent", make_step(1, is_lasting=True))
         for _ in range(4):
             harness.tick(10.0)
             (start,) = harness.place_and_start()
-            harness.finish_run(start, "failed")
+            harness.finish_run(start, how)
         assert len(harness.place()) == 1
+        assert not job.is_ended
 
 
 class TestCancel:
@@ -239,6 +244,26 @@
         # The hold after the first failure is sent at once, the others after HOLD_RETRY_S.
         assert holds <= 2 + 2.0 / HOLD_RETRY_S
 
+    def test_failed_first_hold_does_not_expire_runs_that_a_second_one_listed(self) -> None:
+        """Guards against a second run of a task while the earlier owner's lease still holds.
+
+        The first hold of a new owner finds no connection, the second one lists a run. The new owner
+        has not extended the lease yet, so only the earlier owner's lease tells when the run ends.
+        """
+        harness = SchedulerHarness()
+        self.recover(harness, [("other", "other")])
+        harness.tick()
+        first_sent_at = harness.now
+        harness.tick(0.2)
+        harness.incarnations["other"] = 1
+        harness.running["other"] = [RunReport(f"{'b' * 16}.0.0.1", 7, "", 100.0, 0.0)]
+        harness.answer_hold("other")
+        harness.apply(HoldFailed("other", first_sent_at, NOT_SENT))
+        harness.tick(0.05)
+        assert harness.place() == []
+        harness.tick(3.5)
+        assert harness.place() == []
+
     def test_late_announcement_of_an_ended_job_is_ignored(self) -> None:
         """Guards against restarting a completed job that a paused daemon announces late.
 
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -266,3 +266,54 @@
         harness.tick(0.3)
         harness.place()
         assert len(harness.take_effects(AskAdvice)) == 1
+
+    def test_task_without_suitable_executors_asks_about_further_ones(self) -> None:
+        """Guards against a task that waits for ever, as all executors asked about were unsuitable.
+
+        It is asked about 24 executors at a time, so that a rare policy finds its executors too.
+        """
+        harness = SchedulerHarness(executors=60)
+        harness.submit("a" * 16, "advised", make_step(1, is_lasting=True))
+        asked: list[str] = []
+        for _ in range(3):
+            harness.place()
+            (ask,) = harness.take_effects(AskAdvice)
+            asked += ask.executors
+            harness.answer_advice(ask, [name for name in ask.executors if len(asked) == 60])
+        assert len(set(asked)) == 60
+        assert len(harness.place()) == 1
+
+    def test_lasting_task_whose_suitable_executors_are_full_asks_about_those_with_room(
+        self,
+    ) -> None:
+        """Guards against work that waits for a few suitable executors beside idle unknown ones."""
+        harness = SchedulerHarness(executors=30, cpu=4_000)
+        harness.submit("a" * 16, "advised", make_step(1, cpu=4_000, is_lasting=True))
+        harness.place()
+        (ask,) = harness.take_effects(AskAdvice)
+        unknown = {f"e{number}" for number in range(30)} - set(ask.executors)
+        full = {ask.executors[0], *sorted(unknown)[:2]}
+        for name in full:
+            harness.scheduler.state.executors[name].used = Resources(4_000, 0, 0)
+        harness.answer_advice(ask, ask.executors[:1])
+        harness.place()
+        (further,) = harness.take_effects(AskAdvice)
+        assert set(further.executors) == unknown - full
+
+    def test_expired_tickets_with_room_are_renewed_beside_valid_ones_without(self) -> None:
+        """Guards against work that waits for full executors while a suitable one is idle."""
+        harness = SchedulerHarness(executors=2, cpu=4_000)
+        harness.submit("z" * 16, "batch", make_step(2, cpu=4_000))
+        first, second = harness.place_and_start()
+        harness.submit("a" * 16, "advised", make_step(1, cpu=4_000, is_lasting=True))
+        harness.place()
+        (ask,) = harness.take_effects(AskAdvice)
+        harness.answer_advice(ask, ["e0", "e1"])
+        step = next(iter(harness.scheduler.state.jobs["a" * 16].steps.values()))
+        step.tickets[first.executor].expires_at = harness.now
+        harness.place()
+        harness.finish_run(first)
+        harness.place()
+        (renewal,) = harness.take_effects(AskAdvice)
+        assert first.executor in renewal.executors
+        assert second.executor not in renewal.executors
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -17,7 +17,7 @@
 from wasabiramp.entry.orders import OrderQueue
 from wasabiramp.entry.ports import Executors, NoAnswerError, OrderAnswer
 from wasabiramp.entry.supervision import async_call_or_default
-from wasabiramp.logs import log_event
+from wasabiramp.logs import log_event, log_failure
 from wasabiramp.metrics import Metrics
 from wasabiramp.scheduling.effects import (
     AskAdvice,
@@ -132,5 +132,10 @@
             log_event("adviser_silent", step=effect.step, error=err)
             self._reduce(AdviceFailed(effect.step, ADVICE_RETRY_S))
             return
+        except Exception:
+            # A step asks again only once its last question has an outcome.
+            log_failure("question_failed")
+            self._reduce(AdviceFailed(effect.step, ADVICE_RETRY_S))
+            return
         self._metrics.record_value("advice_seconds", self._loop.time() - sent_at, {})
         self._reduce(AdviceAnswered(effect.step, effect.executors, eligible, valid_s, sent_at))
--- a/wasabiramp/scheduling/advice.py
+++ b/wasabiramp/scheduling/advice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 from wasabiramp.core.registry import handles
@@ -52,12 +53,12 @@
     policy: AdvicePolicy,
     candidates: list[ExecutorState],
     waiting: int,
+    has_room: Callable[[ExecutorState], bool],
 ) -> bool:
     """Ask about executors without a verdict, and suitable ones without a valid ticket.
 
-    A ticket that expires before a new answer arrives counts as invalid. The number of executors is
-    limited by the number of waiting tasks, except for a gang that lacks resources on the suitable
-    executors. Return whether a question was asked.
+    A ticket that expires before a new answer arrives counts as invalid. Return whether a question
+    was asked.
     """
     horizon = state.now + policy.decide_s + TICKET_MARGIN_S
     valid_tickets, without_ticket, unknown = 0, [], []
@@ -70,21 +71,47 @@
             without_ticket.append(executor)
         elif verdict:
             valid_tickets += 1
-    wanted = min(
-        MAX_EXECUTORS_ASKED, max(MIN_EXECUTORS_ASKED, int(EXECUTORS_ASKED_PER_TASK * waiting))
-    )
-    known = len(step.verdicts)
-    if not step.lacks_resources:
-        unknown = unknown[: max(0, wanted - known)]
-    if not unknown and (valid_tickets or not without_ticket):
-        return False
+    if valid_tickets:
+        # Valid tickets are enough, unless lasting tasks find room only on executors without one.
+        is_stuck = step.lacks_resources and step.spec.is_lasting
+        without_ticket = [e for e in without_ticket if is_stuck and has_room(e)]
+    unknown = _choose_unknown(step, unknown, without_ticket, waiting, has_room)
     asked = (without_ticket + unknown)[:MAX_EXECUTORS_ASKED]
+    if not asked:
+        return False
     step.is_advice_pending = True
     cost_s = policy.decide_s + policy.each_s * len(asked)
     state.effects.append(AskAdvice(step.name, [executor.id for executor in asked], cost_s))
     return True
 
 
+def _choose_unknown(
+    step: StepRun,
+    unknown: list[ExecutorState],
+    without_ticket: list[ExecutorState],
+    waiting: int,
+    has_room: Callable[[ExecutorState], bool],
+) -> list[ExecutorState]:
+    """Return the executors without a verdict to ask about.
+
+    Their number is limited by the number of waiting tasks. Beyond that limit, a gang that lacks
+    resources asks about all of them. A step without suitable executors, or with lasting tasks for
+    which no executor becomes free, asks about those that have room now.
+    """
+    wanted = min(
+        MAX_EXECUTORS_ASKED, max(MIN_EXECUTORS_ASKED, int(EXECUTORS_ASKED_PER_TASK * waiting))
+    )
+    if step.lacks_resources and step.spec.is_gang:
+        return unknown
+    if len(step.verdicts) < wanted:
+        return unknown[: wanted - len(step.verdicts)]
+    if not step.lacks_resources or any(has_room(executor) for executor in without_ticket):
+        return []
+    if any(step.verdicts.values()) and not step.spec.is_lasting:
+        return []
+    return [executor for executor in unknown if has_room(executor)][:wanted]
+
+
 @handles(AdviceAnswered)
 def handle_advice_answer(state: SchedulerState, event: AdviceAnswered) -> None:
     """Store the verdicts and tickets for a step."""
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -205,8 +205,8 @@
     if event.outcome == REFUSED_FENCE:
         give_up_ownership(state, f"{event.executor} refused a hold as fenced")
         return
-    # A later hold was answered, so this lost answer does not mean that the executor is silent.
-    if event.sent_at < executor.answered_hold_sent_at and event.outcome == UNKNOWN:
+    # A later hold was answered, so this failure does not mean that the executor is silent.
+    if event.sent_at < executor.answered_hold_sent_at and event.outcome in (UNKNOWN, NOT_SENT):
         return
     executor.has_open_hold = False
     executor.next_hold_at = state.now
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -72,6 +72,7 @@
             state.executors[executor_id] = executor
         executor.is_in_stored_roster = True
         executor.must_answer = True
+        executor.lease_expiry_floor = state.recovery_deadline
     for stored in event.jobs:
         if stored.definition.id not in state.jobs:
             add_job(state, stored).is_reconciled = False
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final
 
 from wasabiramp.scheduling.advice import ask_for_advice, get_max_refreshed_steps, has_ticket
@@ -124,6 +125,7 @@
         allowed = [e for e in group if self.view.can_use(e, queue, step)]
         if not step.spec.is_gang:
             _place_tasks(self.state, step, allowed, self.view)
+            step.lacks_resources = bool(step.find_waiting_tasks())
             return
         step.lacks_resources = not _place_gang(self.state, step, allowed, self.view)
         if step.lacks_resources:
@@ -157,9 +159,14 @@
             return
         self.refreshed_steps[queue.name] += is_first
         self.open_questions[queue.name] += ask_for_advice(
-            self.state, step, queue.advice, candidates, waiting
+            self.state, step, queue.advice, candidates, waiting, self._get_room_check(step)
         )
 
+    def _get_room_check(self, step: StepRun) -> Callable[[ExecutorState], bool]:
+        """Return a function that tells whether a task of the step fits on an executor now."""
+        demand, free_by_executor = step.spec.demand, self.view.free_by_executor
+        return lambda executor: demand.fits(free_by_executor[executor.id])
+
     def _reserve(self, queue: Queue, step: StepRun) -> None:
         """Reserve the executors on which a gang can start earliest.
 
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -216,7 +216,8 @@
     if step.job.is_ended:
         return
     if end.how == END_DONE:
-        if index not in step.progress.done:
+        # A lasting task runs until its job is cancelled, so it is started again.
+        if index not in step.progress.done and not step.spec.is_lasting:
             finish_task(state, step, index)
     elif end.how == END_FAILED:
         record_failed_run(state, step, index, end.run)
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -113,7 +113,7 @@
     """One step of one occurrence of a job.
 
     `verdicts` tells for each executor incarnation whether the adviser found it suitable.
-    `lacks_resources` is set for a gang that did not fit in the last placement pass.
+    `lacks_resources` is set if a gang, or some tasks, did not fit in the last placement pass.
     """
 
     __slots__ = (
