Log starts and ends by the step, and keep room for lines on requests

Ways weighed: a recorder in memory that is written for late jobs (needs memory for the last minute, and is lost with the process); a larger limit (lines cost the owner 8 % already). Taken: one line for all starts of a step in one pass, one for all its successful runs when the step is over; lines on single runs stop at 300 lines and 45 KB a second, those on requests, ownership and the store go on to 400 lines and 60 KB. Dropped lines are counted by event in the metric log_lines_dropped. The decisions metric counts runs as before.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,7 +4,13 @@
 
 import os
 
-from wasabiramp.logs import RateLimitedOutput, format_value
+from wasabiramp.logs import (
+    MAX_DETAIL_LINES_PER_S,
+    MAX_LINES_PER_S,
+    EventLog,
+    RateLimitedOutput,
+    format_value,
+)
 
 
 class TestRateLimitedOutput:
@@ -38,9 +44,41 @@
         assert text.count("line ") == 2
         assert "event=log_lines_dropped count=3" in text
 
+    def test_details_leave_room_for_requests(self, monkeypatch) -> None:
+        """Guards against a busy owner that logs runs and loses the lines on its callers' jobs."""
+        reader, writer = os.pipe()
+        monkeypatch.setattr("wasabiramp.logs.time.monotonic", lambda: 10.0)
+        output = RateLimitedOutput(writer, MAX_LINES_PER_S)
+        for _ in range(MAX_LINES_PER_S):
+            if output.has_room(is_detail=True):
+                output.write("detail\n")
+        for _ in range(MAX_LINES_PER_S):
+            if output.has_room():
+                output.write("request\n")
+        text = os.read(reader, 65_536).decode()
+        assert text.count("detail\n") == MAX_DETAIL_LINES_PER_S
+        assert text.count("request\n") == MAX_LINES_PER_S - MAX_DETAIL_LINES_PER_S
+
+    def test_bytes_are_limited(self, monkeypatch) -> None:
+        reader, writer = os.pipe()
+        monkeypatch.setattr("wasabiramp.logs.time.monotonic", lambda: 10.0)
+        output = RateLimitedOutput(writer, MAX_LINES_PER_S, 1_000)
+        for _ in range(20):
+            output.write("x" * 99 + "\n")
+        assert len(os.read(reader, 65_536)) == 1_000
+
+    def test_dropped_events_are_counted_by_name(self, monkeypatch) -> None:
+        _reader, writer = os.pipe()
+        monkeypatch.setattr("wasabiramp.logs.time.monotonic", lambda: 10.0)
+        log, dropped = EventLog(), []
+        log.set_output(RateLimitedOutput(writer, 0))
+        log.set_on_drop(dropped.append)
+        log.write("run_started", {})
+        assert dropped == ["run_started"]
+
     def test_slow_reader_does_not_block(self) -> None:
         _reader, writer = os.pipe()
-        output = RateLimitedOutput(writer, 1_000_000)
+        output = RateLimitedOutput(writer, 1_000_000, 1_000_000_000)
         for _ in range(200):
             output.write("x" * 1_000 + "\n")
 
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -305,7 +305,7 @@
                 return
             if isinstance(effect, NoteDecision):
                 log_event(effect.event, **effect.fields)
-                self._metrics.record_value("decisions", 1, {"event": effect.event})
+                self._metrics.record_value("decisions", effect.count, {"event": effect.event})
             elif isinstance(effect, GiveUpOwnership):
                 self._on_tenure_lost(effect.reason)
             else:
--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -14,7 +14,7 @@
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.peers import PeerCaller, PeerListener
 from wasabiramp.entry.ports import EntrySettings
-from wasabiramp.logs import log_event, set_up_logs
+from wasabiramp.logs import log_event, set_on_drop, set_up_logs
 from wasabiramp.platform.callers import CallerServer
 from wasabiramp.platform.clients import AdviserClient, ExecutorClient, HttpClient, StoreClient
 from wasabiramp.platform.node import load_node_settings
@@ -90,6 +90,7 @@
         PeerListener,
         lag,
     )
+    set_on_drop(lambda event: daemon.metrics.record_value("log_lines_dropped", 1, {"event": event}))
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop_requested.set)
--- a/wasabiramp/scheduling/effects.py
+++ b/wasabiramp/scheduling/effects.py
@@ -77,10 +77,11 @@
 
 @dataclass(slots=True)
 class NoteDecision:
-    """Log a decision and count it in the metrics."""
+    """Log a decision, which counts `count` times in the metrics."""
 
     event: str
     fields: dict[str, object]
+    count: int = 1
 
 
 Effect = StartTask | StopTask | PaceTask | HoldExecutor | AskAdvice | GiveUpOwnership | NoteDecision
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -165,6 +165,7 @@
 def close_step(state: SchedulerState, step: StepRun) -> None:
     """Close a step whose tasks have succeeded; prepare the next occurrences, or end the job."""
     state.open_steps.pop(step.name, None)
+    _log_finished_runs(state, step)
     if not step.spec.is_gang:
         for run in step.iter_runs():
             stop_run(state, run)
@@ -195,6 +196,7 @@
     mark_job_dirty(job)
     for step in job.steps.values():
         state.open_steps.pop(step.name, None)
+        _log_finished_runs(state, step)
         if phase == DONE and step.spec.is_gang:
             continue
         for run in step.iter_runs():
@@ -205,6 +207,16 @@
     )
 
 
+def _log_finished_runs(state: SchedulerState, step: StepRun) -> None:
+    """Log the successful runs of a step in one line."""
+    if step.finished_runs:
+        rows = ",".join(step.finished_runs)
+        state.log_decision(
+            "run_ended", count=len(step.finished_runs), step=step.name, how=DONE, runs=rows
+        )
+        step.finished_runs.clear()
+
+
 def validate_steps(steps: tuple[Step, ...]) -> str:
     """Return the first error in the steps of a job, or an empty string."""
     if not steps:
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -64,8 +64,8 @@
     step: StepRun,
     task: TaskState,
     number: int,
-) -> None:
-    """Send a start and occupy its resources from now on."""
+) -> Run:
+    """Send a start and occupy its resources from now on; return the new run."""
     expiry_ms = extend_lease(state, executor)
     if expiry_ms is None:
         raise ValueError(f"executor {executor.id} has not reported its clock")
@@ -87,9 +87,7 @@
     )
     state.effects.append(run.start_order)
     executor.next_hold_at = min(executor.next_hold_at, state.now)
-    state.log_decision(
-        "run_started", task=run.task, run=number, executor=executor.id, until=expiry_ms
-    )
+    return run
 
 
 def resend_start(state: SchedulerState, executor: ExecutorState, run: Run) -> bool:
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -16,7 +16,7 @@
     estimate_ends,
     find_earliest_start,
 )
-from wasabiramp.scheduling.state import ExecutorState, SchedulerState, StepRun
+from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState, StepRun
 
 SLOWNESS_WEIGHT: Final = 1.0
 REMOTE_RACK_WEIGHT: Final = 2.0
@@ -323,9 +323,11 @@
     if step.spec.max_per_executor:
         task_counts = Counter(run.executor for run in step.iter_runs())
     chosen = _choose_executors(step, allowed, view, len(waiting), task_counts)
+    runs = []
     for task, executor in zip(waiting, chosen, strict=False):
         view.allocate(executor, step.spec.demand)
-        start_run(state, executor, step, task, state.get_next_run_number(task))
+        runs.append(start_run(state, executor, step, task, state.get_next_run_number(task)))
+    _log_started_runs(state, step, runs)
 
 
 def _place_gang(
@@ -337,13 +339,22 @@
         return False
     number = max(state.get_next_run_number(task) for task in step.tasks)
     saved = next((task.saved for task in step.tasks if task.saved), "")
+    runs = []
     for task, executor in zip(step.tasks, chosen, strict=True):
         task.saved = saved
         view.allocate(executor, step.spec.demand)
-        start_run(state, executor, step, task, number)
+        runs.append(start_run(state, executor, step, task, number))
+    _log_started_runs(state, step, runs)
     return True
 
 
+def _log_started_runs(state: SchedulerState, step: StepRun, runs: list[Run]) -> None:
+    """Log the starts of one step in one line: the index, run number and executor of each task."""
+    if runs:
+        rows = ",".join(f"{run.index}:{run.number}:{run.executor}" for run in runs)
+        state.log_decision("run_started", count=len(runs), step=step.name, runs=rows)
+
+
 def _choose_gang(
     step: StepRun, allowed: list[ExecutorState], view: PlacementView
 ) -> list[ExecutorState] | None:
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -211,7 +211,7 @@
         step.tasks[index].saved = end.saved
         step.progress.saved[index] = end.saved
         mark_job_dirty(step.job)
-    state.log_decision("run_ended", task=end.task, run=end.run, executor=executor.id, how=end.how)
+    _log_end(state, executor, step, run, end)
     _update_executor_health(state, executor, step, run, end.how)
     if step.job.is_ended:
         return
@@ -225,6 +225,23 @@
         stop_other_members(state, run)
 
 
+def _log_end(
+    state: SchedulerState, executor: ExecutorState, step: StepRun, run: Run | None, end: EndReport
+) -> None:
+    """Log the end of a run; successes are logged in one line when their step or job is over.
+
+    Each success is the task's index, run number, executor, and milliseconds since its start.
+    """
+    if end.how != END_DONE or step.spec.is_lasting:
+        state.log_decision(
+            "run_ended", task=end.task, run=end.run, executor=executor.id, how=end.how
+        )
+        return
+    index = end.task.rpartition(".")[2]
+    took_ms = round((state.now - run.sent_at) * 1000) if run is not None else ""
+    step.finished_runs.append(f"{index}:{end.run}:{executor.id}:{took_ms}")
+
+
 def _update_executor_health(
     state: SchedulerState, executor: ExecutorState, step: StepRun, run: Run | None, how: str
 ) -> None:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -112,7 +112,8 @@
 class StepRun:
     """One step of one occurrence of a job.
 
-    `verdicts` tells for each executor incarnation whether the adviser found it suitable.
+    `verdicts` tells for each executor incarnation whether the adviser found it suitable, and
+    `finished_runs` has a text for each successful run that is not logged yet.
     `lacks_resources` is set if a gang, or some tasks, did not fit in the last placement pass.
     """
 
@@ -121,6 +122,7 @@
         "is_feasible",
         "due_at",
         "feasibility_version",
+        "finished_runs",
         "index",
         "is_advice_pending",
         "job",
@@ -156,6 +158,7 @@
         self.feasibility_version = (-1, -1)
         self.tickets: dict[str, Ticket] = {}
         self.verdicts: dict[tuple[str, int], bool] = {}
+        self.finished_runs: list[str] = []
 
     @property
     def is_done(self) -> bool:
@@ -376,9 +379,9 @@
         self.is_roster_dirty = False
         self.executor_list_version = 0
 
-    def log_decision(self, event: str, **fields: object) -> None:
-        """Add an effect that logs a decision and counts it in the metrics."""
-        self.effects.append(NoteDecision(event, fields))
+    def log_decision(self, event: str, count: int = 1, **fields: object) -> None:
+        """Add an effect that logs a decision, which counts `count` times in the metrics."""
+        self.effects.append(NoteDecision(event, fields, count))
 
     def find_queue(self, job: JobRun) -> Queue:
         """Return the configured queue of a job, or the job's own copy if it was removed."""
