Report which jobs were late, failed or refused, and for what cause

`wasabiramp report losses LOG...` follows each job through the logs of all daemons and names the first cause that explains its loss: no daemon, store away, task failed, takeover, order unanswered, announcement, adviser, no room, slow run. The first two cost any system as much and are marked so. A timeline as PNG shows outages, takeovers and lost jobs. What the logs do not tell is counted as "not known"; a log without times is an error that names the file.

For it, job_taken tells the stretch and target of the queue, and job_shown_late a job whose end was stored more than 0.2 s late. explain finds a task also in the lines that list a step's runs.

--- a/wasabiramp/report/commands.py
+++ b/wasabiramp/report/commands.py
@@ -13,6 +13,7 @@
 from wasabiramp.cli.operate import (
     DEFAULT_SERVER,
     EXIT_UNREACHABLE,
+    EXIT_USAGE,
     Output,
     OutputOption,
     Server,
@@ -20,6 +21,7 @@
     print_value,
 )
 from wasabiramp.report.burn import Burn, BurnHistory, Sample, parse_wait_counts, plot_burns
+from wasabiramp.report.losses import LogError, plot_timeline, read_cell, summarize_losses
 from wasabiramp.resource.state import IntentState
 
 report = typer.Typer(help="Reports on service levels.", no_args_is_help=True)
@@ -99,3 +101,30 @@
     if plot is not None:
         plot_burns(burns, plot)
     print_value([asdict(item) for item in burns], output, rows)
+
+
+@report.command()
+def losses(
+    logs: Annotated[list[Path], typer.Argument(help="Log files of all daemons.")],
+    window_s: Annotated[float, typer.Option(min=0.1, help="Width of a moment in seconds.")] = 5.0,
+    plot: Annotated[Path | None, typer.Option(help="Path of a PNG to write.")] = None,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Show which jobs were late, failed or refused, and for what cause, from logs of all daemons.
+
+    Unavoidable causes, an outage of the store or a time without any daemon, cost any system as
+    much. A job counts as late by the durations of its runs.
+    """
+    try:
+        cell = read_cell(logs)
+    except (LogError, OSError) as err:
+        raise fail(str(err), EXIT_USAGE) from err
+    rows = [["CAUSE", "UNAVOIDABLE", "QUEUE", "LOSS", "JOBS", "WHEN"]]
+    found = summarize_losses(cell, window_s)
+    for row in found:
+        moments = " ".join(f"{at}:{count}" for at, count in sorted(row.moments.items()))
+        avoidable = "yes" if row.is_unavoidable else "no"
+        rows.append([row.cause, avoidable, row.queue, row.loss, str(row.jobs), moments])
+    if plot is not None:
+        plot_timeline(cell, plot)
+    print_value([asdict(row) for row in found], output, rows)
--- a/wasabiramp/report/explain.py
+++ b/wasabiramp/report/explain.py
@@ -33,22 +33,34 @@
 def read_lines(path: Path) -> Iterator[tuple[str, str, str]]:
     """Yield the time, the source and the text of each line that has a time.
 
-    The source is the file's name without its suffix.
+    The source is the file's name without its suffix, or the word before the time in a file that
+    holds the lines of several daemons.
     """
     with path.open(encoding="utf-8", errors="replace") as lines:
         for line in lines:
             start = line.find("time=")
-            if start < 0:
+            level = line.find(" level=", start)
+            if start < 0 or level < 0:
                 continue
             text = line[start:].rstrip()
-            timestamp = text[len("time=") : text.find(" level=")]
-            yield timestamp, path.stem, text
+            source = (line[:start].split() or [path.stem])[-1]
+            yield line[start + len("time=") : level], source, text
+
+
+def names_id(text: str, wanted: str) -> bool:
+    """Return whether a line names an id, also as one of the tasks listed for a step."""
+    if wanted in text:
+        return True
+    step, _, index = wanted.rpartition(".")
+    if not step or f"step={step} " not in text:
+        return False
+    return any(row.startswith(f"{index}:") for row in read_pairs(text).get("runs", "").split(","))
 
 
 def select_lines(rows: Iterable[tuple[str, str, str]], wanted: str) -> list[tuple[str, str, str]]:
     """Return the lines that contain the id, and the CONTEXT_EVENTS in between, sorted by time."""
     ordered = sorted(rows, key=lambda row: row[0])
-    matching_indexes = [index for index, row in enumerate(ordered) if wanted in row[2]]
+    matching_indexes = [index for index, row in enumerate(ordered) if names_id(row[2], wanted)]
     if not matching_indexes:
         return []
     return [
@@ -56,7 +68,7 @@
         for index, row in enumerate(
             ordered[matching_indexes[0] : matching_indexes[-1] + 1], start=matching_indexes[0]
         )
-        if wanted in row[2] or read_pairs(row[2]).get("event") in CONTEXT_EVENTS
+        if names_id(row[2], wanted) or read_pairs(row[2]).get("event") in CONTEXT_EVENTS
     ]
 
 
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -51,7 +51,14 @@
         state.log_decision("job_over", job=event.job.definition.id, revision=event.job.revision)
         return
     job = add_job(state, event.job)
-    state.log_decision("job_taken", job=job.definition.id, queue=job.definition.queue.name)
+    queue = state.find_queue(job)
+    state.log_decision(
+        "job_taken",
+        job=job.definition.id,
+        queue=queue.name,
+        stretch=queue.stretch,
+        target_s=queue.target_s,
+    )
 
 
 @handles(JobsRecovered)
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -15,6 +15,9 @@
 EVENT_HANDLER_MODULES: Final = (advice, executors, jobs, runs, sharing)
 """Modules that register event handlers on import."""
 
+LATE_STORAGE_S: Final = 0.2
+"""Time from the end of a job to its storage from which the delay is logged."""
+
 
 class Changes:
     """Changes to store before phases may be shown to callers and ends acknowledged."""
@@ -125,7 +128,7 @@
         for job in changes.jobs:
             phase = self._pending_phases[job.definition.id]
             if phase in FINAL_PHASES:
-                job.shown_phase = phase
+                self._show_final_phase(job, phase)
         for executor_id, (born_ms, number) in changes.read_ends.items():
             executor = self.state.executors.get(executor_id)
             if executor is not None and executor.born_ms == born_ms:
@@ -136,6 +139,15 @@
                 if executor_id in self.state.executors:
                     self.state.executors[executor_id].is_in_stored_roster = True
 
+    def _show_final_phase(self, job: JobRun, phase: str) -> None:
+        """Show a stored final phase to callers, and log it if the storage took long."""
+        job.shown_phase = phase
+        stored_after_s = self.state.now - (job.ended_at or self.state.now)
+        if stored_after_s > LATE_STORAGE_S:
+            self.state.log_decision(
+                "job_shown_late", job=job.definition.id, after_s=round(stored_after_s, 3)
+            )
+
     def _take_effects(self) -> list[Effect]:
         """Return and clear the collected effects."""
         effects, self.state.effects = self.state.effects, []
