Let holds follow the shortest run, and notice lost answers of executors sooner

Hypothesis: while executors leave calls unanswered, the end of a run is known only when its hold is given up, 1.4 s after it was sent; a quote has about 0.6 s to spare. The same holds, less so, for an unanswered start (0.3 s).

Change: a hold waits for 0.3 of the estimate of the shortest run on its executor, 0.25 to 1.0 s, so that a lost report delays work in proportion to its length. A call to an executor is given up after five times its usual answer time, 0.1 to 0.3 s; the longest time is used after a call without an answer, as the executor may have become slow.

--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -8,12 +8,12 @@
 import orjson
 import pytest
 
+from wasabiramp.entry.timeouts import AdaptiveTimeouts
 from wasabiramp.platform.clients import (
     CONNECT_TIMEOUT_S,
     CONNECT_TIMEOUT_SHARE,
-    ORDER_TIMEOUT_S,
+    ORDER_TIMEOUT_RANGE_S,
     STORE_TIMEOUT_RANGE_S,
-    AdaptiveTimeouts,
     ExecutorClient,
     NoAnswerError,
     NotSentError,
@@ -29,12 +29,14 @@
         """Answer with a status and a body, or fail."""
         self.answer = answer
         self.sent: list[tuple[str, Any, dict[str, str]]] = []
+        self.timeouts_s: list[float] = []
 
     async def async_send(
         self, method: str, url: str, timeout_s: float, body: Any, headers: dict[str, str]
     ) -> tuple[int, bytes]:
         """Record a call and return the answer."""
         self.sent.append((url, body, headers))
+        self.timeouts_s.append(timeout_s)
         if isinstance(self.answer, Exception):
             raise self.answer
         return self.answer[0], orjson.dumps(self.answer[1])
@@ -99,27 +101,52 @@
 class TestTimeouts:
     """A failed connection is detected as such before the whole timeout is over."""
 
-    def test_connect_timeout_is_shorter_than_order_timeout(self) -> None:
-        assert min(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_SHARE * ORDER_TIMEOUT_S) < ORDER_TIMEOUT_S
+    @pytest.mark.parametrize("timeout_s", ORDER_TIMEOUT_RANGE_S)
+    def test_connect_timeout_is_shorter_than_order_timeout(self, timeout_s: float) -> None:
+        assert min(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_SHARE * timeout_s) < timeout_s
+
+
+class TestLostAnswerOfAnExecutor:
+    """A lost answer is noticed soon, and an executor that has become slow is given longer."""
+
+    def send_twice(self, first: tuple[int, Any] | Exception) -> list[float]:
+        """Send two starts, of which the first has the given outcome, and return their timeouts."""
+        http = FakeHttpClient(first)
+        client: Any = ExecutorClient(http)  # type: ignore[arg-type]
+        effect = StartTask("i-1", "10.0.0.1:80", "a.0.0.0", 2, "x", 9_000, "", "t")
+
+        async def run_scenario() -> None:
+            await client.async_start(effect, 7)
+            http.answer = (200, {})
+            await client.async_start(effect, 7)
+
+        asyncio.run(run_scenario())
+        return http.timeouts_s
+
+    def test_second_call_after_a_lost_answer_has_the_longest_timeout(self) -> None:
+        assert self.send_twice(NoAnswerError("cut")) == list(ORDER_TIMEOUT_RANGE_S)
+
+    def test_second_call_after_an_answer_has_the_shortest_timeout(self) -> None:
+        assert self.send_twice((200, {})) == [ORDER_TIMEOUT_RANGE_S[0]] * 2
 
 
 class TestAdaptiveTimeouts:
     """Guards against giving up the answers of a store that is 65 times slower than usual."""
 
     def test_few_slow_answers_raise_the_timeout(self) -> None:
-        timeouts = AdaptiveTimeouts()
+        timeouts = AdaptiveTimeouts(*STORE_TIMEOUT_RANGE_S)
         for _ in range(5):
             timeouts.record_response_time("kv-txn", 0.26)
         assert timeouts.get_timeout("kv-txn") > 1.0
         assert timeouts.get_timeout("kv-key") == STORE_TIMEOUT_RANGE_S[0]
 
     def test_fast_answers_keep_the_shortest_timeout(self) -> None:
-        timeouts = AdaptiveTimeouts()
+        timeouts = AdaptiveTimeouts(*STORE_TIMEOUT_RANGE_S)
         timeouts.record_response_time("kv-txn", 0.004)
         assert timeouts.get_timeout("kv-txn") == STORE_TIMEOUT_RANGE_S[0]
 
     def test_timeout_is_limited(self) -> None:
-        timeouts = AdaptiveTimeouts()
+        timeouts = AdaptiveTimeouts(*STORE_TIMEOUT_RANGE_S)
         for _ in range(20):
             timeouts.record_response_time("kv-txn", 5.0)
         assert timeouts.get_timeout("kv-txn") == STORE_TIMEOUT_RANGE_S[1]
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -21,7 +21,7 @@
     HoldFailed,
 )
 from wasabiramp.scheduling.executors import MAX_ORDER_DELAY_S
-from wasabiramp.scheduling.model import RunReport
+from wasabiramp.scheduling.model import Resources, RunReport, Step
 
 
 class TestLostAnswer:
@@ -348,6 +348,17 @@
         assert hold.until_ms is not None
         assert hold.wait_s > 0
 
+    @pytest.mark.parametrize(("estimate_s", "wait_s"), [(0.5, 0.25), (2.0, 0.6), (9.0, 1.0)])
+    def test_wait_follows_the_shortest_run(self, estimate_s: float, wait_s: float) -> None:
+        """Guards against late ends of short runs when the answer to a hold is lost."""
+        harness = SchedulerHarness(executors=1)
+        harness.submit("a" * 16, "batch", Step(1, Resources(100, 0, 0), 20.0))
+        harness.submit("b" * 16, "urgent", Step(1, Resources(100, 0, 0), estimate_s))
+        harness.place_and_start()
+        harness.tick()
+        (hold,) = harness.take_effects(HoldExecutor)
+        assert hold.wait_s == pytest.approx(wait_s)
+
     def test_ends_are_not_read_again_before_they_are_stored(self) -> None:
         harness = SchedulerHarness(executors=1)
         harness.submit("a" * 16, "batch", make_step(2))
--- a/wasabiramp/platform/clients.py
+++ b/wasabiramp/platform/clients.py
@@ -25,6 +25,7 @@
     StoreUnknownError,
     Transaction,
 )
+from wasabiramp.entry.timeouts import AdaptiveTimeouts
 from wasabiramp.logs import log_event
 from wasabiramp.platform.wire import decode_report
 from wasabiramp.scheduling import events
@@ -55,17 +56,11 @@
 A watch adds the time for which it asks the store to wait.
 """
 
-TIMEOUT_FACTOR: Final = 5.0
-"""Ratio of a timeout to the average response time; high enough to wait for most slow answers."""
+ORDER_TIMEOUT_RANGE_S: Final = (0.1, 0.3)
+"""Shortest and longest timeout of a call to an executor; a hold adds the time for which it waits.
 
-RESPONSE_TIME_WEIGHT: Final = 0.3
-"""Weight of the latest response time in the average; high enough to adapt after a few answers."""
-
-ORDER_TIMEOUT_S: Final = 0.3
-HOLD_TIMEOUT_MARGIN_S: Final = 0.4
-"""Executors answer in milliseconds, and a lost answer delays the order or the hold by its timeout.
-
-The margin is added to the time for which a hold asks the executor to wait.
+Executors answer in milliseconds, and a lost answer delays the work by the timeout. The longest one
+is used for an executor whose last call had no answer, as it may have become slow.
 """
 
 CONNECT_TIMEOUT_SHARE: Final = 0.8
@@ -145,35 +140,13 @@
         await self._session.close()
 
 
-class AdaptiveTimeouts:
-    """Timeouts that follow the average response time of each kind of call, such as `kv-txn`."""
-
-    def __init__(self) -> None:
-        """Start with the shortest timeouts."""
-        self._average_s: dict[str, float] = {}
-
-    def get_timeout(self, kind: str) -> float:
-        """Return the timeout of the next call of a kind, in seconds."""
-        shortest_s, longest_s = STORE_TIMEOUT_RANGE_S
-        return min(longest_s, max(shortest_s, TIMEOUT_FACTOR * self._average_s.get(kind, 0.0)))
-
-    def record_response_time(self, kind: str, response_time_s: float) -> None:
-        """Add a response time to the moving average of its kind.
-
-        Not to be called for a call that timed out: the average would rise during an outage, and
-        the first calls after it would wait too long for lost answers.
-        """
-        average_s = self._average_s.get(kind, 0.0)
-        self._average_s[kind] = average_s + RESPONSE_TIME_WEIGHT * (response_time_s - average_s)
-
-
 class StoreClient:
     """Client of the platform's key-value store."""
 
     def __init__(self, http: HttpClient, address: str) -> None:
         """Share the HTTP client and use the store at an address."""
         self._http = http
-        self._timeouts = AdaptiveTimeouts()
+        self._timeouts = AdaptiveTimeouts(*STORE_TIMEOUT_RANGE_S)
         self._base_url = ""
         self.set_address(address)
 
@@ -350,6 +323,7 @@
     def __init__(self, http: HttpClient) -> None:
         """Share the HTTP client."""
         self._http = http
+        self._timeouts = AdaptiveTimeouts(*ORDER_TIMEOUT_RANGE_S)
 
     async def async_start(self, effect: StartTask, fence: int) -> OrderAnswer:
         """Send the order to start a run."""
@@ -388,9 +362,8 @@
             body["untilMs"] = effect.until_ms
         if effect.wait_s > 0:
             body["waitMs"] = int(effect.wait_s * 1000)
-        timeout_s = effect.wait_s + HOLD_TIMEOUT_MARGIN_S
         try:
-            status, data = await self._async_post(effect, "hold", body, timeout_s)
+            status, data = await self._async_post(effect, "hold", body, effect.wait_s)
         except NotSentError:
             return events.NOT_SENT
         except NoAnswerError:
@@ -408,22 +381,32 @@
         effect: StartTask | StopTask | PaceTask | HoldExecutor,
         verb: str,
         body: dict[str, Any],
-        timeout_s: float,
+        wait_s: float = 0.0,
     ) -> tuple[int, bytes]:
-        """Call an executor.
+        """Call an executor, which may wait for `wait_s` before it answers.
 
         The `Expect-Instance` header makes another process at the same address refuse the call.
         """
         headers = {**JSON_HEADERS, "Expect-Instance": effect.executor}
         url = f"http://{effect.address}/v1/{verb}"
-        return await self._http.async_send("POST", url, timeout_s, body, headers)
+        timeout_s = wait_s + self._timeouts.get_timeout(effect.executor)
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        try:
+            answer = await self._http.async_send("POST", url, timeout_s, body, headers)
+        except (NoAnswerError, NotSentError):
+            self._timeouts.record_timeout(effect.executor)
+            raise
+        if not wait_s:
+            self._timeouts.record_response_time(effect.executor, loop.time() - sent_at)
+        return answer
 
     async def _async_send_order(
         self, effect: StartTask | StopTask | PaceTask, verb: str, body: dict[str, Any]
     ) -> OrderAnswer:
         """Send an order and return its outcome."""
         try:
-            status, data = await self._async_post(effect, verb, body, ORDER_TIMEOUT_S)
+            status, data = await self._async_post(effect, verb, body)
         except NotSentError:
             return OrderAnswer(events.NOT_SENT)
         except NoAnswerError:
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -23,11 +23,17 @@
 from wasabiramp.scheduling.sharing import SHARED_HOLD_WAIT_S, adjust_paces, is_shared
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
 
-HOLD_WAIT_S: Final = 1.0
-"""How long an executor may wait for an end before it answers a hold.
+MAX_HOLD_WAIT_S: Final = 1.0
+"""Longest time for which an executor may wait for an end before it answers a hold.
 
 It is a third of a lease, so that the lease survives a lost hold."""
 
+MIN_HOLD_WAIT_S: Final = 0.25
+HOLD_WAIT_SHARE: Final = 0.3
+"""Shortest wait of a hold, and the wait as a share of the shortest run on the executor.
+
+The ends of short runs are urgent, and a hold whose answer is lost delays them by its wait."""
+
 RECOVERY_HOLD_RETRY_S: Final = 0.15
 """After a takeover, a second hold is sent if the first is unanswered for this long.
 
@@ -273,8 +279,7 @@
         or _may_receive_late_start(state, executor)
     ):
         can_wait = executor.last_read_end <= executor.last_seen and executor.silent_since is None
-        wait_s = SHARED_HOLD_WAIT_S if is_shared(executor) else HOLD_WAIT_S
-        send_hold(state, executor, wait_s if can_wait else 0.0)
+        send_hold(state, executor, choose_hold_wait_s(executor) if can_wait else 0.0)
     elif executor.last_seen > executor.acknowledged_end or not executor.is_listed:
         send_hold(state, executor, 0.0)
     else:
@@ -282,6 +287,18 @@
     executor.acknowledged_end = executor.last_seen
 
 
+def choose_hold_wait_s(executor: ExecutorState) -> float:
+    """Return how long an executor may wait for an end, which follows its shortest run."""
+    estimates_s = [
+        run.step.spec.estimate_s
+        for run in executor.runs.values()
+        if run.step is not None and not run.step.spec.is_lasting and not run.step.spec.fills
+    ]
+    wait_s = HOLD_WAIT_SHARE * min(estimates_s, default=MAX_HOLD_WAIT_S / HOLD_WAIT_SHARE)
+    longest_s = SHARED_HOLD_WAIT_S if is_shared(executor) else MAX_HOLD_WAIT_S
+    return min(longest_s, max(MIN_HOLD_WAIT_S, wait_s))
+
+
 def _may_receive_late_start(state: SchedulerState, executor: ExecutorState) -> bool:
     """Return whether an unanswered start may still arrive, perhaps at a new incarnation.
 
