--- a/wasabiramp/platform/node.py
+++ b/wasabiramp/platform/node.py
@@ -11,7 +11,7 @@
 import voluptuous as vol
 
 from wasabiramp.entry.ports import EntrySettings
-from wasabiramp.settings.schema import check_address
+from wasabiramp.settings.address import check_address
 
 ENV_NODE_FILE: Final = "WASABIRAMP_NODE_FILE"
 
--- a/wasabiramp/resource/kinds.py
+++ b/wasabiramp/resource/kinds.py
@@ -9,7 +9,8 @@
 import voluptuous as vol
 
 from wasabiramp.core.records import record
-from wasabiramp.settings.schema import NAME_SCHEMA, check_address
+from wasabiramp.settings.address import check_address
+from wasabiramp.settings.schema import NAME_SCHEMA
 
 ROLE_EXECUTOR: Final = "executor"
 ROLE_WORKER: Final = "worker"
--- a/wasabiramp/settings/schema.py
+++ b/wasabiramp/settings/schema.py
@@ -17,6 +17,7 @@
     DEFAULT_TASK_LEASE_S,
 )
 from wasabiramp.core.records import record
+from wasabiramp.settings.address import check_address
 
 CONF_INSTANCE: Final = "instance"
 CONF_ZONE: Final = "zone"
@@ -35,16 +36,6 @@
 CONF_RECORD: Final = "record_file"
 
 
-def check_address(value: Any) -> str:
-    """Return the value if it is an IP address and a port, like `127.0.0.1:7070`."""
-    if not isinstance(value, str):
-        raise vol.Invalid("expected an IP address and a port, like 127.0.0.1:7070")
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise vol.Invalid("expected an IP address and a port, like 127.0.0.1:7070")
-    return value
-
-
 def build_duration_validator(lowest: float, highest: float) -> Any:
     """Return a validator of a number of seconds in a range."""
     message = f"expected a number of seconds from {lowest} to {highest}"
