Play faults in the load model: unanswered calls, slow advice, outages, takeovers, short notice

`LoadModel.run` takes faults, each a named pattern of a registry with its time and duration, and two profiles of small executors with many short quotes (24 and 176 executors). Jobs of the usual profiles are played as before.

--- a/wasabiramp/bench/load.py
+++ b/wasabiramp/bench/load.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import heapq
 import math
 from random import Random
 from typing import Any, Final
 
+from wasabiramp.bench.load_faults import LOAD_FAULTS
 from wasabiramp.bench.profiles import Kind, Profile
 from wasabiramp.core.records import record
 from wasabiramp.entry.owner import PLACEMENT_DELAY_S, RUN_LEASE_S, TICK_INTERVAL_S
@@ -20,12 +21,16 @@
     StopTask,
 )
 from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    REFUSED_OLD,
     STARTED,
+    UNKNOWN,
     AdviceAnswered,
     Committed,
     ConfigChanged,
     ExecutorListed,
     HoldAnswered,
+    HoldFailed,
     JobAccepted,
     PaceAnswered,
     StartAnswered,
@@ -57,6 +62,12 @@
 MAX_LEASE_S: Final = 6.0
 """Longest lease that the simulated executors accept."""
 
+ANSWER_TIMEOUT_S: Final = 0.1
+"""Time after which a call to an executor counts as unanswered, beyond the wait of a hold."""
+
+LATE_ORDER_DELAY_S: Final = (2.0, 12.0)
+"""Range of the delay with which an unanswered start is carried out."""
+
 MAX_DRAIN_S: Final = 60.0
 """Greatest time that the simulation continues after the last arrival."""
 
@@ -90,9 +101,12 @@
 
 
 class SimulatedExecutor:
-    """A simulated executor with its runs, unacknowledged ends and pending holds."""
+    """A simulated executor with its runs, unacknowledged ends and pending holds.
+
+    `last_closed_run` has the highest run of each task that ended or was ordered to stop.
+    """
 
-    __slots__ = ("ends", "holds", "name", "next_end", "slowness", "runs")
+    __slots__ = ("ends", "holds", "last_closed_run", "name", "next_end", "slowness", "runs")
 
     def __init__(self, name: str, slowness: float) -> None:
         """Create an idle executor whose runs take `slowness` times as long as usual."""
@@ -102,6 +116,7 @@
         self.ends: list[EndReport] = []
         self.next_end = 1
         self.holds: list[float] = []
+        self.last_closed_run: dict[str, int] = {}
 
 
 class LoadModel:
@@ -115,12 +130,17 @@
         self.profile = profile
         self.random = Random(seed)
         self.scheduler = Scheduler(1, RUN_LEASE_S, MAX_LEASE_S, 0.0)
+        self._is_owned = True
+        self.unanswered_share = 0.0
+        self.advice_factor = 1.0
+        self.store_back_at = 0.0
         self.now = 1.0
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._next_sequence = 0
         self.simulated_executors: dict[str, SimulatedExecutor] = {}
         # By job id, its kind, the time of its submission and the duration of its tasks in seconds.
         self.submitted: dict[str, tuple[Kind, float, float]] = {}
+        self._widths: dict[str, int] = {}
         self.first_start: dict[str, float] = {}
         self.done_at: dict[str, float] = {}
         # By daemon, the time from which it may ask the adviser again.
@@ -133,12 +153,23 @@
         self._next_sequence += 1
         heapq.heappush(self._queue, (at, self._next_sequence, callback))
 
-    def run(self, seconds: float, load: float = 1.0) -> list[LoadResult]:
+    def run(
+        self,
+        seconds: float,
+        load: float = 1.0,
+        faults: Sequence[tuple[str, float, float]] = (),
+    ) -> list[LoadResult]:
         """Simulate arrivals for a time, at `load` times the rates of the profile.
 
-        Returns the results of each kind of jobs.
+        Each fault is its name, the time of its beginning and its duration, in seconds. Returns the
+        results of each kind of jobs.
         """
         self._set_up_cell()
+        for name, begins_at, duration_s in faults:
+            self.call_at(
+                self.now + begins_at,
+                lambda name=name, duration_s=duration_s: LOAD_FAULTS[name](self, duration_s),
+            )
         for kind in self.profile.kinds:
             at = self.now
             while True:
@@ -159,17 +190,33 @@
 
         Every third executor is slower than the others.
         """
-        queues = tuple(kind.queue for kind in self.profile.kinds)
-        self.apply(ConfigChanged(CellConfig(1, queues)))
         for number in range(self.profile.executors):
             name = f"e{number}"
             slowness = 1.3 if number % 3 == 2 else 1.0
             self.simulated_executors[name] = SimulatedExecutor(name, slowness)
-            labels = ("a", f"r{number // self.profile.rack}")
+        self._describe_cell()
+        self._tick()
+
+    def _describe_cell(self) -> None:
+        """Tell the scheduler the configuration and the executors."""
+        queues = tuple(kind.queue for kind in self.profile.kinds)
+        self.apply(ConfigChanged(CellConfig(1, queues)))
+        for name in self.simulated_executors:
+            labels = ("a", f"r{int(name[1:]) // self.profile.rack}")
             capacity = Resources(self.profile.cpu, self.profile.memory_mb, 0)
             entry = ExecutorEntry(name, name, "service", "z", False, capacity, labels, 1)
             self.apply(ExecutorListed(entry))
-        self._tick()
+
+    def stop_scheduler(self) -> None:
+        """Lose the owner: answers are lost, and nothing is decided."""
+        self._is_owned = False
+
+    def start_scheduler(self, term: int) -> None:
+        """Start the next owner, which knows the cell but no job."""
+        self.scheduler = Scheduler(term, RUN_LEASE_S, MAX_LEASE_S, 0.0)
+        self._is_owned = True
+        self._is_committing = False
+        self._describe_cell()
 
     def _tick(self) -> None:
         """Advance the scheduler's time and schedule the next tick."""
@@ -177,26 +224,39 @@
         self.call_at(self.now + TICK_INTERVAL_S, self._tick)
 
     def apply(self, event: Any) -> None:
-        """Reduce an event, execute its effects and schedule a placement and a commit."""
+        """Reduce an event, execute its effects and schedule a placement and a commit.
+
+        Without an owner, a new job waits for the next one, and other events are lost.
+        """
+        if not self._is_owned:
+            if isinstance(event, JobAccepted):
+                self.call_at(self.now + TICK_INTERVAL_S, lambda: self.apply(event))
+            return
         self._execute_effects(self.scheduler.apply(event, self.now))
         if not self._is_placing:
             self._is_placing = True
             self.call_at(self.now + PLACEMENT_DELAY_S, self._place)
         if not self._is_committing and self.scheduler.take_changes() is not None:
             self._is_committing = True
-            self.call_at(self.now + COMMIT_DELAY_S, self._commit)
+            committed_at = max(self.store_back_at, self.now) + COMMIT_DELAY_S
+            scheduler = self.scheduler
+            self.call_at(committed_at, lambda: self._commit(scheduler))
 
     def _place(self) -> None:
         """Run one round of placement."""
         self._is_placing = False
-        self._execute_effects(self.scheduler.place(self.now))
+        if self._is_owned:
+            self._execute_effects(self.scheduler.place(self.now))
 
-    def _commit(self) -> None:
-        """Complete a commit and record the jobs that are now shown as done."""
+    def _commit(self, scheduler: Scheduler) -> None:
+        """Complete a commit of the current owner and record the jobs that are shown as done."""
+        if not self._is_owned or scheduler is not self.scheduler:
+            return
         self._is_committing = False
         self.apply(Committed())
         for job_id in self.submitted.keys() - self.done_at.keys():
-            if self.scheduler.state.jobs[job_id].shown_phase == "done":
+            job = self.scheduler.state.jobs.get(job_id)
+            if job is not None and job.shown_phase == "done":
                 self.done_at[job_id] = self.now
 
     def _submit_job(self, kind: Kind) -> None:
@@ -214,12 +274,16 @@
             max_per_executor=kind.max_per_executor,
         )
         self.submitted[job_id] = (kind, self.now, work_s)
+        self._widths[job_id] = width
         definition = JobDefinition(job_id, kind.queue, "x", (step,))
-        self.apply(JobAccepted(StoredJob(definition, self.now, 100 + len(self.submitted))))
+        event = JobAccepted(StoredJob(definition, self.now, 100 + len(self.submitted)))
+        self.call_at(max(self.now, self.store_back_at), lambda: self.apply(event))
 
     def _execute_effects(self, effects: list[Effect]) -> None:
         """Schedule the execution of the scheduler's effects."""
         for effect in effects:
+            if self._leave_unanswered(effect):
+                continue
             if isinstance(effect, StartTask):
                 self.call_at(
                     self.now + MESSAGE_DELAY_S, lambda effect=effect: self._handle_start(effect)
@@ -238,10 +302,34 @@
                 answer = PaceAnswered(effect.executor, effect.task, effect.run, STARTED)
                 self.call_at(self.now + MESSAGE_DELAY_S, lambda answer=answer: self.apply(answer))
 
+    def _leave_unanswered(self, effect: Effect) -> bool:
+        """Lose a call to an executor that is gone, or at random; return whether it was lost."""
+        if not isinstance(effect, StartTask | StopTask | HoldExecutor):
+            return False
+        is_gone = effect.executor not in self.simulated_executors
+        if not is_gone and (
+            not self.unanswered_share or self.random.random() >= self.unanswered_share
+        ):
+            return False
+        if isinstance(effect, HoldExecutor):
+            sent_at = self.now
+            failed = HoldFailed(effect.executor, sent_at, NOT_SENT if is_gone else UNKNOWN)
+            delay_s = 0.0 if is_gone else effect.wait_s
+            self.call_at(self.now + delay_s + ANSWER_TIMEOUT_S, lambda: self.apply(failed))
+            return True
+        answer: Any = StopAnswered(effect.executor, effect.task, effect.run, UNKNOWN)
+        if isinstance(effect, StartTask):
+            answer = StartAnswered(effect.executor, effect.task, effect.run, self.now, UNKNOWN)
+            delay_s = self.random.uniform(*LATE_ORDER_DELAY_S)
+            self.call_at(self.now + delay_s, lambda: self._handle_start(effect, is_late=True))
+        self.call_at(self.now + ANSWER_TIMEOUT_S, lambda: self.apply(answer))
+        return True
+
     def _answer_advice(self, effect: AskAdvice) -> None:
         """Answer an adviser request through the daemon that is free first, after its `cost_s`."""
         index = min(range(len(self._adviser_free_at)), key=self._adviser_free_at.__getitem__)
-        answer_at = max(self.now, self._adviser_free_at[index]) + effect.cost_s
+        cost_s = self.advice_factor * effect.cost_s
+        answer_at = max(self.now, self._adviser_free_at[index]) + cost_s
         self._adviser_free_at[index] = answer_at
         kind, _at, _work_s = self.submitted[effect.step.partition(".")[0]]
         good = {
@@ -253,9 +341,24 @@
         event = AdviceAnswered(effect.step, effect.executors, good, valid_s, self.now)
         self.call_at(answer_at, lambda: self.apply(event))
 
-    def _handle_start(self, effect: StartTask) -> None:
+    def _handle_start(self, effect: StartTask, is_late: bool = False) -> None:
+        """Carry out a start, which has no effect if the run is there or was closed already."""
+        simulated = self.simulated_executors.get(effect.executor)
+        if simulated is None:
+            return
+        if effect.run > simulated.last_closed_run.get(effect.task, 0):
+            known = simulated.runs.get(effect.task)
+            if known is None or known.effect.run != effect.run:
+                self._start_run(simulated, effect)
+            outcome = STARTED
+        else:
+            outcome = REFUSED_OLD
+        if not is_late:
+            answer = StartAnswered(effect.executor, effect.task, effect.run, self.now, outcome)
+            self.apply(answer)
+
+    def _start_run(self, simulated: SimulatedExecutor, effect: StartTask) -> None:
         """Start a run, and schedule its end or that of its gang once the gang is complete."""
-        simulated = self.simulated_executors[effect.executor]
         job_id = effect.task.partition(".")[0]
         kind, _at, work_s = self.submitted[job_id]
         self.first_start.setdefault(job_id, self.now)
@@ -263,7 +366,7 @@
         members = [(simulated, simulated.runs[effect.task])]
         if kind.is_gang:
             members = self._find_members(effect)
-        count = self.scheduler.state.jobs[job_id].definition.steps[0].count
+        count = self._widths[job_id]
         if not kind.is_gang or len(members) == count:
             duration_s = work_s * max(member.slowness for member, _simulated_run in members)
             for member, simulated_run in members:
@@ -274,8 +377,6 @@
                         member, simulated_run, "done"
                     ),
                 )
-        answer = StartAnswered(effect.executor, effect.task, effect.run, self.now, STARTED)
-        self.apply(answer)
 
     def _find_members(self, effect: StartTask) -> list[tuple[SimulatedExecutor, SimulatedRun]]:
         """Return the members of a gang that are running."""
@@ -292,7 +393,12 @@
         if simulated_run.has_ended:
             return
         simulated_run.has_ended = True
-        simulated.runs.pop(simulated_run.effect.task, None)
+        if self.simulated_executors.get(simulated.name) is not simulated:
+            return
+        effect = simulated_run.effect
+        simulated.runs.pop(effect.task, None)
+        closed = simulated.last_closed_run
+        closed[effect.task] = max(closed.get(effect.task, 0), effect.run)
         end = EndReport(
             simulated.next_end, simulated_run.effect.task, simulated_run.effect.run, how, ""
         )
@@ -302,7 +408,11 @@
 
     def _handle_stop(self, effect: StopTask) -> None:
         """Answer a stop order and end the run after STOP_DELAY_S."""
-        simulated = self.simulated_executors[effect.executor]
+        simulated = self.simulated_executors.get(effect.executor)
+        if simulated is None:
+            return
+        closed = simulated.last_closed_run
+        closed[effect.task] = max(closed.get(effect.task, 0), effect.run)
         simulated_run = simulated.runs.get(effect.task)
         if simulated_run is not None:
             self.call_at(
@@ -312,7 +422,9 @@
 
     def _handle_hold(self, effect: HoldExecutor) -> None:
         """Remove acknowledged ends, and answer at once, on the next end or after the wait."""
-        simulated = self.simulated_executors[effect.executor]
+        simulated = self.simulated_executors.get(effect.executor)
+        if simulated is None:
+            return
         simulated.ends = [end for end in simulated.ends if end.number > effect.last_seen]
         simulated.holds.append(self.now)
         if simulated.ends or effect.wait_s <= 0:
--- a/wasabiramp/bench/profiles.py
+++ b/wasabiramp/bench/profiles.py
@@ -161,8 +161,43 @@
     return Profile("large", 270, 8, 64_000, 262_144, 96, (gangs, batch, quotes))
 
 
+def build_desk_profile(
+    name: str, executors: int, callers: int, scale: tuple[float, float]
+) -> Profile:
+    """Return a cell of small executors with many short quotes and batch jobs that take seconds.
+
+    `scale` is the factor on the rates, and that on the widths and demands.
+    """
+    rate, size = scale
+    quotes = Kind(
+        Queue(
+            "quotes", "h", "/q/", "service", 0, 4, 1.5, 0.25, 3.0, AdvicePolicy(0.017, 2.4e-4, 2.5)
+        ),
+        per_s=13.0 * rate,
+        width=(6.0 * size, 0.8, 36),
+        cpu=(round(1_300 * size), 0.45, 7_000),
+        memory_mb=2_300,
+        work_s=(0.64, 0.5, 1.6),
+        estimate_error=0.6,
+        good_share=0.7,
+    )
+    batch = Kind(
+        Queue("batch", "h", "/b/", "service", 2, 3, 2.2, 1.2, 3.0, AdvicePolicy(0.37, 0.0053, 2.5)),
+        per_s=1.5 * rate,
+        width=(8.0 * size, 0.6, 40),
+        cpu=(round(2_700 * size), 0.45, 14_000),
+        memory_mb=3_900,
+        work_s=(6.0, 0.5, 15.0),
+        estimate_error=0.3,
+        good_share=0.35,
+    )
+    return Profile(name, executors, 8, 16_000, 32_768, callers, (quotes, batch))
+
+
 PROFILES: Final = {
     "small": build_profile("small", executors=24, rack=6, callers=7, scale=1.0),
     "grown": build_profile("grown", executors=175, rack=8, callers=39, scale=2.7),
     "large": build_large_profile(),
+    "desk": build_desk_profile("desk", 24, 6, (1.0, 1.0)),
+    "desk-grown": build_desk_profile("desk-grown", 176, 33, (3.0, 1.65)),
 }
