Give each mechanism of policy a switch and a plain alternative

For the ablation that the users ask for: a registry filled by a decorator, with what runs while a mechanism is off; `--without NAME` on the command line of the platform's daemon, which logs it at the start; `wasabiramp policies` lists the names. What keeps work from being lost or run twice has no switch. With all switches on nothing changes: tests as before.

--- a/wasabiramp/cli/main.py
+++ b/wasabiramp/cli/main.py
@@ -45,6 +45,19 @@
         raise typer.Exit(1)
 
 
+@cli.command()
+def policies() -> None:
+    """List the mechanisms that a daemon on the platform can run without (`--without NAME`)."""
+    # Imported here, as these modules register their mechanisms on import.
+    import wasabiramp.entry.daemon  # noqa: F401
+    from wasabiramp.policy.switches import SWITCHES
+
+    rows = [["NAME", "MECHANISM"]]
+    rows += [[name, SWITCHES[name].description] for name in sorted(SWITCHES)]
+    value = [{"name": row[0], "mechanism": row[1]} for row in rows[1:]]
+    operate.print_value(value, operate.Output.TABLE, rows)
+
+
 @cli.command()
 def demo(
     serve: Annotated[bool, typer.Option(help="Keep running and print the address.")] = False,
--- a/wasabiramp/entry/circuit_breaker.py
+++ b/wasabiramp/entry/circuit_breaker.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from wasabiramp.policy.switches import switchable
+
 MIN_PAUSE_S: Final = 0.1
 MAX_PAUSE_S: Final = 1.0
 """Bounds of the pause between calls to an owner that does not answer or is recovering."""
@@ -35,6 +37,11 @@
         self._retry_at = 0.0
         self._is_probing = False
 
+    @switchable(
+        "circuit-breaker",
+        "pause calls to an owner that does not answer",
+        plain=lambda breaker, address, now: True,
+    )
     def can_call(self, address: str, now: float) -> bool:
         """Return whether a call is allowed; the caller must record its outcome."""
         if address != self._address:
--- a/wasabiramp/entry/lag.py
+++ b/wasabiramp/entry/lag.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Final
 
+from wasabiramp.policy.switches import switchable
+
 LAG_CHECK_INTERVAL_S: Final = 0.05
 """Interval of the timer whose lag is measured."""
 
@@ -44,6 +46,11 @@
         self.value_s = min(MAX_LAG_S, max(late_s, LAG_DECAY_FACTOR * self.value_s))
         self.start()
 
+    @switchable(
+        "lag-timeouts",
+        "extend timeouts by the lag of the event loop",
+        plain=lambda lag, timeout_s: timeout_s,
+    )
     def extend(self, timeout_s: float) -> float:
         """Return a timeout extended by the delay that this process itself causes."""
         return timeout_s + LOOP_TURNS_PER_CALL * self.value_s
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -23,6 +23,7 @@
 from wasabiramp.entry.supervision import async_keep_running
 from wasabiramp.entry.watcher import PrefixWatcher
 from wasabiramp.logs import log_event
+from wasabiramp.policy.switches import do_nothing, switchable
 
 LEASE_TTL_S: Final = 1.0
 """Time without renewal after which a daemon has left; the shortest lease that the store grants."""
@@ -296,6 +297,11 @@
         if self._claim_task is None or self._claim_task.done():
             self._claim_task = asyncio.get_running_loop().create_task(self._async_claim())
 
+    @switchable(
+        "owner-replacement",
+        "replace an owner whose address refuses connections",
+        plain=do_nothing,
+    )
     def replace_owner(self, address: str) -> None:
         """Claim ownership from an owner whose process has ended, before its lease expires.
 
@@ -334,15 +340,14 @@
             return 0.0
         items = self._watcher.items
         members = [key for key in items if key.startswith(PREFIX_MEMBER)]
-        members.sort(key=lambda key: (-_parse_power(items[key]), -items[key].created))
+        members.sort(key=lambda key: (-_get_strength(items[key]), -items[key].created))
         rank = members.index(self._member_key) if self._member_key in members else len(members)
         delay_s = min(rank, MAX_CLAIM_RANK) * CLAIM_STAGGER_S
-        if self._settings.power < OWNER_POWER_CORES or self._settings.link_mbps < OWNER_LINK_MBPS:
-            delay_s += WEAK_DAEMON_DELAY_S
+        delay_s += _get_weakness_delay_s(self._settings)
         if is_deferred:
             delay_s += WEAK_DAEMON_DELAY_S
         is_alive = last_owner in self.addresses and not self._replaced_revision
-        return delay_s + (INCUMBENT_HEAD_START_S if is_alive else 0.0)
+        return delay_s + _get_head_start_s(is_alive)
 
     async def _async_claim(self) -> None:
         """Claim the next term after the delay, unless an owner exists by then."""
@@ -399,6 +404,31 @@
         self._on_tenure_begun(tenure)
 
 
+@switchable("owner-strength", "prefer strong daemons as the owner", plain=lambda item: 0.0)
+def _get_strength(item: Item) -> float:
+    """Return the rank of a member among the candidates for ownership; the highest claims first."""
+    return _parse_power(item)
+
+
+@switchable(
+    "weak-daemon-delay", "let weak daemons claim ownership later", plain=lambda settings: 0.0
+)
+def _get_weakness_delay_s(settings: EntrySettings) -> float:
+    """Return the additional claim delay of a daemon that is too weak for an owner."""
+    is_weak = settings.power < OWNER_POWER_CORES or settings.link_mbps < OWNER_LINK_MBPS
+    return WEAK_DAEMON_DELAY_S if is_weak else 0.0
+
+
+@switchable(
+    "incumbent-head-start",
+    "let an owner that lost its key claim again first",
+    plain=lambda is_alive: 0.0,
+)
+def _get_head_start_s(is_alive: bool) -> float:
+    """Return the claim delay that an owner that is still a member gets ahead of the others."""
+    return INCUMBENT_HEAD_START_S if is_alive else 0.0
+
+
 def _compute_ttl_s(power: float) -> float:
     """Return the duration of a daemon's lease, in which several renewals must be answered."""
     return min(MAX_LEASE_TTL_S, LEASE_TTL_S * max(1.0, MIN_FULL_POWER_CORES / max(power, 0.01)))
--- a/wasabiramp/entry/orders.py
+++ b/wasabiramp/entry/orders.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 from wasabiramp.entry.lag import LoopLag
+from wasabiramp.policy.switches import switchable
 
 MAX_CONCURRENT_ORDERS: Final = 24
 """Limit of orders in flight: enough for several thousand round trips a second."""
@@ -68,9 +69,16 @@
         self._waiting.append(send)
         self._send_next()
 
+    @switchable(
+        "order-limit", "limit the orders in flight", plain=lambda queue: bool(queue._waiting)
+    )
+    def _may_send(self) -> bool:
+        """Return whether an order is queued and a slot is available."""
+        return bool(self._waiting) and self._held_slots < MAX_CONCURRENT_ORDERS
+
     def _send_next(self) -> None:
         """Send queued orders while slots are available."""
-        while self._waiting and self._held_slots < MAX_CONCURRENT_ORDERS:
+        while self._may_send():
             self._held_slots += 1
             self._unanswered += 1
             self._spawn(self._async_send(self._waiting.popleft()))
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -30,6 +30,7 @@
 from wasabiramp.entry.watcher import PrefixWatcher
 from wasabiramp.logs import log_event, log_failure
 from wasabiramp.metrics import Metrics
+from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.effects import (
     Effect,
     GiveUpOwnership,
@@ -121,6 +122,12 @@
 """Interval at which a delayed start polls whether the tenure has been checked."""
 
 
+@switchable("commit-batch", "store ends that come together by one commit", plain=lambda: 0.0)
+def get_commit_interval_s() -> float:
+    """Return the minimum time between two commits."""
+    return COMMIT_INTERVAL_S
+
+
 class Owner:
     """Acts for the domain during one or more terms in a row."""
 
@@ -384,6 +391,7 @@
                     log_event("queue_state", **summary)
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    @switchable("resigning", "resign as the owner while the machine is slow", plain=do_nothing)
     def _check_overload(self, now: float) -> None:
         """Resign if the event loop lags for long, as on a machine that has become slow."""
         if self._lag.value_s < OVERLOAD_LAG_S:
@@ -434,7 +442,7 @@
                 await asyncio.sleep(RETRY_DELAY_S)
             self._commit_count += 1
             self._committed.set()
-            await asyncio.sleep(COMMIT_INTERVAL_S)
+            await asyncio.sleep(get_commit_interval_s())
 
     def _schedule_removals(self, changes: Changes) -> None:
         """Set the time at which the records of ended jobs may be removed."""
--- a/wasabiramp/entry/shards.py
+++ b/wasabiramp/entry/shards.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from wasabiramp.entry.ports import Item, Store
+from wasabiramp.policy.switches import switchable
 
 SHARDS: Final = tuple("0123456789abcdef")
 """First digits of the ids under a prefix."""
@@ -20,6 +21,9 @@
 """Limit of concurrent reads, so that a lease renewal does not queue behind all parts."""
 
 
+@switchable(
+    "shards", "read stored jobs in parts over narrow links", plain=lambda link_mbps: UNSHARDED
+)
 def choose_shards(link_mbps: float) -> tuple[str, ...]:
     """Return the parts in which a prefix is read over a link."""
     return SHARDS if link_mbps < NARROW_LINK_MBPS else UNSHARDED
--- a/wasabiramp/entry/timeouts.py
+++ b/wasabiramp/entry/timeouts.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from wasabiramp.policy.switches import switchable
+
 TIMEOUT_FACTOR: Final = 5.0
 """Ratio of a timeout to the average response time; high enough to wait for most slow answers."""
 
@@ -21,6 +23,11 @@
         self._average_s: dict[str, float] = {}
         self._unanswered: set[str] = set()
 
+    @switchable(
+        "adaptive-timeouts",
+        "let timeouts follow measured response times",
+        plain=lambda timeouts, key: timeouts._longest_s,
+    )
     def get_timeout(self, key: str) -> float:
         """Return the timeout of the next call of a key, in seconds."""
         if key in self._unanswered:
--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -19,8 +19,10 @@
 from wasabiramp.platform.clients import AdviserClient, ExecutorClient, HttpClient, StoreClient
 from wasabiramp.platform.node import load_node_settings
 from wasabiramp.platform.wire import PlatformCodec
+from wasabiramp.policy.switches import set_switched_off
 
 EXIT_SETTINGS: Final = 2
+OPTION_WITHOUT: Final = "--without"
 
 
 class CallerBackend:
@@ -112,9 +114,25 @@
     lag.stop()
 
 
+def parse_switched_off(arguments: list[str]) -> list[str]:
+    """Return the mechanisms named by `--without NAME`; raise ValueError for other arguments."""
+    options = arguments[::2]
+    if len(arguments) % 2 or any(option != OPTION_WITHOUT for option in options):
+        raise ValueError(f"expected pairs of {OPTION_WITHOUT} NAME, got {' '.join(arguments)!r}")
+    return arguments[1::2]
+
+
 def run() -> None:
     """Run a daemon with the settings file of this process; exits with 2 if it is invalid."""
     set_up_logs()
+    try:
+        switched_off = parse_switched_off(sys.argv[1:])
+        set_switched_off(switched_off)
+    except ValueError as err:
+        log_event("arguments_refused", error=err)
+        sys.exit(EXIT_SETTINGS)
+    for name in switched_off:
+        log_event("mechanism_switched_off", mechanism=name)
     loaded = load_node_settings()
     if loaded.is_error():
         log_event("settings_refused", error=loaded.error)
--- a/wasabiramp/scheduling/advice.py
+++ b/wasabiramp/scheduling/advice.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
+from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.effects import AskAdvice
 from wasabiramp.scheduling.events import AdviceAnswered, AdviceFailed
 from wasabiramp.scheduling.model import AdvicePolicy
@@ -37,6 +38,11 @@
     )
 
 
+@switchable(
+    "advice-refresh",
+    "renew tickets of waiting steps before they fit",
+    plain=lambda policy, executors: 1,
+)
 def get_max_refreshed_steps(policy: AdvicePolicy, executors: int) -> int:
     """Return for how many waiting steps of a queue tickets are kept valid, from 2 to 40.
 
@@ -85,6 +91,28 @@
     return True
 
 
+def _limit_unknown(
+    step: StepRun,
+    unknown: list[ExecutorState],
+    without_ticket: list[ExecutorState],
+    waiting: int,
+    has_room: Callable[[ExecutorState], bool],
+) -> list[ExecutorState]:
+    """Return the executors to ask about as far as the number of waiting tasks allows."""
+    return unknown[: max(0, _count_wanted(waiting) - len(step.verdicts))]
+
+
+def _count_wanted(waiting: int) -> int:
+    """Return the number of executors to ask about for a number of waiting tasks."""
+    wanted = int(EXECUTORS_ASKED_PER_TASK * waiting)
+    return min(MAX_EXECUTORS_ASKED, max(MIN_EXECUTORS_ASKED, wanted))
+
+
+@switchable(
+    "further-questions",
+    "ask about further executors if the suitable ones are not enough",
+    plain=_limit_unknown,
+)
 def _choose_unknown(
     step: StepRun,
     unknown: list[ExecutorState],
@@ -98,13 +126,11 @@
     resources asks about all of them. A step without suitable executors, or with lasting tasks for
     which no executor becomes free, asks about those that have room now.
     """
-    wanted = min(
-        MAX_EXECUTORS_ASKED, max(MIN_EXECUTORS_ASKED, int(EXECUTORS_ASKED_PER_TASK * waiting))
-    )
     if step.lacks_resources and step.spec.is_gang:
         return unknown
+    wanted = _count_wanted(waiting)
     if len(step.verdicts) < wanted:
-        return unknown[: wanted - len(step.verdicts)]
+        return _limit_unknown(step, unknown, without_ticket, waiting, has_room)
     if not step.lacks_resources or any(has_room(executor) for executor in without_ticket):
         return []
     if any(step.verdicts.values()) and not step.spec.is_lasting:
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
+from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.events import (
     NOT_SENT,
     OTHER_INCARNATION,
@@ -189,11 +190,17 @@
             release_run(state, run)
 
 
+@switchable("ends-batch", "read ends that come together by one hold", plain=lambda: 0.0)
+def get_ends_batch_delay_s() -> float:
+    """Return the delay before the next hold after ends were read."""
+    return ENDS_BATCH_DELAY_S
+
+
 def schedule_next_hold(state: SchedulerState, executor: ExecutorState) -> None:
     """Schedule the next hold: at once, or after a delay if ends have to be stored first."""
     if executor.last_read_end > executor.last_seen:
         executor.next_hold_at = state.now + (
-            ENDS_BATCH_DELAY_S if executor.has_new_ends else UNSTORED_ENDS_DELAY_S
+            get_ends_batch_delay_s() if executor.has_new_ends else UNSTORED_ENDS_DELAY_S
         )
     else:
         executor.next_hold_at = state.now
@@ -258,6 +265,11 @@
         state.log_decision("recovery_complete")
 
 
+@switchable(
+    "recovery-retry",
+    "ask slow executors a second time after a takeover",
+    plain=lambda state, executor: False,
+)
 def _is_overdue(state: SchedulerState, executor: ExecutorState) -> bool:
     """Return whether a hold is unanswered for unusually long, though it has not timed out."""
     return state.now >= executor.hold_sent_at + RECOVERY_HOLD_RETRY_S
@@ -287,6 +299,11 @@
     executor.acknowledged_end = executor.last_seen
 
 
+@switchable(
+    "short-holds",
+    "let holds wait in proportion to the shortest run",
+    plain=lambda executor: SHARED_HOLD_WAIT_S if is_shared(executor) else MAX_HOLD_WAIT_S,
+)
 def choose_hold_wait_s(executor: ExecutorState) -> float:
     """Return how long an executor may wait for an end, which follows its shortest run."""
     estimates_s = [
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Final
 
+from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
 from wasabiramp.scheduling.state import (
     ExecutorState,
@@ -90,6 +91,11 @@
     return run
 
 
+@switchable(
+    "start-resends",
+    "send an unanswered start again as the same run",
+    plain=lambda state, executor, run: False,
+)
 def resend_start(state: SchedulerState, executor: ExecutorState, run: Run) -> bool:
     """Repeat an unanswered start unless it was repeated already or the run is to be stopped.
 
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.advice import ask_for_advice, get_max_refreshed_steps, has_ticket
 from wasabiramp.scheduling.executors import is_usable
 from wasabiramp.scheduling.model import Queue, Resources
@@ -61,6 +62,12 @@
             ends = self._ends[executor.id] = estimate_ends(executor, self.now)
         return ends
 
+    @switchable(
+        "backfill",
+        "let work that ends in time use executors reserved for a gang",
+        plain=lambda view, executor, queue, step: executor.id not in view.reserved
+        or queue.priority < view.reserved[executor.id].priority,
+    )
     def can_use(self, executor: ExecutorState, queue: Queue, step: StepRun) -> bool:
         """Return whether a step may use an executor.
 
@@ -92,6 +99,11 @@
     return entry.service == service and (not label or label in entry.labels)
 
 
+@switchable(
+    "latest-start",
+    "start the work first whose latest start is next",
+    plain=lambda queue, step: (queue.priority, step.job.accepted_at),
+)
 def get_sort_key(queue: Queue, step: StepRun) -> tuple[int, float]:
     """Return the sort key of a waiting step: its priority, then its latest start time.
 
@@ -167,6 +179,7 @@
         demand, free_by_executor = step.spec.demand, self.view.free_by_executor
         return lambda executor: demand.fits(free_by_executor[executor.id])
 
+    @switchable("reservations", "reserve executors for waiting gangs", plain=do_nothing)
     def _reserve(self, queue: Queue, step: StepRun) -> None:
         """Reserve the executors on which a gang can start earliest.
 
--- a/wasabiramp/scheduling/progress.py
+++ b/wasabiramp/scheduling/progress.py
@@ -5,6 +5,7 @@
 from statistics import median
 from typing import Final
 
+from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.model import RunReport
 from wasabiramp.scheduling.orders import stop_run
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
@@ -81,6 +82,7 @@
     return speed, speed < (SLOW_SPEED_SHARE if len(by_step) > 1 else SINGLE_STEP_SLOW_SPEED_SHARE)
 
 
+@switchable("slowness", "measure slow and stuck executors by progress", plain=do_nothing)
 def update_slowness(
     state: SchedulerState, executor: ExecutorState, speeds: dict[Run, float]
 ) -> None:
@@ -107,6 +109,7 @@
         executor.cooldown_until = max(executor.cooldown_until, state.now + STUCK_COOLDOWN_S)
 
 
+@switchable("moves", "move runs from slow to faster executors", plain=do_nothing)
 def _move_if_faster_elsewhere(state: SchedulerState, run: Run, speed: float) -> None:
     """Stop a run that would end much sooner on an executor of normal speed."""
     step = run.step
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
+from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.effects import GiveUpOwnership
 from wasabiramp.scheduling.events import (
     NOT_SENT,
@@ -260,8 +261,13 @@
     if how != END_FAILED:
         return
     executor.failures.add(step.name)
-    if len(executor.failures) < COOLDOWN_FAILING_STEPS:
-        return
+    if len(executor.failures) >= COOLDOWN_FAILING_STEPS:
+        _start_cooldown(state, executor)
+
+
+@switchable("failure-cooldown", "give no work to executors whose runs fail", plain=do_nothing)
+def _start_cooldown(state: SchedulerState, executor: ExecutorState) -> None:
+    """Give an executor no work for a time, which doubles each time."""
     executor.failures.clear()
     executor.cooldown_s = min(MAX_COOLDOWN_S, max(COOLDOWN_S, 2 * executor.cooldown_s))
     executor.cooldown_until = state.now + executor.cooldown_s
--- a/wasabiramp/scheduling/sharing.py
+++ b/wasabiramp/scheduling/sharing.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
+from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.effects import PaceTask
 from wasabiramp.scheduling.events import REFUSED_FENCE, STARTED, PaceAnswered
 from wasabiramp.scheduling.model import RunReport
@@ -38,6 +39,7 @@
     return any(step.fills for step in steps) and any(step.target_s > 0 for step in steps)
 
 
+@switchable("paces", "slow filling tasks down beside serving ones", plain=do_nothing)
 def adjust_paces(
     state: SchedulerState, executor: ExecutorState, run_reports: dict[Run, RunReport]
 ) -> None:
