Measure what each mechanism is worth in the load model: wasabiramp bench ablate

Plays a profile and its faults with each mechanism off, on several seeds, in parallel processes with a progress bar; prints a Markdown table of the paired differences and their spread, writes a picture and keeps results in a JSON file, from which a stopped run continues.

--- a/wasabiramp/bench/commands.py
+++ b/wasabiramp/bench/commands.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 from dataclasses import asdict
+from pathlib import Path
 import sys
 from typing import Annotated
 
 import typer
 
+from wasabiramp.bench.ablate import (
+    MODEL_MECHANISMS,
+    NO_FAULT,
+    TrialStore,
+    list_trials,
+    plot_rows,
+    render_markdown,
+    run_trials,
+    summarize,
+)
 from wasabiramp.bench.decisions import run_decisions
 from wasabiramp.bench.load import LoadModel
+from wasabiramp.bench.load_faults import LOAD_FAULTS
 from wasabiramp.bench.profiles import PROFILES
 from wasabiramp.cli.operate import Output, print_value
+from wasabiramp.policy.switches import set_switched_off
 
 bench = typer.Typer(help="Run benchmarks against baselines and targets.", no_args_is_help=True)
 Seed = Annotated[int, typer.Option(help="Seed of the random numbers.")]
@@ -83,3 +96,39 @@
         values = (item.kind, item.jobs, item.in_time, item.wait_p50_s, item.wait_p99_s)
         rows.append([str(value) for value in values])
     print_value({"seed": seed, "results": [asdict(item) for item in results]}, output, rows)
+
+
+@bench.command()
+def ablate(
+    profile: Annotated[str, typer.Option(help="Cell and its work.")] = "desk",
+    times: Annotated[float, typer.Option(min=0.1, max=10.0, help="Times the usual traffic.")] = 1.0,
+    fault: Annotated[list[str] | None, typer.Option(help="Fault; several may be given.")] = None,
+    without: Annotated[list[str] | None, typer.Option(help="Mechanism; all by default.")] = None,
+    seeds: Annotated[int, typer.Option(min=1, max=100)] = 3,
+    workers: Annotated[int, typer.Option(min=1, max=64, help="Processes.")] = 2,
+    results: Annotated[Path, typer.Option(help="JSON file that a stopped run continues.")] = Path(
+        "build/ablation.json"
+    ),
+    plot: Annotated[Path | None, typer.Option(help="Path of a PNG to write.")] = None,
+) -> None:
+    """Play the load model with each mechanism switched off, and show what it is worth."""
+    names = without or list(MODEL_MECHANISMS)
+    if profile not in PROFILES:
+        raise typer.BadParameter(f"profile: expected one of {', '.join(PROFILES)}")
+    for name in fault or ():
+        if name not in LOAD_FAULTS:
+            raise typer.BadParameter(f"fault: expected one of {', '.join(LOAD_FAULTS)}")
+    try:
+        set_switched_off(names)
+        results.parent.mkdir(parents=True, exist_ok=True)
+        store = TrialStore(results)
+    except ValueError as err:
+        raise typer.BadParameter(str(err)) from err
+    cases = [(profile, times, name) for name in (NO_FAULT, *(fault or ()))]
+    trials = list(list_trials(names, cases, seeds))
+    with typer.progressbar(length=len(trials), file=sys.stderr) as progress:
+        run_trials(trials, store, workers, lambda: progress.update(1))
+    rows = summarize(trials, store)
+    print(render_markdown(rows), end="")
+    if plot is not None:
+        plot_rows(rows, plot)
