Pick ports that no outgoing connection can take

Cause of the OSError on bind that tests/api/test_bad_input.py showed once: pick_port let the system choose a port, gave it back, and the daemon bound it later; in between the system may give the same port to an outgoing connection or to another test run that binds port 0.

Ports now come from below the range of outgoing connections, a block for each process, each given out once before the first one comes again. Ruled out: handing the open socket to the daemon, as the addresses are part of its settings and of those of its peers.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -5,7 +5,6 @@
 import json
 from pathlib import Path
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -28,19 +27,9 @@
 def pick_port_range(count: int) -> int:
     """Return the first port of a range of `count` consecutive free ports."""
     while True:
-        first = pick_port()
-        if first + count < 65_000 and all(is_port_free(first + offset) for offset in range(count)):
-            return first
-
-
-def is_port_free(port: int) -> bool:
-    """Return whether the port can be bound now."""
-    with socket.socket() as probe:
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
+        ports = [pick_port() for _ in range(count)]
+        if ports[-1] == ports[0] + count - 1:
+            return ports[0]
 
 
 class ProcessCell:
--- a/wasabiramp/cli/cell.py
+++ b/wasabiramp/cli/cell.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+import itertools
+import os
 import socket
-from typing import Any
+from typing import Any, Final
 
 import aiohttp
 from aiohttp import web
@@ -24,15 +27,39 @@
 from wasabiramp.settings.schema import Settings
 
 HOST = "127.0.0.1"
+
+FIRST_PORT: Final = 20_000
+PORTS_PER_PROCESS: Final = 400
+PORT_BLOCKS: Final = 30
+"""Ports below those that the system gives to outgoing connections, which are 32768 and above.
+
+Each process has a block of its own, so that test runs side by side do not pick the same port.
+"""
+
 READY_TIMEOUT_S = 20.0
 READY_POLL_INTERVAL_S = 0.05
 
 
+def list_ports() -> Iterator[int]:
+    """Iterate over the ports of this process, again from the first one after the last."""
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_PROCESS
+    return itertools.cycle(range(first, first + PORTS_PER_PROCESS))
+
+
+_PORTS: Final = list_ports()
+
+
 def pick_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free now, and that no outgoing connection takes meanwhile."""
+    for _ in range(PORTS_PER_PROCESS):
+        port = next(_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no free port from {FIRST_PORT} on for this process")
 
 
 @dataclass(slots=True)
