--- a/wasabiramp/report/losses.py
+++ b/wasabiramp/report/losses.py
@@ -47,6 +47,14 @@
     unanswered: int = 0
     moves: int = 0
 
+    @property
+    def longest_sound_run_s(self) -> float:
+        """Return the duration of the longest run that was not slow, or 0 without runs."""
+        if not self.runs:
+            return 0.0
+        limit_s = max(SLOW_RUN_FACTOR * median(self.runs), MIN_SLOW_RUN_S)
+        return max((run_s for run_s in self.runs if run_s <= limit_s), default=0.0)
+
 
 @dataclass(slots=True)
 class JobHistory:
@@ -77,11 +85,12 @@
     def lateness_s(self) -> float | None:
         """Return by how much the job missed its objective, or None if the logs do not tell.
 
-        The objective follows the durations of the job's runs; steps count one after the other.
+        The objective follows the longest run of each step that was not slow; steps count one after
+        the other.
         """
         if self.stretch is None or self.ended_at is None:
             return None
-        work_s = sum(median(step.runs) for step in self.steps.values() if step.runs)
+        work_s = sum(step.longest_sound_run_s for step in self.steps.values())
         objective_at = self.submitted_at + self.stretch * work_s + self.target_s
         return (self.shown_at or self.ended_at) - objective_at
 
