Let questions to the adviser wait at the owner for the daemon that answers first

The five that were back were taken by batch questions of 0.9 s each, queued up to 3 s deep, so that quotes were asked about one by one through the owner, 45 ms each, for 0.7 s; daemons that came back meanwhile got nothing.

Change: a question is bound to a daemon only when it is free; cheap ones go first, keep a third of the daemons to themselves and never wait behind an expensive one; the daemon with the shortest expected answer time is asked, by its measured lateness; a lost question is given up 0.2 s after its time instead of 1.0 s where the daemon's lateness is known.

--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -10,15 +10,15 @@
 import pytest
 
 from wasabiramp.entry.admission import REFUSED, REPEATED, STORED, UNKNOWN, Admission
-from wasabiramp.entry.advisers import AdviserPool
-from wasabiramp.entry.dispatcher import Dispatcher
+from wasabiramp.entry.advisers import ANSWER_MARGIN_RANGE_S, LOCAL, AdviserPool
+from wasabiramp.entry.dispatcher import ADVICE_RETRY_S, Dispatcher
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import KEY_COMMITS, KEY_TERM, build_job_key, build_progress_key
 from wasabiramp.entry.lag import LOOP_TURNS_PER_CALL, MAX_LAG_S, LoopLag
 from wasabiramp.entry.membership import LEASE_TTL_S, RENEWAL_INTERVAL_S, Membership, Tenure
 from wasabiramp.entry.owner import OVERLOAD_LAG_S
-from wasabiramp.entry.peers import OK, PeerAnswer, PeerCaller, PeerListener, ShowJob
+from wasabiramp.entry.peers import OK, AskAdviser, PeerAnswer, PeerCaller, PeerListener, ShowJob
 from wasabiramp.entry.ports import (
     Change,
     EntrySettings,
@@ -432,6 +432,159 @@
         assert peers.asked == ["a", "b", "b"]
 
 
+class KilledPeers:
+    """Peers that answer in time until they are killed."""
+
+    def __init__(self) -> None:
+        """Start with all peers alive."""
+        self.is_alive = True
+
+    async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+        """Answer after half a second, or time out."""
+        if self.is_alive:
+            await asyncio.sleep(0.5)
+            return PeerAnswer(OK, ({}, 2.5))
+        await asyncio.sleep(timeout_s)
+        raise NoAnswerError(address)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class TestLostQuestion:
+    """Load pattern: the daemon that asks the adviser is killed while quotes wait for its answer."""
+
+    def test_cheap_question_is_given_up_soon(self) -> None:
+        """A quote has about 0.6 s to spare, so a lost question must cost less than half of it."""
+        took_s = 0.0
+
+        async def run_scenario() -> None:
+            nonlocal took_s
+            loop = asyncio.get_running_loop()
+            peers = KilledPeers()
+            pool = AdviserPool(SlowAdviser(), peers, lambda: ["a"])
+            await pool.async_ask("s", [], 0.5)
+            peers.is_alive = False
+            busy = asyncio.ensure_future(pool.async_ask("s", [], 0.02))
+            await asyncio.sleep(0)
+            started_at = loop.time()
+            with pytest.raises(NoAnswerError):
+                await pool.async_ask("s", [], 0.02)
+            took_s = loop.time() - started_at + ADVICE_RETRY_S
+            await busy
+
+        run(run_scenario())
+        assert took_s <= 0.4
+
+    def test_late_answers_extend_the_margin(self) -> None:
+        """Guards against asking twice while the adviser or the path is slow."""
+
+        async def run_scenario() -> None:
+            pool = AdviserPool(SlowAdviser(), KilledPeers(), list)
+            for _ in range(4):
+                await pool.async_ask("s", [], 0.01)
+            assert pool._margins.get_timeout(LOCAL) == ANSWER_MARGIN_RANGE_S[1]
+
+        run(run_scenario())
+
+
+class SerialPeers:
+    """Daemons through which the adviser answers one question after the other."""
+
+    def __init__(self) -> None:
+        """Start without questions."""
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+        """Answer after the time that the step is named after."""
+        async with self._locks.setdefault(address, asyncio.Lock()):
+            await asyncio.sleep(float(message.step))
+        return PeerAnswer(OK, ({}, 2.5))
+
+    async def async_ask(self, step: str, executors: list[str], timeout_s: float) -> Any:
+        """Answer as the adviser does to this daemon itself."""
+        return (await self.async_call(LOCAL, AskAdviser(step, executors, timeout_s), 9.0)).value
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class TestBacklogAfterRestart:
+    """Load pattern: few daemons are back, and quotes and batch work wait for advice on all steps.
+
+    Seen in trouble-2 of driftglass-ktm-grown: batch questions of 0.9 s occupied all other daemons,
+    so that 115 quotes were asked about one by one for 0.7 s.
+    """
+
+    def answer_backlog(self, peers: list[str], joining: list[str]) -> tuple[float, float]:
+        """Return when all cheap and all expensive questions are answered; some daemons join."""
+        ended_at = {}
+
+        async def run_scenario() -> None:
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            daemons = list(peers)
+            serial = SerialPeers()
+            pool = AdviserPool(serial, serial, lambda: daemons)
+
+            async def async_ask_all(name: str, cost: str, count: int) -> None:
+                await asyncio.gather(*(pool.async_ask(cost, [], float(cost)) for _ in range(count)))
+                ended_at[name] = loop.time() - started_at
+
+            loop.call_later(0.5, daemons.extend, joining)
+            await asyncio.gather(
+                async_ask_all("expensive", "0.9", 12), async_ask_all("cheap", "0.04", 60)
+            )
+
+        run(run_scenario())
+        return ended_at["cheap"], ended_at["expensive"]
+
+    def test_expensive_questions_leave_daemons_to_cheap_ones(self) -> None:
+        cheap_s, _expensive_s = self.answer_backlog(["a", "b", "c", "d", "e"], [])
+        assert cheap_s <= 60 * 0.04 / 3 + 0.1
+
+    def test_daemons_that_just_started_are_asked_last(self) -> None:
+        """Guards against quotes that wait for a daemon that still loads its configuration."""
+        asked: list[str] = []
+
+        class RecordingPeers(SerialPeers):
+            async def async_call(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
+                asked.append(address)
+                return await super().async_call(address, message, timeout_s)
+
+        async def run_scenario() -> None:
+            serial = RecordingPeers()
+            daemons = ["known"]
+            pool = AdviserPool(serial, serial, lambda: daemons)
+            await asyncio.gather(*(pool.async_ask("0.04", [], 0.04) for _ in range(3)))
+            daemons.append("new")
+            asked.clear()
+            await asyncio.gather(*(pool.async_ask("0.04", [], 0.04) for _ in range(4)))
+
+        run(run_scenario())
+        assert set(asked) == {LOCAL, "known"}
+
+    def test_daemons_that_join_take_waiting_questions(self) -> None:
+        joining = [f"j{number}" for number in range(10)]
+        _cheap_s, expensive_s = self.answer_backlog(["a", "b", "c"], joining)
+        assert expensive_s <= 2.9
+
+    def test_cancelled_question_leaves_its_daemon_to_others(self) -> None:
+        async def run_scenario() -> None:
+            serial = SerialPeers()
+            pool = AdviserPool(serial, serial, lambda: ["a"])
+            first, second, third = (
+                asyncio.ensure_future(pool.async_ask("0.9", [], 0.9)) for _ in range(3)
+            )
+            await asyncio.sleep(0.1)
+            first.cancel()
+            second.cancel()
+            async with asyncio.timeout(1.9):
+                await third
+
+        run(run_scenario())
+
+
 class TestDispatcher:
     """The scheduler gets an event for each question, also if asking fails unexpectedly."""
 
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -38,8 +38,8 @@
 )
 from wasabiramp.scheduling.model import ExecutorReport
 
-ADVICE_RETRY_S: Final = 0.2
-"""Delay before a question without an answer is sent to the adviser again."""
+ADVICE_RETRY_S: Final = 0.05
+"""Delay before a question without an answer is asked again, mostly through another daemon."""
 
 DispatchedEffect = StartTask | StopTask | PaceTask | HoldExecutor | AskAdvice
 
--- a/wasabiramp/entry/timeouts.py
+++ b/wasabiramp/entry/timeouts.py
@@ -23,6 +23,10 @@
         self._average_s: dict[str, float] = {}
         self._unanswered: set[str] = set()
 
+    def get_average_s(self, key: str) -> float | None:
+        """Return the average response time of a key; None if unknown or the last call failed."""
+        return None if key in self._unanswered else self._average_s.get(key)
+
     @switchable(
         "adaptive-timeouts",
         "let timeouts follow measured response times",
