Tell callers that a job has not run where the other daemons refused the connection

Cause: a daemon that the store turns away asks others to store a job. A refused connection carries nothing.

Test seen failing before.

--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -160,6 +160,27 @@
 
     def test_callers_with_four_retries_outlast_an_outage(self) -> None:
         """Load pattern: a store outage of 4.2 s; callers obey retry-after four times."""
+    def test_refusal_is_certain_beside_daemons_that_have_ended(self) -> None:
+        """Load pattern: daemons are replaced in turn while the store is away.
+
+        A daemon that refuses connections stored nothing, so the caller is told that the job has not
+        run and may send it again.
+        """
+        world = World(5)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            world.store.is_down = True
+            await asyncio.sleep(2.5)
+            for name in sorted(world.daemons)[1:]:
+                del world.network.listeners[world.node_names[name]]
+            handler = world.daemons["entry-0"].request_handler
+            answer = await handler.async_submit(make_job(world, 1), 3.0)
+            assert answer.outcome == "not-run"
+            world.store.is_down = False
+
+        world.run(run_scenario())
+
         world = World(7)
         accepted = []
 
--- a/wasabiramp/entry/request_handler.py
+++ b/wasabiramp/entry/request_handler.py
@@ -47,6 +47,7 @@
 )
 from wasabiramp.logs import log_event
 from wasabiramp.metrics import Metrics
+from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.events import CancelAsked
 from wasabiramp.scheduling.model import CANCELLED as PHASE_CANCELLED
 from wasabiramp.scheduling.model import (
@@ -99,6 +100,19 @@
 """Number of daemons that are asked to store a job when this one cannot."""
 
 
+@switchable(
+    "outage-retry-after",
+    "let Retry-After follow the length of an outage",
+    plain=lambda silence_s: RETRY_AFTER_S,
+)
+def choose_retry_after_s(silence_s: float) -> float:
+    """Return the retry-after of a submission while the store has been silent for some time.
+
+    An outage that has lasted for some time is likely to last as long again.
+    """
+    return min(MAX_RETRY_AFTER_S, max(OUTAGE_RETRY_AFTER_S, silence_s))
+
+
 class RequestHandler:
     """Serves callers at this daemon, and calls of other daemons to the owner."""
 
@@ -145,10 +159,7 @@
             await asyncio.sleep(RETRY_DELAY_S)
         outcome = MAY_HAVE_RUN if may_be_stored else NOT_RUN
         log_event("job_not_stored", job=job.id, queue=job.queue.name, outcome=outcome)
-        # An outage that has lasted for some time is likely to last as long again.
-        retry_after_s = min(
-            MAX_RETRY_AFTER_S, max(OUTAGE_RETRY_AFTER_S, self._store.get_silence_s())
-        )
+        retry_after_s = choose_retry_after_s(self._store.get_silence_s())
         return Answer(outcome, reason="the store does not answer", retry_after_s=retry_after_s)
 
     async def _async_store(self, job: JobDefinition, time_left_s: float) -> str:
@@ -168,6 +179,9 @@
         for address in self._list_peers()[:MAX_PEERS_TRIED]:
             try:
                 answer = await self._peers.async_call(address, message, 2 * PEER_CALL_TIMEOUT_S)
+            except PeerGoneError:
+                # Nothing was sent, so the job is certainly not stored.
+                continue
             except NoAnswerError:
                 outcome = admission_outcomes.UNKNOWN
                 continue
@@ -183,6 +197,7 @@
         peers = [a for name, a in sorted(members.addresses.items()) if name != members.name]
         return sorted(peers, key=lambda address: address != members.owner_address)
 
+    @switchable("announcements", "tell the owner of stored jobs at once", plain=do_nothing)
     def _announce(self, job: JobDefinition, revision: int) -> None:
         """Announce a stored job to the owner, before the owner finds it in the store."""
         owner = self._get_owner()
