Hand ownership over when the store turns only the owner away

Change: an owner whose calls to the store have all failed for 0.2 s asks the strongest daemons to take over; one that the store answers claims at once. An outage for all changes no owner, and fencing keeps it safe as with an owner whose process has ended.

Ways weighed: sending the owner's commits and renewals through another daemon would avoid the takeover, but such an owner does not learn of executors and jobs either.

--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -11,9 +11,11 @@
 from wasabiramp.entry.answers import NOT_READY, Answer
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.keys import KEY_TERM, PREFIX_JOB, PREFIX_PROGRESS
+from wasabiramp.entry.membership import LEASE_TTL_S, RENEWAL_INTERVAL_S
 from wasabiramp.entry.owner import MIN_TENURE_S, OVERLOAD_DURATION_S, OVERLOAD_LAG_S
 from wasabiramp.model.entry.checker import JobRecord
 from wasabiramp.model.entry.clock import async_run_on_node
+from wasabiramp.model.entry.network import STORE
 from wasabiramp.model.entry.schedule import draw_job, find_owner
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
@@ -158,8 +160,6 @@
 
         world.run(run_scenario())
 
-    def test_callers_with_four_retries_outlast_an_outage(self) -> None:
-        """Load pattern: a store outage of 4.2 s; callers obey retry-after four times."""
     def test_refusal_is_certain_beside_daemons_that_have_ended(self) -> None:
         """Load pattern: daemons are replaced in turn while the store is away.
 
@@ -181,6 +181,8 @@
 
         world.run(run_scenario())
 
+    def test_callers_with_four_retries_outlast_an_outage(self) -> None:
+        """Load pattern: a store outage of 4.2 s; callers obey retry-after four times."""
         world = World(7)
         accepted = []
 
@@ -221,6 +223,68 @@
         world.run(run_scenario())
 
 
+class TestRefusedOwner:
+    """Load pattern: the store turns the owner away and serves the other daemons."""
+
+    def measure_handover(self, seed: int, is_cut: bool) -> float:
+        """Return the time from the first failure until another owner has recovered."""
+        world = World(seed)
+        took_s = 0.0
+
+        async def run_scenario() -> None:
+            nonlocal took_s
+            await world.async_start()
+            for number in range(5):
+                await world.async_submit(make_job(world, number))
+            owner = find_owner(world)
+            assert owner is not None
+            await asyncio.sleep(world.random.uniform(0.0, 1.0))
+            if is_cut:
+                world.network.add_partition(world.node_names[owner], STORE)
+            else:
+                world.clients[owner].is_refused = True
+            refused_at = world.loop.time()
+            while not any(
+                daemon.owner is not None and daemon.owner.is_recovered
+                for name, daemon in world.daemons.items()
+                if name != owner
+            ):
+                await asyncio.sleep(0.01)
+            took_s = world.loop.time() - refused_at
+            world.clients[owner].is_refused = False
+            world.network.remove_all_partitions()
+            await world.async_wait_for_jobs(20.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+        return took_s
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_refused_owner_hands_over_within_half_a_lease(self, seed: int) -> None:
+        assert self.measure_handover(seed, is_cut=False) <= LEASE_TTL_S / 2 + RENEWAL_INTERVAL_S
+
+    @pytest.mark.parametrize("seed", range(1, 4))
+    def test_owner_behind_a_partition_is_replaced_within_its_lease(self, seed: int) -> None:
+        assert self.measure_handover(seed, is_cut=True) <= LEASE_TTL_S + RENEWAL_INTERVAL_S
+
+    def test_no_handover_while_the_store_is_away_for_all(self) -> None:
+        """Guards against a change of owner that costs more than the outage itself."""
+        world = World(4)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            owner = find_owner(world)
+            world.store.is_down = True
+            await asyncio.sleep(0.8)
+            assert find_owner(world) == owner
+            world.store.is_down = False
+            await asyncio.sleep(1.0)
+            assert find_owner(world) == owner
+            assert msgpack.unpackb(world.store.items[KEY_TERM].value)[1] == 1
+
+        world.run(run_scenario())
+
+
 class TestSlowStore:
     """The store answers 65 times as slowly: the owner keeps its term, and jobs finish."""
 
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -23,6 +23,7 @@
     PeerAnswer,
     Peers,
     ServeCall,
+    TakeOver,
 )
 from wasabiramp.entry.ports import (
     Adviser,
@@ -40,17 +41,18 @@
 from wasabiramp.entry.watcher import PrefixWatcher
 from wasabiramp.logs import log_event
 from wasabiramp.metrics import Metrics
+from wasabiramp.policy.switches import do_nothing_async, switchable
 from wasabiramp.scheduling.model import CellConfig, Queue
 
 CONFIG_WATCH_TIMEOUT_S: Final = 2.0
 """Timeout of a watch of the configuration; a dead connection is noticed soon after."""
 
-MAX_CONTACT_AGE_S: Final = 3.0
-"""Without contact to the store for this long, the daemon reports itself as not ready."""
 FIRST_CONFIG_WAIT_S: Final = 1.0
 """Longest wait of a request for the first configuration: the time of its transfer over a narrow
 link."""
 
+MAX_CONTACT_AGE_S: Final = 3.0
+"""Without contact to the store for this long, the daemon reports itself as not ready."""
 
 BIND_RETRY_DELAY_S: Final = 0.2
 MAX_BIND_ATTEMPTS: Final = 20
@@ -71,6 +73,20 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+HAND_OVER_AFTER_S: Final = 0.2
+"""Time of failing calls to the store after which an owner asks others to take over.
+
+It is several calls, and a fraction of the lease after which another daemon would claim."""
+
+HAND_OVER_CHECK_S: Final = 0.05
+HAND_OVER_INTERVAL_S: Final = 1.0
+"""Interval of the check, and between two attempts."""
+
+HAND_OVER_CALL_TIMEOUT_S: Final = 0.2
+MAX_HAND_OVER_CALLS: Final = 3
+"""Timeout of the question to one daemon, and number of daemons asked in one attempt."""
+
+
 class EntryDaemon:
     """One daemon: request handler, membership, and the owner when elected."""
 
@@ -125,6 +141,7 @@
                 ("configuration", self._config_watcher.async_run),
                 ("admission", self.request_handler.admission.async_run),
                 ("announcer", self.request_handler.async_run_announcer),
+                ("hand-over", self._async_hand_over_if_cut_off),
             )
         ]
 
@@ -251,6 +268,32 @@
         )
         self._owner.start(self.config)
 
+    async def _async_hand_over_if_cut_off(self) -> None:
+        """Look for another owner while the store fails for this one but may answer others."""
+        while True:
+            await asyncio.sleep(HAND_OVER_CHECK_S)
+            if self._owner is not None and self._store.get_failing_s() > HAND_OVER_AFTER_S:
+                await self._async_hand_over()
+                await asyncio.sleep(HAND_OVER_INTERVAL_S)
+
+    @switchable("hand-over", "hand ownership over when the store fails only here", do_nothing_async)
+    async def _async_hand_over(self) -> None:
+        """Ask the strongest daemons to take over; this one acts until an executor fences it."""
+        message = TakeOver(self.settings.peer_address)
+        for address in self._membership.list_peers_by_strength()[:MAX_HAND_OVER_CALLS]:
+            try:
+                answer = await self._peers.async_call(address, message, HAND_OVER_CALL_TIMEOUT_S)
+            except NoAnswerError:
+                continue
+            if answer.outcome == OK:
+                log_event("ownership_offered", to=address, failing_s=self._store.get_failing_s())
+                return
+
+    def _serve_take_over(self, message: TakeOver) -> PeerAnswer:
+        """Take ownership over if the store answers this daemon."""
+        is_taken = self._store.is_answering() and self._membership.take_over(message.address)
+        return PeerAnswer(OK if is_taken else FAILED)
+
     def _resign(self) -> None:
         """Resign because of overload, so that another daemon becomes the owner."""
         task = asyncio.get_running_loop().create_task(self._membership.async_resign())
@@ -270,6 +313,8 @@
 
     async def _async_serve_peer(self, message: Any) -> PeerAnswer:
         """Answer a call of another daemon."""
+        if isinstance(message, TakeOver):
+            return self._serve_take_over(message)
         if not isinstance(message, AskAdviser):
             return await self.request_handler.async_serve(message)
         try:
--- a/wasabiramp/entry/health.py
+++ b/wasabiramp/entry/health.py
@@ -37,6 +37,7 @@
         self._store = store
         self._answered_at = 0.0
         self._failed_at: float | None = None
+        self._failing_since: float | None = None
         self._is_unavailable = False
         self._calls: Counter[str] = Counter()
         self._summary_started_at = 0.0
@@ -51,6 +52,17 @@
         self._is_unavailable = is_unavailable
         return is_unavailable
 
+    def get_failing_s(self) -> float:
+        """Return for how long all calls have failed, or 0 if the last one was answered."""
+        if self._failing_since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._failing_since
+
+    def is_answering(self) -> bool:
+        """Return whether the last call was answered, and recently."""
+        silence_s = asyncio.get_running_loop().time() - self._answered_at
+        return self._failing_since is None and silence_s < UNAVAILABLE_AFTER_S
+
     def get_silence_s(self) -> float:
         """Return the seconds since the last answer."""
         return round(asyncio.get_running_loop().time() - self._answered_at, 3)
@@ -72,6 +84,7 @@
             result = await call
         except (StoreRefusedError, StoreUnknownError):
             self._failed_at = asyncio.get_running_loop().time()
+            self._failing_since = self._failing_since or self._failed_at
             raise
         except Exception:
             self._record_answer()
@@ -84,7 +97,7 @@
         if self._is_unavailable:
             log_event("store_back", silent_s=self.get_silence_s())
         self._is_unavailable = False
-        self._failed_at = None
+        self._failed_at = self._failing_since = None
         self._answered_at = asyncio.get_running_loop().time()
 
     async def async_get(self, key: str) -> Item | None:
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -307,14 +307,35 @@
 
         Fencing makes this safe even if the owner is alive behind a network partition.
         """
+        if self._mark_replaced(address):
+            self._schedule_claim()
+
+    def take_over(self, address: str) -> bool:
+        """Claim ownership at once from an owner that asked for it; return whether it is claimed."""
+        if not self._lease or self._is_leaving or not self._mark_replaced(address):
+            return False
+        if self._claim_task is not None:
+            self._claim_task.cancel()
+        self._claim_task = asyncio.get_running_loop().create_task(self._async_claim_now())
+        return True
+
+    def _mark_replaced(self, address: str) -> bool:
+        """Let the present owner not count any more; return whether it has the address."""
         now = asyncio.get_running_loop().time()
         item = self._watcher.items.get(KEY_OWNER)
         if item is None or self.owner_address != address:
-            return
+            return False
         if now < self._last_replacement_at + REPLACE_INTERVAL_S:
-            return
+            return False
         self._replaced_revision, self._last_replacement_at = item.revision, now
-        self._schedule_claim()
+        return True
+
+    def list_peers_by_strength(self) -> list[str]:
+        """Return the addresses of the other daemons, strongest first."""
+        items = self._watcher.items
+        names = [name for name in sorted(self.addresses) if name != self.name]
+        names.sort(key=lambda name: -_parse_power(items[PREFIX_MEMBER + name]))
+        return [self.addresses[name] for name in names]
 
     def _is_owned(self) -> bool:
         """Return whether there is an owner that this daemon need not replace.
@@ -352,6 +373,10 @@
     async def _async_claim(self) -> None:
         """Claim the next term after the delay, unless an owner exists by then."""
         await asyncio.sleep(self._compute_claim_delay_s())
+        await self._async_claim_now()
+
+    async def _async_claim_now(self) -> None:
+        """Claim the next term, unless there is an owner."""
         if self._is_owned() or self._is_leaving or not self._lease:
             return
         owner, last_term = self._watcher.items.get(KEY_OWNER), self._watcher.items.get(KEY_TERM)
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -79,6 +79,13 @@
     timeout_s: float
 
 
+@record
+class TakeOver:
+    """Ask a daemon to become the owner instead of the sender, whose calls to the store fail."""
+
+    address: str
+
+
 @record
 class PeerAnswer:
     """The answer to any call; `value` depends on the call."""
--- a/wasabiramp/policy/switches.py
+++ b/wasabiramp/policy/switches.py
@@ -56,6 +56,10 @@
     """Do nothing, as the plain alternative of a mechanism that only acts."""
 
 
+async def do_nothing_async(*_args: Any) -> None:
+    """Do nothing, as the plain alternative of a coroutine that only acts."""
+
+
 def set_switched_off(names: list[str]) -> None:
     """Switch off the named mechanisms and all others on; raise UnknownSwitchError."""
     for name in names:
