--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -74,7 +74,7 @@
 
 
 HAND_OVER_AFTER_S: Final = 0.2
-"""Time of failing calls to the store after which an owner asks others to take over.
+"""Time for which the store turns an owner away until it asks others to take over.
 
 It is several calls, and a fraction of the lease after which another daemon would claim."""
 
@@ -141,7 +141,7 @@
                 ("configuration", self._config_watcher.async_run),
                 ("admission", self.request_handler.admission.async_run),
                 ("announcer", self.request_handler.async_run_announcer),
-                ("hand-over", self._async_hand_over_if_cut_off),
+                ("hand-over", self._async_hand_over_if_refused),
             )
         ]
 
@@ -268,15 +268,19 @@
         )
         self._owner.start(self.config)
 
-    async def _async_hand_over_if_cut_off(self) -> None:
-        """Look for another owner while the store fails for this one but may answer others."""
+    async def _async_hand_over_if_refused(self) -> None:
+        """Look for another owner while the store turns this one away but may answer others."""
         while True:
             await asyncio.sleep(HAND_OVER_CHECK_S)
-            if self._owner is not None and self._store.get_failing_s() > HAND_OVER_AFTER_S:
+            if self._owner is not None and self._store.get_turned_away_s() > HAND_OVER_AFTER_S:
                 await self._async_hand_over()
                 await asyncio.sleep(HAND_OVER_INTERVAL_S)
 
-    @switchable("hand-over", "hand ownership over when the store fails only here", do_nothing_async)
+    @switchable(
+        "hand-over",
+        "hand ownership over when the store turns only the owner away",
+        do_nothing_async,
+    )
     async def _async_hand_over(self) -> None:
         """Ask the strongest daemons to take over; this one acts until an executor fences it."""
         message = TakeOver(self.settings.peer_address)
@@ -286,7 +290,8 @@
             except NoAnswerError:
                 continue
             if answer.outcome == OK:
-                log_event("ownership_offered", to=address, failing_s=self._store.get_failing_s())
+                turned_away_s = self._store.get_turned_away_s()
+                log_event("ownership_offered", to=address, turned_away_s=turned_away_s)
                 return
 
     def _serve_take_over(self, message: TakeOver) -> PeerAnswer:
--- a/wasabiramp/entry/health.py
+++ b/wasabiramp/entry/health.py
@@ -25,6 +25,11 @@
 It spans two renewals of the daemon's lease.
 """
 
+MAX_REFUSAL_S: Final = 0.1
+"""Time within which a call fails that the store turns away: a refusal, or a connection that is reset.
+
+It is several round trips, and well below the shortest timeout."""
+
 CALL_SUMMARY_INTERVAL_S: Final = 5.0
 """Interval of the log lines that count the calls to the store, as each call has a cost."""
 
@@ -37,7 +42,7 @@
         self._store = store
         self._answered_at = 0.0
         self._failed_at: float | None = None
-        self._failing_since: float | None = None
+        self._turned_away_since: float | None = None
         self._is_unavailable = False
         self._calls: Counter[str] = Counter()
         self._summary_started_at = 0.0
@@ -52,16 +57,19 @@
         self._is_unavailable = is_unavailable
         return is_unavailable
 
-    def get_failing_s(self) -> float:
-        """Return for how long all calls have failed, or 0 if the last one was answered."""
-        if self._failing_since is None:
+    def get_turned_away_s(self) -> float:
+        """Return for how long the store has turned all calls away, or 0 if it has not.
+
+        Timeouts do not count, as this daemon's own link may be saturated.
+        """
+        if self._turned_away_since is None:
             return 0.0
-        return asyncio.get_running_loop().time() - self._failing_since
+        return asyncio.get_running_loop().time() - self._turned_away_since
 
     def is_answering(self) -> bool:
         """Return whether the last call was answered, and recently."""
         silence_s = asyncio.get_running_loop().time() - self._answered_at
-        return self._failing_since is None and silence_s < UNAVAILABLE_AFTER_S
+        return self._failed_at is None and silence_s < UNAVAILABLE_AFTER_S
 
     def get_silence_s(self) -> float:
         """Return the seconds since the last answer."""
@@ -80,11 +88,11 @@
     async def _async_monitor_call(self, name: str, call: Awaitable[T]) -> T:
         """Make a call and record whether the store answered."""
         self._count_call(name)
+        called_at = asyncio.get_running_loop().time()
         try:
             result = await call
         except (StoreRefusedError, StoreUnknownError):
-            self._failed_at = asyncio.get_running_loop().time()
-            self._failing_since = self._failing_since or self._failed_at
+            self._record_failure(called_at)
             raise
         except Exception:
             self._record_answer()
@@ -92,12 +100,20 @@
         self._record_answer()
         return result
 
+    def _record_failure(self, called_at: float) -> None:
+        """Record a failed call; one that failed soon was turned away."""
+        self._failed_at = now = asyncio.get_running_loop().time()
+        if now - called_at > MAX_REFUSAL_S:
+            self._turned_away_since = None
+        elif self._turned_away_since is None:
+            self._turned_away_since = now
+
     def _record_answer(self) -> None:
         """Record an answer, which may also be an error."""
         if self._is_unavailable:
             log_event("store_back", silent_s=self.get_silence_s())
         self._is_unavailable = False
-        self._failed_at = self._failing_since = None
+        self._failed_at = self._turned_away_since = None
         self._answered_at = asyncio.get_running_loop().time()
 
     async def async_get(self, key: str) -> Item | None:
