--- a/wasabiramp/entry/health.py
+++ b/wasabiramp/entry/health.py
@@ -26,7 +26,7 @@
 """
 
 MAX_REFUSAL_S: Final = 0.1
-"""Time within which a call fails that the store turns away: a refusal, or a connection that is reset.
+"""Time within which a call fails that the store turns away, by a refusal or a reset connection.
 
 It is several round trips, and well below the shortest timeout."""
 
