--- a/wasabiramp/bench/load.py
+++ b/wasabiramp/bench/load.py
@@ -10,6 +10,7 @@
 
 from wasabiramp.bench.load_faults import LOAD_FAULTS
 from wasabiramp.bench.profiles import Kind, Profile
+from wasabiramp.bench.simulated import SimulatedExecutor, SimulatedRun
 from wasabiramp.core.records import record
 from wasabiramp.entry.owner import PLACEMENT_DELAY_S, RUN_LEASE_S, TICK_INTERVAL_S
 from wasabiramp.scheduling.effects import (
@@ -87,38 +88,6 @@
     wait_p99_s: float
 
 
-class SimulatedRun:
-    """A run on a simulated executor; `ends_at` is infinite until its end is known."""
-
-    __slots__ = ("effect", "ends_at", "started_at", "has_ended")
-
-    def __init__(self, effect: StartTask, started_at: float) -> None:
-        """Create a run that starts at `started_at`."""
-        self.effect = effect
-        self.started_at = started_at
-        self.ends_at = math.inf
-        self.has_ended = False
-
-
-class SimulatedExecutor:
-    """A simulated executor with its runs, unacknowledged ends and pending holds.
-
-    `last_closed_run` has the highest run of each task that ended or was ordered to stop.
-    """
-
-    __slots__ = ("ends", "holds", "last_closed_run", "name", "next_end", "slowness", "runs")
-
-    def __init__(self, name: str, slowness: float) -> None:
-        """Create an idle executor whose runs take `slowness` times as long as usual."""
-        self.name = name
-        self.slowness = slowness
-        self.runs: dict[str, SimulatedRun] = {}
-        self.ends: list[EndReport] = []
-        self.next_end = 1
-        self.holds: list[float] = []
-        self.last_closed_run: dict[str, int] = {}
-
-
 class LoadModel:
     """A discrete-event simulation of one scheduler, its executors and its adviser.
 
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -9,6 +9,13 @@
 
 import msgpack
 
+from wasabiramp.entry.election import (
+    compute_claim_delay_s,
+    parse_address,
+    parse_name,
+    parse_power,
+    parse_term,
+)
 from wasabiramp.entry.keys import KEY_OWNER, KEY_TERM, PREFIX_LIVE, PREFIX_MEMBER
 from wasabiramp.entry.ports import (
     EntrySettings,
@@ -44,23 +51,6 @@
 The owner may also be alive behind a network partition.
 """
 
-CLAIM_STAGGER_S: Final = 0.03
-"""Delay between the claims of successive candidates, to avoid conflicts."""
-
-MAX_CLAIM_RANK: Final = 10
-"""Candidates beyond this rank claim together; a better one has claimed by then."""
-
-OWNER_POWER_CORES: Final = 1.0
-OWNER_LINK_MBPS: Final = 50.0
-"""Processor time in cores and link bandwidth that an owner of 175 executors needs
-(docs/CAPACITY.md)."""
-
-WEAK_DAEMON_DELAY_S: Final = 0.35
-"""Additional claim delay of daemons below these limits, so that the others join and claim first.
-
-Daemons that resigned recently have it too (`CLAIM_DEFERRAL_S`).
-"""
-
 REJOIN_DELAY_S: Final = 2.0
 """Time before an owner that resigned joins again, so that the others see it leave and claim."""
 
@@ -70,10 +60,6 @@
 A slow phase of a machine lasts for seconds.
 """
 
-INCUMBENT_HEAD_START_S: Final = 0.3
-"""Time for which others wait when the owner's key is removed, so that an owner that is still a
-member claims again first."""
-
 WATCH_TIMEOUT_S: Final = 2.0
 """Timeout of a watch; also bounds how long a dead connection goes unnoticed."""
 
@@ -144,7 +130,7 @@
     def owner_name(self) -> str:
         """Return the name of the current owner, or of the last known one."""
         item = self._watcher.items.get(KEY_OWNER) or self._watcher.items.get(KEY_TERM)
-        return _parse_name(item) if item is not None else ""
+        return parse_name(item) if item is not None else ""
 
     @property
     def owner_address(self) -> str:
@@ -211,7 +197,7 @@
         if key.startswith(PREFIX_MEMBER):
             name = key.removeprefix(PREFIX_MEMBER)
             if item is not None:
-                self.addresses[name] = _parse_address(item)
+                self.addresses[name] = parse_address(item)
                 log_event("member_joined", member=name)
             else:
                 self.addresses.pop(name, None)
@@ -222,17 +208,17 @@
         elif key == KEY_OWNER and item is not None:
             if item.revision != self._replaced_revision:
                 self._replaced_revision = 0
-            log_event("owner_seen", owner=_parse_name(item))
+            log_event("owner_seen", owner=parse_name(item))
         elif key == KEY_TERM and item is not None:
             self._handle_term(item)
 
     def _handle_term(self, item: Item) -> None:
         """End the tenure if another daemon claimed a term; adopt a claim whose answer was lost."""
-        if _parse_name(item) != self._settings.name:
+        if parse_name(item) != self._settings.name:
             if self.tenure is not None and item.revision > self.tenure.fencing_token:
-                self.end_tenure(f"term taken by {_parse_name(item)}")
+                self.end_tenure(f"term taken by {parse_name(item)}")
         elif item.value == self._pending_claim:
-            self._begin_tenure(Tenure(_parse_term(item), item.revision))
+            self._begin_tenure(Tenure(parse_term(item), item.revision))
 
     async def _async_renew(self) -> None:
         """Renew the lease regularly, and join again after it ended."""
@@ -334,7 +320,7 @@
         """Return the addresses of the other daemons, strongest first."""
         items = self._watcher.items
         names = [name for name in sorted(self.addresses) if name != self.name]
-        names.sort(key=lambda name: -_parse_power(items[PREFIX_MEMBER + name]))
+        names.sort(key=lambda name: -parse_power(items[PREFIX_MEMBER + name]))
         return [self.addresses[name] for name in names]
 
     def _is_owned(self) -> bool:
@@ -346,29 +332,19 @@
         item = self._watcher.items.get(KEY_OWNER)
         if item is None or item.revision == self._replaced_revision:
             return False
-        return self.tenure is not None or _parse_name(item) != self._settings.name
+        return self.tenure is not None or parse_name(item) != self._settings.name
 
     def _compute_claim_delay_s(self) -> float:
-        """Return the delay before a claim.
-
-        The last owner claims at once, unless it resigned recently; the others follow by processor
-        time, and of equal ones those that joined last come first.
-        """
+        """Return this daemon's delay before a claim."""
         term = self._watcher.items.get(KEY_TERM)
-        last_owner = _parse_name(term) if term is not None else ""
-        is_deferred = asyncio.get_running_loop().time() < self._deferred_until
-        if last_owner == self._settings.name and not is_deferred:
-            return 0.0
-        items = self._watcher.items
-        members = [key for key in items if key.startswith(PREFIX_MEMBER)]
-        members.sort(key=lambda key: (-_get_strength(items[key]), -items[key].created))
-        rank = members.index(self._member_key) if self._member_key in members else len(members)
-        delay_s = min(rank, MAX_CLAIM_RANK) * CLAIM_STAGGER_S
-        delay_s += _get_weakness_delay_s(self._settings)
-        if is_deferred:
-            delay_s += WEAK_DAEMON_DELAY_S
-        is_alive = last_owner in self.addresses and not self._replaced_revision
-        return delay_s + _get_head_start_s(is_alive)
+        last_owner = parse_name(term) if term is not None else ""
+        return compute_claim_delay_s(
+            self._settings,
+            self._watcher.items,
+            is_last_owner=last_owner == self._settings.name,
+            is_deferred=asyncio.get_running_loop().time() < self._deferred_until,
+            is_incumbent_alive=last_owner in self.addresses and not self._replaced_revision,
+        )
 
     async def _async_claim(self) -> None:
         """Claim the next term after the delay, unless an owner exists by then."""
@@ -380,7 +356,7 @@
         if self._is_owned() or self._is_leaving or not self._lease:
             return
         owner, last_term = self._watcher.items.get(KEY_OWNER), self._watcher.items.get(KEY_TERM)
-        term = _parse_term(last_term) + 1 if last_term is not None else 1
+        term = parse_term(last_term) + 1 if last_term is not None else 1
         value = msgpack.packb((self._settings.name, term))
         transaction = Transaction(
             expected={
@@ -429,63 +405,6 @@
         self._on_tenure_begun(tenure)
 
 
-@switchable("owner-strength", "prefer strong daemons as the owner", plain=lambda item: 0.0)
-def _get_strength(item: Item) -> float:
-    """Return the rank of a member among the candidates for ownership; the highest claims first."""
-    return _parse_power(item)
-
-
-@switchable(
-    "weak-daemon-delay", "let weak daemons claim ownership later", plain=lambda settings: 0.0
-)
-def _get_weakness_delay_s(settings: EntrySettings) -> float:
-    """Return the additional claim delay of a daemon that is too weak for an owner."""
-    is_weak = settings.power < OWNER_POWER_CORES or settings.link_mbps < OWNER_LINK_MBPS
-    return WEAK_DAEMON_DELAY_S if is_weak else 0.0
-
-
-@switchable(
-    "incumbent-head-start",
-    "let an owner that lost its key claim again first",
-    plain=lambda is_alive: 0.0,
-)
-def _get_head_start_s(is_alive: bool) -> float:
-    """Return the claim delay that an owner that is still a member gets ahead of the others."""
-    return INCUMBENT_HEAD_START_S if is_alive else 0.0
-
-
 def _compute_ttl_s(power: float) -> float:
     """Return the duration of a daemon's lease, in which several renewals must be answered."""
     return min(MAX_LEASE_TTL_S, LEASE_TTL_S * max(1.0, MIN_FULL_POWER_CORES / max(power, 0.01)))
-
-
-def _parse_name(item: Item) -> str:
-    """Return the daemon's name in a member's, owner's or term's entry."""
-    try:
-        return str(msgpack.unpackb(item.value)[0])
-    except (ValueError, TypeError, IndexError):
-        return ""
-
-
-def _parse_address(item: Item) -> str:
-    """Return the address in a member's entry."""
-    try:
-        return str(msgpack.unpackb(item.value)[1])
-    except (ValueError, TypeError, IndexError):
-        return ""
-
-
-def _parse_power(item: Item) -> float:
-    """Return the processor time of a member, in cores."""
-    try:
-        return float(msgpack.unpackb(item.value)[2])
-    except (ValueError, TypeError, IndexError):
-        return 0.0
-
-
-def _parse_term(item: Item) -> int:
-    """Return the number of a term."""
-    try:
-        return int(msgpack.unpackb(item.value)[1])
-    except (ValueError, TypeError, IndexError):
-        return 0
