--- a/tests/report/test_losses.py
+++ b/tests/report/test_losses.py
@@ -111,6 +111,10 @@
         lines = [line for line in make_job_lines("aa", 1.0, 9.0, 9.6) if "job_taken" not in line[1]]
         assert list_losses(read_cell([write_log(tmp_path / "a.log", *lines)])) == []
 
+    def test_job_of_which_only_steps_are_logged(self, tmp_path: Path) -> None:
+        log = write_log(tmp_path / "a.log", (1.0, "event=advice step=aa.0.0 asked=24 good=9"))
+        assert read_cell([log]).jobs == {}
+
     def test_lines_of_several_daemons_in_one_file(self, tmp_path: Path) -> None:
         log = write_log(
             tmp_path / "all.log",
--- a/wasabiramp/report/losses.py
+++ b/wasabiramp/report/losses.py
@@ -75,11 +75,16 @@
     target_s: float = 0.0
     steps: dict[str, StepHistory] = field(default_factory=dict)
 
+    @property
+    def times(self) -> list[float]:
+        """Return the times of the lines about the job itself."""
+        known = [*self.refused_at, self.stored_at, self.taken_at, self.ended_at]
+        return [time for time in known if time is not None]
+
     @property
     def submitted_at(self) -> float:
-        """Return the time of the first line about the job."""
-        times = [*self.refused_at, self.stored_at, self.taken_at, self.ended_at]
-        return min(time for time in times if time is not None)
+        """Return the time of the first line about the job itself."""
+        return min(self.times)
 
     @property
     def lateness_s(self) -> float | None:
@@ -283,6 +288,8 @@
         self._first = lines[0][0]
         for time, source, text in lines:
             self._add_line(time - self._first, source, read_pairs(text))
+        # A job of which only steps are logged, as others of its lines were dropped, has no times.
+        self.cell.jobs = {job.id: job for job in self.cell.jobs.values() if job.times}
         self.cell.ends_at = self._previous
         self.cell.outages += [(begin, self._previous) for begin in self._away.values()]
         return self.cell
