--- a/wasabiramp/report/losses.py
+++ b/wasabiramp/report/losses.py
@@ -113,7 +113,7 @@
 
 @dataclass(slots=True)
 class CellHistory:
-    """Intervals in which the store was away, no owner had recovered, or no daemon ran."""
+    """Times when the store was away for most daemons, no owner had recovered, or no daemon ran."""
 
     jobs: dict[str, JobHistory] = field(default_factory=dict)
     outages: list[Interval] = field(default_factory=list)
@@ -265,6 +265,24 @@
     return sorted(rows, key=lambda row: (-row.jobs, row.cause, row.queue))
 
 
+def find_common(intervals: list[Interval], daemons: int) -> list[Interval]:
+    """Return the times that lie in the intervals of more than half of the daemons.
+
+    A store that turns only some daemons away is no outage, as the others serve their callers.
+    """
+    edges = sorted([(begin, 1) for begin, _ in intervals] + [(end, -1) for _, end in intervals])
+    common, count, begin = [], 0, 0.0
+    for time, change in edges:
+        was_common = 2 * count > daemons
+        count += change
+        is_common = 2 * count > daemons
+        if is_common and not was_common:
+            begin = time
+        elif was_common and not is_common:
+            common.append((begin, time))
+    return common
+
+
 class LogReader:
     """Builds the history of a cell from the log lines of its daemons."""
 
@@ -274,6 +292,8 @@
         self._first: float | None = None
         self._previous = 0.0
         self._away: dict[str, float] = {}
+        self._outages: list[Interval] = []
+        self._last_line: dict[str, float] = {}
         self._gap_from: float | None = None
 
     def read(self, paths: list[Path]) -> CellHistory:
@@ -291,19 +311,22 @@
         # A job of which only steps are logged, as others of its lines were dropped, has no times.
         self.cell.jobs = {job.id: job for job in self.cell.jobs.values() if job.times}
         self.cell.ends_at = self._previous
-        self.cell.outages += [(begin, self._previous) for begin in self._away.values()]
+        for source in list(self._away):
+            self._end_outage(source)
+        self.cell.outages = find_common(self._outages, len(self._last_line))
         return self.cell
 
     def _add_line(self, time: float, source: str, pairs: dict[str, str]) -> None:
         """Add one line to the history."""
         event = pairs.get("event", "")
-        if event == "starting" and self._previous:
+        if event == "starting":
             self._add_downtime(time)
-        self._previous = time
+            self._end_outage(source)
+        self._previous = self._last_line[source] = time
         if event == "store_away":
             self._away.setdefault(source, time - OUTAGE_NOTICE_S)
-        elif event == "store_back" and source in self._away:
-            self.cell.outages.append((self._away.pop(source), time))
+        elif event == "store_back":
+            self._end_outage(source)
         elif event in ("owner_gone", "owner_process_gone", "ownership_lost", "owner_silent"):
             self._gap_from = time if self._gap_from is None else self._gap_from
         elif event == "recovery_complete":
@@ -312,9 +335,14 @@
             self._gap_from = None
         self._add_job_line(time, event, pairs)
 
+    def _end_outage(self, source: str) -> None:
+        """End the outage that a daemon saw at its last line, which it may not have outlived."""
+        if source in self._away:
+            self._outages.append((self._away.pop(source), self._last_line[source]))
+
     def _add_downtime(self, time: float) -> None:
         """Add an interval in which no daemon wrote a line."""
-        if time - self._previous > USUAL_WAIT_S:
+        if self._previous and time - self._previous > USUAL_WAIT_S:
             self.cell.downtimes.append((self._previous, time))
 
     def _add_job_line(self, time: float, event: str, pairs: dict[str, str]) -> None:
