--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""UNASKED: a cancel that was never answered, and tasks of the job are started long after it."""
+"""LOST: accepted jobs are shown as failed, though no run of them has ended `failed`."""
 
 from __future__ import annotations
 
@@ -8,49 +8,67 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import OPEN, SILENT, Cell, run_case  # noqa: E402
+from harness import CannotRun, Cell, Daemon, run_case  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
-JOB = "6d1f8b32ea5c47a9"
-CUT_S = 5.0
-STEP_MS = 2500
-STEPS = 14
-CONTACT_S, ACK_S, CANCEL_S = 3.0, 4.0, 3.0
-"""The bounds `contactMs`, `ackMs` and `cancel_ms`."""
+BATCH_JOB = "5c0e7a21d94b36f8"
+LASTING_JOB = "6d1f8b32ea5c47a9"
+FINAL = ("done", "failed", "cancelled")
+WARM_UP_S = 20.0
+CRASH_AFTER_S = 1.0
+DOWN_S = 2.0
+"""Each crashed executor is back after this time, under its id and at its address."""
+
+MOST_CRASHES = 3
+WATCH_S = 10.0
+
+
+async def watch_job(cell: Cell, daemon: Daemon, job: str, crashes: int) -> str:
+    """Crash the executor of a job's only task, one of 24, one crash after the other."""
+    seen, state = 0.0, ""
+    for _ in range(crashes):
+        start = await cell.wait_for_start(job, seen, 12.0)
+        if start is None:
+            break
+        seen = start[0]
+        await asyncio.sleep(CRASH_AFTER_S)
+        executor = cell.find_executor(start[3])
+        await executor.crash()
+        await asyncio.sleep(DOWN_S)
+        await executor.boot()
+        await asyncio.sleep(0.5)
+        state = (await cell.call(daemon, "GET", f"/scan/{job}"))[1].get("state", "")
+        if state in FINAL:
+            return state
+    deadline = cell.record.now + WATCH_S
+    while cell.record.now < deadline and state not in FINAL:
+        await asyncio.sleep(1)
+        state = (await cell.call(daemon, "GET", f"/scan/{job}"))[1].get("state", "")
+    return state
 
 
 async def case(folder: Path, has_trouble: bool) -> bool:
-    """Cut the leader from the store for 5 s; meanwhile a client cancels its job there."""
-    queue = {"name": "q", "prefix": "/squad/", "priority": 1, "maxAttempts": 4, "stretch": 2.0}
-    cell = Cell(folder, 4, 6, [queue])
+    """Crash the executor of a sound batch job, then that of a sound lasting job."""
+    queue = {"name": "q", "prefix": "/scan/", "priority": 1, "maxAttempts": 4, "stretch": 2.0}
+    cell = Cell(folder, 3, 24, [queue])
     try:
         await cell.start()
-        await asyncio.sleep(3)
-        leader = cell.daemons[cell.store.find_owner()]
-        shape = {"count": 2, "cpu": 2000, "memMb": 1024, "estimateMs": STEP_MS}
-        steps = [{**shape, **({"after": [n - 1]} if n else {})} for n in range(STEPS)]
-        await cell.submit(leader, f"/squad/{JOB}", {"spec": f"ms={STEP_MS}", "steps": steps})
-        await asyncio.sleep(2)
-        if has_trouble:
-            cell.record.add(f"the path of {leader.name} to the store is cut")
-            cell.store.path_mode[leader.name] = SILENT
-            await asyncio.sleep(0.2)
-        asked_at = cell.record.now
-        # One call, with a deadline of a minute: the client is patient, and keeps its channel.
-        cancel = asyncio.create_task(cell.call(leader, "DELETE", f"/squad/{JOB}", wait_s=60))
-        if has_trouble:
-            await asyncio.sleep(CUT_S - 0.2)
-            cell.store.path_mode[leader.name] = OPEN
-            cell.record.add(f"the path of {leader.name} to the store is back")
-        stable_from = cell.record.now + CONTACT_S
-        bound = max(asked_at, stable_from) + ACK_S + CANCEL_S
-        await asyncio.sleep(bound + 4 - cell.record.now)
-        is_answered = cancel.done()
-        cell.record.add(f"cancel sent at {asked_at:.3f}; answered: {is_answered}")
-        late = [s for s in cell.starts if s[1].startswith(JOB) and s[0] > bound]
-        cell.record.add(f"{len(late)} starts of the job after {bound:.3f}: {late}")
-        cancel.cancel()
-        return bool(late)
+        await asyncio.sleep(WARM_UP_S)
+        daemon = next(iter(cell.daemons.values()))
+        crashes = MOST_CRASHES if has_trouble else 0
+        shape = {"count": 1, "cpu": 4000, "memMb": 2048}
+        batch = {"spec": "ms=6000", "steps": [{**shape, "estimateMs": 6000}]}
+        await cell.submit(daemon, f"/scan/{BATCH_JOB}", batch)
+        states = {BATCH_JOB: await watch_job(cell, daemon, BATCH_JOB, crashes)}
+        lasting = {"spec": "lasts", "steps": [{**shape, "longRunning": True, "estimateMs": 500}]}
+        await cell.submit(daemon, f"/scan/{LASTING_JOB}", lasting)
+        states[LASTING_JOB] = await watch_job(cell, daemon, LASTING_JOB, crashes)
+        for job, state in states.items():
+            ends = [end[4] for end in cell.ends if end[1].startswith(job)]
+            cell.record.add(f"job {job} is shown as {state}; its runs ended: {ends}")
+        if not all(states.values()):
+            raise CannotRun("a job's state could not be read")
+        return "failed" in states.values() and not any(end[4] == "failed" for end in cell.ends)
     finally:
         await cell.stop()
 
