--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,7 +52,7 @@
         cell.record.add(f"{len(restarts)} tasks started again after an end that was noted")
         for text in restarts[:20]:
             cell.record.add(text)
-        return bool(restarts)
+        return bool(restarts or cell.twice)
     finally:
         await cell.stop()
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -809,13 +809,16 @@
 
     def list_restarts(self) -> list[str]:
         """Return the starts after a run of the task has ended `done`, an end that is noted."""
-        done = {(end[1], end[2]): end for end in self.ends if end[4] == "done"}
+        done_at = {(end[1], end[2]): end[0] for end in self.ends if end[4] == "done"}
+        noted: dict[str, list[int]] = {}
+        for task, number in self.noted_done:
+            noted.setdefault(task, []).append(number)
         found = []
         for at, task, number, executor, _sender in self.starts:
-            for key in self.noted_done:
-                if key[0] == task and key[1] != number and done[key][0] < at:
+            for done in noted.get(task, ()):
+                if done != number and done_at[(task, done)] < at:
                     found.append(
-                        f"{task} run {key[1]} ended done at {done[key][0]:.3f}, "
+                        f"{task} run {done} ended done at {done_at[(task, done)]:.3f}, "
                         f"run {number} started at {at:.3f} on {executor}"
                     )
         return found
