--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""LOST: accepted jobs are shown as failed, though no run of them has ended `failed`."""
+"""TWICE: one task runs on two executors that are up, each under another leader."""
 
 from __future__ import annotations
 
@@ -8,67 +8,41 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import CannotRun, Cell, Daemon, run_case  # noqa: E402
+from harness import OPEN, SILENT, CannotRun, Cell, run_case  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
-BATCH_JOB = "5c0e7a21d94b36f8"
-LASTING_JOB = "6d1f8b32ea5c47a9"
-FINAL = ("done", "failed", "cancelled")
-WARM_UP_S = 20.0
-CRASH_AFTER_S = 1.0
-DOWN_S = 2.0
-"""Each crashed executor is back after this time, under its id and at its address."""
-
-MOST_CRASHES = 3
-WATCH_S = 10.0
-
-
-async def watch_job(cell: Cell, daemon: Daemon, job: str, crashes: int) -> str:
-    """Crash the executor of a job's only task, one of 24, one crash after the other."""
-    seen, state = 0.0, ""
-    for _ in range(crashes):
-        start = await cell.wait_for_start(job, seen, 12.0)
-        if start is None:
-            break
-        seen = start[0]
-        await asyncio.sleep(CRASH_AFTER_S)
-        executor = cell.find_executor(start[3])
-        await executor.crash()
-        await asyncio.sleep(DOWN_S)
-        await executor.boot()
-        await asyncio.sleep(0.5)
-        state = (await cell.call(daemon, "GET", f"/scan/{job}"))[1].get("state", "")
-        if state in FINAL:
-            return state
-    deadline = cell.record.now + WATCH_S
-    while cell.record.now < deadline and state not in FINAL:
-        await asyncio.sleep(1)
-        state = (await cell.call(daemon, "GET", f"/scan/{job}"))[1].get("state", "")
-    return state
+JOB = "7e20ac43fb6d58ba"
+CUT_S = 5.5
 
 
 async def case(folder: Path, has_trouble: bool) -> bool:
-    """Crash the executor of a sound batch job, then that of a sound lasting job."""
+    """Cut the leader from the store, and one executor from one other machine, for 5.5 s."""
     queue = {"name": "q", "prefix": "/scan/", "priority": 1, "maxAttempts": 4, "stretch": 2.0}
-    cell = Cell(folder, 3, 24, [queue])
+    cell = Cell(folder, 4, 6, [queue])
     try:
         await cell.start()
-        await asyncio.sleep(WARM_UP_S)
-        daemon = next(iter(cell.daemons.values()))
-        crashes = MOST_CRASHES if has_trouble else 0
-        shape = {"count": 1, "cpu": 4000, "memMb": 2048}
-        batch = {"spec": "ms=6000", "steps": [{**shape, "estimateMs": 6000}]}
-        await cell.submit(daemon, f"/scan/{BATCH_JOB}", batch)
-        states = {BATCH_JOB: await watch_job(cell, daemon, BATCH_JOB, crashes)}
-        lasting = {"spec": "lasts", "steps": [{**shape, "longRunning": True, "estimateMs": 500}]}
-        await cell.submit(daemon, f"/scan/{LASTING_JOB}", lasting)
-        states[LASTING_JOB] = await watch_job(cell, daemon, LASTING_JOB, crashes)
-        for job, state in states.items():
-            ends = [end[4] for end in cell.ends if end[1].startswith(job)]
-            cell.record.add(f"job {job} is shown as {state}; its runs ended: {ends}")
-        if not all(states.values()):
-            raise CannotRun("a job's state could not be read")
-        return "failed" in states.values() and not any(end[4] == "failed" for end in cell.ends)
+        await asyncio.sleep(3)
+        leader = cell.store.find_owner()
+        step = {"count": 1, "cpu": 4000, "memMb": 2048, "estimateMs": 20000}
+        body = {"spec": "ms=20000", "steps": [step]}
+        await cell.submit(cell.daemons[leader], f"/scan/{JOB}", body)
+        start = await cell.wait_for_start(JOB)
+        if start is None:
+            raise CannotRun("the task was not started")
+        executor = cell.find_executor(start[3])
+        await asyncio.sleep(3)
+        if has_trouble:
+            # Of equal machines that which joined last claims first.
+            next_leader = [n for n in cell.store.list_members() if n != leader][-1]
+            cell.record.add(f"cut: {leader} from the store, {executor.id} from {next_leader}")
+            cell.store.path_mode[leader] = SILENT
+            executor.cut_from = {next_leader}
+            await asyncio.sleep(CUT_S)
+            cell.store.path_mode[leader] = OPEN
+            executor.cut_from = set()
+            cell.record.add("both cuts heal")
+        await asyncio.sleep(8)
+        return bool(cell.twice)
     finally:
         await cell.stop()
 
