--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,67 @@
+"""TWICE: after an outage of the store, a new leader starts again what a cut-off executor runs."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+import sys
+import time
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from harness import OPEN, CannotRun, Cell, run_case  # noqa: E402
+
+FOLDER = Path(__file__).resolve().parent
+JOB = "5c0e7a21d94b36f8"
+DOWN_S = 4.5
+LEADER_DOWN_S = 5.5
+"""The store refuses all machines for 4.5 s, and the one that led for 1 s more."""
+
+CUT_AFTER_S = 4.2
+CUT_S = 3.5
+
+
+async def case(folder: Path, has_trouble: bool) -> bool:
+    """Let the store be down, and cut one of eight executors off for 3.5 s at the end of that."""
+    queue = {"name": "q", "prefix": "/scan/", "priority": 1, "maxAttempts": 4, "stretch": 2.0}
+    cell = Cell(folder, 4, 8, [queue])
+    try:
+        await cell.start()
+        await asyncio.sleep(3)
+        leader = cell.store.find_owner()
+        daemon = next(d for d in cell.daemons.values() if d.name != leader)
+        step = {"count": 1, "cpu": 4000, "memMb": 2048, "estimateMs": 20000}
+        await cell.submit(daemon, f"/scan/{JOB}", {"spec": "ms=20000", "steps": [step]})
+        start = await cell.wait_for_start(JOB)
+        if start is None:
+            raise CannotRun("the task was not started")
+        executor = cell.find_executor(start[3])
+        # The outage begins 0.5 s after a report, so that the first one after it comes 1 s later.
+        await asyncio.sleep(1)
+        while not 0.5 < time.monotonic() - executor.beaten_at < 0.6:
+            await asyncio.sleep(0.01)
+        if has_trouble:
+            cell.record.add(f"the store refuses all machines; {leader} leads")
+            cell.store.set_down(True)
+            await asyncio.sleep(CUT_AFTER_S)
+            await executor.cut_off()
+            await asyncio.sleep(DOWN_S - CUT_AFTER_S)
+            cell.store.set_down(False)
+            for name in cell.store.path_mode:
+                if name != leader:
+                    cell.store.path_mode[name] = OPEN
+            cell.record.add(f"the store serves all machines but {leader}")
+            await asyncio.sleep(LEADER_DOWN_S - DOWN_S)
+            cell.store.path_mode[leader] = OPEN
+            cell.record.add("the store serves all machines")
+            await asyncio.sleep(CUT_AFTER_S + CUT_S - LEADER_DOWN_S)
+            await executor.rejoin()
+        await asyncio.sleep(5)
+        cell.record.add(f"{leader} led; {cell.store.find_owner()} leads")
+        return bool(cell.twice)
+    finally:
+        await cell.stop()
+
+
+if __name__ == "__main__":
+    run_case(case, FOLDER)
--- a/review/harness.py
+++ b/review/harness.py
@@ -209,6 +209,7 @@
         self._next_lease = 1
         self._changed = asyncio.Event()
         self.path_mode: dict[str, str] = {}
+        self.is_down = False
         self._sites: list[Site] = []
 
     async def open_path(self, name: str, port: int) -> None:
@@ -218,6 +219,15 @@
         await site.open()
         self._sites.append(site)
 
+    def set_down(self, is_down: bool) -> None:
+        """Refuse all, or serve executors and the operator again; leases run out meanwhile.
+
+        The paths of the machines are opened by `path_mode`.
+        """
+        self.is_down = is_down
+        for name in self.path_mode:
+            self.path_mode[name] = BUSY if is_down else self.path_mode[name]
+
     async def close(self) -> None:
         """Close all paths."""
         for site in self._sites:
@@ -448,6 +458,16 @@
         self.runs.clear()
         await self._site.close()
 
+    async def cut_off(self) -> None:
+        """Cut the executor off from all machines, which are refused; it runs on."""
+        self._record.add(f"executor {self.id} is cut off, and runs on")
+        await self._site.close()
+
+    async def rejoin(self) -> None:
+        """End the cut."""
+        await self._site.open()
+        self._record.add(f"executor {self.id} can be reached again")
+
     async def close(self) -> None:
         """Close the address."""
         if self.is_up:
@@ -455,7 +475,10 @@
             await self._site.close()
 
     def beat(self) -> None:
-        """Write the entry to the store."""
+        """Write the entry to the store, if that is up."""
+        self._next_beat_at = time.monotonic() + HEARTBEAT_S
+        if self._cell.store.is_down:
+            return
         self.beaten_at = time.monotonic()
         self._cell.beats += 1
         self._cell.store.put(
@@ -478,11 +501,11 @@
     def tick(self) -> None:
         """End the runs that are due, report to the store, or be removed from it after silence."""
         now = time.monotonic()
+        if now > self.beaten_at + 3 * HEARTBEAT_S:
+            self._cell.store.drop(f"servers/{self.id}")
         if not self.is_up:
-            if now > self.beaten_at + 3 * HEARTBEAT_S:
-                self._cell.store.drop(f"servers/{self.id}")
             return
-        if now > self.beaten_at + HEARTBEAT_S:
+        if now > self._next_beat_at:
             self.beat()
         is_lapsed = self.clock_ms > self.lease_until_ms
         if is_lapsed:
