--- a/review/4/case.py
+++ b/review/4/case.py
@@ -29,6 +29,8 @@
         start = await cell.wait_for_start(JOB)
         if start is None:
             raise CannotRun("the task was not started")
+        if start[4] != leader:
+            raise CannotRun("the machine that made a connection could not be found")
         executor = cell.find_executor(start[3])
         await asyncio.sleep(3)
         if has_trouble:
