Review: play the same steps without the disruption where TROUBLE is 0

With TROUBLE=0 the scripts left out the waits and the choices around the disruption too, so the control was a shorter run. Now only the acts of the disruption are left out, the record says so, and a case whose work does not come to its end counts as not run.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
 async def case(folder: Path, has_trouble: bool) -> bool:
     """Let the store be down, and cut one of eight executors off for 3.5 s at the end of that."""
     queue = {"name": "q", "prefix": "/scan/", "priority": 1, "maxAttempts": 4, "stretch": 2.0}
-    cell = Cell(folder, 4, 8, [queue])
+    cell = Cell(folder, 4, 8, [queue], has_trouble)
     try:
         await cell.start()
         await asyncio.sleep(3)
@@ -40,24 +40,23 @@
         await asyncio.sleep(1)
         while not 0.5 < time.monotonic() - executor.beaten_at < 0.6:
             await asyncio.sleep(0.01)
-        if has_trouble:
-            cell.record.add(f"the store refuses all machines; {leader} leads")
-            cell.store.set_down(True)
-            await asyncio.sleep(CUT_AFTER_S)
-            await executor.cut_off()
-            await asyncio.sleep(DOWN_S - CUT_AFTER_S)
-            cell.store.set_down(False)
-            for name in cell.store.path_mode:
-                if name != leader:
-                    cell.store.path_mode[name] = OPEN
-            cell.record.add(f"the store serves all machines but {leader}")
-            await asyncio.sleep(LEADER_DOWN_S - DOWN_S)
-            cell.store.path_mode[leader] = OPEN
-            cell.record.add("the store serves all machines")
-            await asyncio.sleep(CUT_AFTER_S + CUT_S - LEADER_DOWN_S)
-            await executor.rejoin()
+        others = [name for name in cell.daemons if name != leader]
+        store = cell.store
+        await cell.disrupt(f"the store refuses all machines; {leader} leads", store.go_down)
+        await asyncio.sleep(CUT_AFTER_S)
+        await cell.disrupt(f"{executor.id} is cut off", executor.cut_off)
+        await asyncio.sleep(DOWN_S - CUT_AFTER_S)
+        text = f"the store serves all machines but {leader}"
+        await cell.disrupt(text, lambda: store.come_back(others))
+        await asyncio.sleep(LEADER_DOWN_S - DOWN_S)
+        await cell.disrupt("the store serves all machines", lambda: store.set_paths([leader], OPEN))
+        await asyncio.sleep(CUT_AFTER_S + CUT_S - LEADER_DOWN_S)
+        await cell.disrupt(f"the cut of {executor.id} ends", executor.rejoin)
         await asyncio.sleep(5)
         cell.record.add(f"{leader} led; {cell.store.find_owner()} leads")
+        state = (await cell.call(daemon, "GET", f"/scan/{JOB}"))[1].get("state", "")
+        if not cell.twice and state != "running":
+            raise CannotRun(f"the job is shown as {state or 'nothing'} while its task works")
         return bool(cell.twice)
     finally:
         await cell.stop()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,7 @@
 async def case(folder: Path, has_trouble: bool) -> bool:
     """Kill the leader shortly before the tasks of a wide step end."""
     queue = {"name": "q", "prefix": "/batch/", "priority": 1, "maxAttempts": 4, "stretch": 4.0}
-    cell = Cell(folder, 3, 3, [queue])
+    cell = Cell(folder, 3, 3, [queue], has_trouble)
     try:
         await cell.start()
         await asyncio.sleep(3)
@@ -40,11 +40,11 @@
             await asyncio.sleep(0.05)
         cell.record.add(f"{len(cell.starts)} tasks are started")
         await asyncio.sleep(end_at - 0.3 - cell.record.now)
-        if has_trouble:
-            cell.record.add(f"{leader.name}, the leader, is killed")
-            leader.send_signal(signal.SIGKILL)
-            await asyncio.sleep(BOOT_S)
-            leader.start()
+        await cell.disrupt(
+            f"{leader.name}, the leader, is killed", lambda: leader.send_signal(signal.SIGKILL)
+        )
+        await asyncio.sleep(BOOT_S)
+        await cell.disrupt(f"{leader.name} is started again", leader.start)
         state = ""
         deadline = cell.record.now + 40
         while state != "done" and cell.record.now < deadline:
@@ -55,6 +55,8 @@
         cell.record.add(f"{len(restarts)} tasks started again after an end that was noted")
         for text in restarts[:20]:
             cell.record.add(text)
+        if not restarts and state != "done":
+            raise CannotRun(f"the job is shown as {state or 'nothing'} at the end")
         return bool(restarts)
     finally:
         await cell.stop()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness import OPEN, SILENT, Cell, run_case  # noqa: E402
+from harness import OPEN, SILENT, CannotRun, Cell, run_case  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
 JOB = "9a42ce651d8f70dc"
@@ -20,9 +20,9 @@
 
 
 async def case(folder: Path, has_trouble: bool) -> bool:
-    """Cut the leader from the store for 5 s while a job is due each 0.2 s."""
+    """Cut the leader from the store for 5 s while a job is due each 0.15 s."""
     queue = {"name": "q", "prefix": "/stock/", "priority": 1, "maxAttempts": 4, "stretch": 4.0}
-    cell = Cell(folder, 4, 6, [queue])
+    cell = Cell(folder, 4, 6, [queue], has_trouble)
     try:
         await cell.start()
         await asyncio.sleep(3)
@@ -38,12 +38,10 @@
         }
         await cell.submit(daemon, f"/stock/{JOB}", body)
         await asyncio.sleep(4)
-        if has_trouble:
-            cell.record.add(f"the path of {leader} to the store is cut")
-            cell.store.path_mode[leader] = SILENT
-            await asyncio.sleep(CUT_S)
-            cell.store.path_mode[leader] = OPEN
-            cell.record.add(f"the path of {leader} to the store is back")
+        path = f"the path of {leader} to the store"
+        await cell.disrupt(f"{path} is cut", lambda: cell.store.set_paths([leader], SILENT))
+        await asyncio.sleep(CUT_S)
+        await cell.disrupt(f"{path} is back", lambda: cell.store.set_paths([leader], OPEN))
         state, deadline = "", cell.record.now + 40
         while state != "done" and cell.record.now < deadline:
             await asyncio.sleep(1)
@@ -52,7 +50,10 @@
         cell.record.add(f"{len(restarts)} tasks started again after an end that was noted")
         for text in restarts[:20]:
             cell.record.add(text)
-        return bool(restarts or cell.twice)
+        is_broken = bool(restarts or cell.twice)
+        if not is_broken and state != "done":
+            raise CannotRun(f"the job is shown as {state or 'nothing'} at the end")
+        return is_broken
     finally:
         await cell.stop()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,7 +18,7 @@
 async def case(folder: Path, has_trouble: bool) -> bool:
     """Cut the leader from the store, and one executor from one other machine, for 5.5 s."""
     queue = {"name": "q", "prefix": "/scan/", "priority": 1, "maxAttempts": 4, "stretch": 2.0}
-    cell = Cell(folder, 4, 6, [queue])
+    cell = Cell(folder, 4, 6, [queue], has_trouble)
     try:
         await cell.start()
         await asyncio.sleep(3)
@@ -33,17 +33,21 @@
             raise CannotRun("the machine that made a connection could not be found")
         executor = cell.find_executor(start[3])
         await asyncio.sleep(3)
-        if has_trouble:
-            # Of equal machines that which joined last claims first.
-            next_leader = [n for n in cell.store.list_members() if n != leader][-1]
-            cell.record.add(f"cut: {leader} from the store, {executor.id} from {next_leader}")
-            cell.store.path_mode[leader] = SILENT
-            executor.cut_from = {next_leader}
-            await asyncio.sleep(CUT_S)
-            cell.store.path_mode[leader] = OPEN
-            executor.cut_from = set()
-            cell.record.add("both cuts heal")
+        # Of equal machines that which joined last claims first.
+        next_leader = [n for n in cell.store.list_members() if n != leader][-1]
+
+        def set_cuts(mode: str, cut_from: set[str]) -> None:
+            cell.store.set_paths([leader], mode)
+            executor.cut_from = cut_from
+
+        cuts = f"{leader} from the store, {executor.id} from {next_leader}"
+        await cell.disrupt(f"cut: {cuts}", lambda: set_cuts(SILENT, {next_leader}))
+        await asyncio.sleep(CUT_S)
+        await cell.disrupt("both cuts heal", lambda: set_cuts(OPEN, set()))
         await asyncio.sleep(8)
+        state = (await cell.call(cell.daemons[next_leader], "GET", f"/scan/{JOB}"))[1].get("state")
+        if not cell.twice and state != "running":
+            raise CannotRun(f"the job is shown as {state or 'nothing'} while its task works")
         return bool(cell.twice)
     finally:
         await cell.stop()
--- a/review/harness.py
+++ b/review/harness.py
@@ -219,14 +219,20 @@
         await site.open()
         self._sites.append(site)
 
-    def set_down(self, is_down: bool) -> None:
-        """Refuse all, or serve executors and the operator again; leases run out meanwhile.
+    def go_down(self) -> None:
+        """Refuse all machines and executors; leases run out meanwhile."""
+        self.is_down = True
+        self.set_paths(list(self.path_mode), BUSY)
 
-        The paths of the machines are opened by `path_mode`.
-        """
-        self.is_down = is_down
-        for name in self.path_mode:
-            self.path_mode[name] = BUSY if is_down else self.path_mode[name]
+    def come_back(self, names: list[str]) -> None:
+        """Serve the executors and these machines again."""
+        self.is_down = False
+        self.set_paths(names, OPEN)
+
+    def set_paths(self, names: list[str], mode: str) -> None:
+        """Set how the store treats the calls of these machines."""
+        for name in names:
+            self.path_mode[name] = mode
 
     async def close(self) -> None:
         """Close all paths."""
@@ -666,8 +672,11 @@
 class Cell:
     """The platform's stand-ins, the executors and the daemons of one case."""
 
-    def __init__(self, folder: Path, daemons: int, executors: int, queues: list[dict]) -> None:
-        """Create a cell; nothing is started."""
+    def __init__(
+        self, folder: Path, daemons: int, executors: int, queues: list[dict], has_trouble: bool
+    ) -> None:
+        """Create a cell; nothing is started. Without `has_trouble`, `disrupt` does nothing."""
+        self._has_trouble = has_trouble
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(folder)
         self.ports = Ports()
@@ -734,6 +743,16 @@
         await self.store.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    async def disrupt(self, text: str, act: Callable[[], Any]) -> None:
+        """Begin or end a disruption; with TROUBLE=0 only the record says that it was left out."""
+        if not self._has_trouble:
+            self.record.add(f"left out (TROUBLE=0): {text}")
+            return
+        self.record.add(text)
+        result = act()
+        if asyncio.iscoroutine(result):
+            await result
+
     def find_sender(self, request: web.BaseRequest) -> str:
         """Return the name of the daemon whose process made a connection to an executor."""
         peer = request.transport.get_extra_info("peername") if request.transport else None
@@ -856,7 +875,11 @@
 
 
 def run_case(case: Callable[[Path, bool], Coroutine[Any, Any, bool]], folder: Path) -> None:
-    """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+    With TROUBLE=0 the case takes the same steps at the same times, and only the calls of
+    `Cell.disrupt` do nothing.
+    """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         is_broken = asyncio.run(asyncio.wait_for(case(folder, has_trouble), 118))
