Let no lease outlast the proof of the owner's term

Cause: a new owner waited for one lease (3.9 s) before it started elsewhere what may run on an executor that it does not reach. But an owner that is cut off from the store renewed leases without a limit, so nothing bounded the end of the earlier owner's leases. Two things made it worse: the estimate of an executor's clock was ahead of a slow one, by 0.6 s after half a minute without work, and a suspended machine used times from before its pause.

Change: scheduling/leases.py says once how long an owner may act unproven, and how long the next one waits. No lease ends later than 6 s after the owner's term was last proven (by its claim, a commit or a read of the term, each from when it was sent, on a clock that counts suspended time). The next owner waits for 6.4 s from its claim, instead of 3.9 s from its recovery, for executors that it does not reach. The estimate of a clock is the lowest possible one, and a clock is read again after 30 s. While leases are limited, holds wait for a quarter of what is left, so that leases are extended in time once the term is proven again. The store gets 24 connections instead of 6, as four watches, renewals and proofs overlap while it does not answer.

The price: work lapses in an outage of the store of more than about 6 s, and starts again after it. An owner cannot tell an outage from a partition behind which another daemon took over.

tests/model/entry/test_guards.py patches the same two safeguards under their new names. tests/entry/test_components.py passes the clock that Membership now takes.

--- /dev/null
+++ b/tests/entry/test_authority.py
@@ -0,0 +1,124 @@
+"""Tests of how long an owner acts without a proof of its term."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from wasabiramp.entry.authority import Authority
+from wasabiramp.entry.owner import MAX_PROOF_AGE_S, PROOF_INTERVAL_S
+from wasabiramp.model.entry.network import STORE
+from wasabiramp.model.entry.schedule import find_owner
+from wasabiramp.model.entry.world import World
+from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S
+from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
+
+SHORT_OUTAGE_S = 4.5
+"""Length of the outages that the platform names."""
+
+
+def make_long_job(world: World, estimate_s: float = 20.0) -> JobDefinition:
+    """Return a job of one task that runs for a while."""
+    steps = (Step(1, Resources(500, 100, 0), estimate_s),)
+    return JobDefinition("a" * 16, world.queues[2], "spec", steps, world.read_wall_ms())
+
+
+async def async_start_job(world: World, job: JobDefinition) -> str:
+    """Submit a job and return the executor that runs its task."""
+    assert await world.async_submit(job)
+    task = f"{job.id}.0.0.0"
+    while not world.checker.running.get(task):
+        await asyncio.sleep(0.01)
+    ((executor, _run),) = world.checker.running[task]
+    return executor
+
+
+class TestProofs:
+    """A proof counts from the time at which its call was sent."""
+
+    def test_time_left(self) -> None:
+        clock = [100.0]
+        authority = Authority(lambda: clock[0], 99.0)
+        assert authority.get_left_s() == MAX_UNCONFIRMED_S - 1.0
+        clock[0] = 104.0
+        authority.confirm(102.0)
+        authority.confirm(101.0)
+        assert authority.get_age_s() == 2.0
+        assert authority.get_left_s() == MAX_UNCONFIRMED_S - 2.0
+
+    def test_idle_owner_proves_its_term(self) -> None:
+        world = World(3)
+        ages: list[float] = []
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            name = find_owner(world)
+            assert name is not None
+            owner = world.daemons[name].owner
+            assert owner is not None
+            for _ in range(200):
+                await asyncio.sleep(0.05)
+                ages.append(owner.authority.get_age_s())
+
+        world.run(run_scenario())
+        assert max(ages) <= MAX_PROOF_AGE_S + PROOF_INTERVAL_S + 0.05
+
+
+class TestPartitionedOwner:
+    """An owner behind a partition acts for a limited time, which the next one awaits."""
+
+    # Guards against TWICE: an owner behind a partition kept a run alive on an executor that the
+    # next owner could not reach, and which started its task elsewhere.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    @pytest.mark.parametrize("cut_s", [5.5, 9.0])
+    def test_executor_is_cut_off_from_the_next_owner(self, seed: int, cut_s: float) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            owner = find_owner(world)
+            assert owner is not None
+            executor = await async_start_job(world, make_long_job(world))
+            await asyncio.sleep(world.random.uniform(0.5, 3.0))
+            node = world.node_names[owner]
+            world.network.add_partition(node, STORE)
+            for name, other in world.node_names.items():
+                if name != owner:
+                    world.network.add_partition(other, executor)
+            await asyncio.sleep(cut_s)
+            world.network.remove_all_partitions()
+            await world.async_wait_for_jobs(60.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+
+
+class TestOutages:
+    """Work outlasts a short outage of the store, and starts again after a long one."""
+
+    def run_through_outage(self, seed: int, outage_s: float) -> World:
+        """Run a long task through an outage of the store and return the world."""
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            await async_start_job(world, make_long_job(world))
+            await asyncio.sleep(world.random.uniform(0.5, 3.0))
+            world.store.is_down = True
+            await asyncio.sleep(outage_s)
+            world.store.is_down = False
+            await world.async_wait_for_jobs(60.0)
+            assert await world.async_show("a" * 16) == DONE
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+        return world
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_short_outage_ends_no_work(self, seed: int) -> None:
+        assert self.run_through_outage(seed, SHORT_OUTAGE_S).checker.starts == 1
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_work_starts_again_after_a_long_outage(self, seed: int) -> None:
+        assert self.run_through_outage(seed, 3 * MAX_UNCONFIRMED_S).checker.starts == 2
--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -186,7 +186,13 @@
         settings = EntrySettings("a", "z", "", "", "x:1", "", "", "", 6.0, 6.0, 120.0, 2.0, 1.0, 9)
 
         async def run_scenario() -> None:
-            membership = Membership(settings, store, lambda tenure: None, lambda reason: None)
+            membership = Membership(
+                settings,
+                store,
+                lambda tenure: None,
+                lambda reason: None,
+                asyncio.get_running_loop().time,
+            )
             membership.start()
             await asyncio.sleep(4.0)
             assert membership.is_confirmed()
--- a/tests/model/entry/test_guards.py
+++ b/tests/model/entry/test_guards.py
@@ -13,7 +13,7 @@
 from wasabiramp.model.entry.executors import ModelExecutor
 from wasabiramp.model.entry.schedule import find_owner, run_schedule
 from wasabiramp.model.entry.world import World
-from wasabiramp.scheduling import executors, orders, runs
+from wasabiramp.scheduling import evidence, executors, orders, runs
 from wasabiramp.scheduling.effects import StartTask
 from wasabiramp.scheduling.model import JobDefinition, Resources, Step
 from wasabiramp.scheduling.state import ExecutorState
@@ -92,11 +92,11 @@
         assert has_breach("TWICE", ["apply_late"])
 
     def test_leases_of_silent_executors_are_awaited(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(executors, "calculate_lease_expiry", lambda executor: 0.0)
+        monkeypatch.setattr(evidence, "calculate_lease_expiry", lambda executor: 0.0)
         assert has_breach("TWICE", ["cut_executors"])
 
     def test_new_owner_waits_for_executor_reports(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(executors, "_is_awaiting_answers", lambda state: False)
+        monkeypatch.setattr(evidence, "is_awaiting_answers", lambda state: False)
         assert has_breach("TWICE", ["kill_owner", "pause_owner", "cut_executors"])
 
     def test_owner_checks_its_ownership_after_a_pause(
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -115,7 +115,9 @@
         self._lag = lag
         self._read_wall = read_wall
         self._read_uptime = read_uptime
-        self._membership = Membership(settings, store, self._begin_tenure, self._end_tenure)
+        self._membership = Membership(
+            settings, store, self._begin_tenure, self._end_tenure, read_uptime
+        )
         self._owner: Owner | None = None
         self.request_handler = RequestHandler(
             store, self._membership, peers, self._get_owner, self.metrics, read_wall
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -67,15 +67,25 @@
 class Tenure:
     """Ownership of the domain during one term.
 
-    The fencing token is also the revision of the term's key that commits depend on.
+    The fencing token is also the revision of the term's key that commits depend on. The claim was
+    sent at `claimed_at` and known to have succeeded at `begun_at`, by a clock that also counts
+    suspended time. Leases of earlier owners end by a time that counts from `begun_at`.
     """
 
-    __slots__ = ("fencing_token", "term")
+    __slots__ = ("begun_at", "claimed_at", "fencing_token", "term")
 
-    def __init__(self, term: int, fencing_token: int) -> None:
+    def __init__(
+        self,
+        term: int,
+        fencing_token: int,
+        claimed_at: float = float("-inf"),
+        begun_at: float = float("inf"),
+    ) -> None:
         """Create the tenure of a term; its fencing token is the revision of the claim."""
         self.term = term
         self.fencing_token = fencing_token
+        self.claimed_at = claimed_at
+        self.begun_at = begun_at
 
 
 class Membership:
@@ -87,10 +97,15 @@
         store: Store,
         on_tenure_begun: Callable[[Tenure], None],
         on_tenure_lost: Callable[[str], None],
+        read_uptime: Callable[[], float],
     ) -> None:
-        """Report each tenure that begins, and the loss of ownership."""
+        """Report each tenure that begins, and the loss of ownership.
+
+        `read_uptime` returns seconds that also count while the machine is suspended.
+        """
         self._settings = settings
         self._store = store
+        self._read_uptime = read_uptime
         self._on_tenure_begun = on_tenure_begun
         self._on_tenure_lost = on_tenure_lost
         self._watcher = PrefixWatcher(store, PREFIX_LIVE, WATCH_TIMEOUT_S, self._handle_change)
@@ -218,7 +233,8 @@
             if self.tenure is not None and item.revision > self.tenure.fencing_token:
                 self.end_tenure(f"term taken by {parse_name(item)}")
         elif item.value == self._pending_claim:
-            self._begin_tenure(Tenure(parse_term(item), item.revision))
+            # The claim may be that of an earlier process, so it does not prove the term by itself.
+            self._begin_tenure(parse_term(item), item.revision, claimed_at=float("-inf"))
 
     async def _async_renew(self) -> None:
         """Renew the lease regularly, and join again after it ended."""
@@ -366,6 +382,7 @@
             writes={KEY_OWNER: (value, self._lease), KEY_TERM: (value, 0)},
         )
         self._pending_claim = value
+        claimed_at = self._read_uptime()
         try:
             revision = await self._store.async_commit(transaction)
         except StoreConflictError as err:
@@ -377,10 +394,11 @@
         except StoreRefusedError as err:
             log_event("claim_refused", term=term, error=err)
         else:
-            self._begin_tenure(Tenure(term, revision))
+            self._begin_tenure(term, revision, claimed_at)
 
-    def _begin_tenure(self, tenure: Tenure) -> None:
+    def _begin_tenure(self, term: int, revision: int, claimed_at: float) -> None:
         """Become the owner, or continue as the owner in a new term."""
+        tenure = Tenure(term, revision, claimed_at, self._read_uptime())
         previous = self.tenure
         self._pending_claim = b""
         self._replaced_revision = 0
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -9,6 +9,7 @@
 
 from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.advisers import AdviserPool
+from wasabiramp.entry.authority import Authority
 from wasabiramp.entry.dispatcher import Dispatcher
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import (
@@ -46,13 +47,13 @@
     StoredJob,
     TimePassed,
 )
+from wasabiramp.scheduling.leases import PREDECESSOR_WAIT_S
 from wasabiramp.scheduling.model import (
     FINAL_PHASES,
     PENDING,
     CellConfig,
     JobDefinition,
 )
-from wasabiramp.scheduling.orders import LEASE_EXPIRY_MARGIN_S
 from wasabiramp.scheduling.placement import summarize_queues
 from wasabiramp.scheduling.records import (
     decode_definition,
@@ -88,10 +89,6 @@
 RUN_LEASE_S: Final = 3.5
 """Lease of runs: outlasts a takeover, and lets the work of an unreachable executor restart soon."""
 
-LEASE_TOLERANCE_FACTOR: Final = 1.05
-"""Factor on the leases of an earlier owner, for executors whose clocks run slower than ours;
-`LEASE_EXPIRY_MARGIN_S` is added."""
-
 RETENTION_FACTOR: Final = 1.5
 """Retention of ended jobs, as a multiple of the time for which callers may query them."""
 
@@ -118,6 +115,16 @@
 It prevents constant changes of owner while all daemons are slow and none would do better.
 """
 
+MAX_PROOF_AGE_S: Final = 0.5
+"""Age of the last proof of the term from which the term is read, as commits may be rare."""
+
+PROOF_INTERVAL_S: Final = 0.25
+MAX_CONCURRENT_PROOFS: Final = 8
+"""Interval of reads of the term while they have no answer, and their limit."""
+
+UNPROVEN_LOG_AGE_S: Final = 1.5
+"""Age of the last proof of the term from which it is logged; a slow store answers sooner."""
+
 TENURE_POLL_INTERVAL_S: Final = 0.01
 """Interval at which a delayed start polls whether the tenure has been checked."""
 
@@ -168,6 +175,9 @@
         self._overloaded_since: float | None = None
         self._read_wall = read_wall
         self._read_uptime = read_uptime
+        self.authority = Authority(read_uptime, tenure.claimed_at)
+        self._is_unproven = False
+        self._proofs: set[asyncio.Task[None]] = set()
         self._retention_s = status_s * RETENTION_FACTOR
         self._removal_due_at: dict[str, float] = {}
         offset_s = read_wall() - self._loop.time()
@@ -218,6 +228,7 @@
     def continue_tenure(self, tenure: Tenure) -> None:
         """Continue as the owner in a new term."""
         self.tenure = self._journal.tenure = tenure
+        self.authority.confirm(tenure.claimed_at)
         self.scheduler.state.term = tenure.term
         self._commit_requested.set()
 
@@ -282,12 +293,17 @@
         """Reduce an event, execute its effects, and schedule a placement pass."""
         if self._is_stopped:
             return
+        self._limit_leases()
         self._execute_effects(self.scheduler.apply(event, self._loop.time()))
         self._commit_requested.set()
         if self._placement_timer is None:
             place_at = max(self._next_placement_at, self._loop.time() + PLACEMENT_DELAY_S)
             self._placement_timer = self._loop.call_at(place_at, self._place)
 
+    def _limit_leases(self) -> None:
+        """Let no lease end later than the last proof of the term allows."""
+        self.scheduler.limit_leases(self._loop.time() + self.authority.get_left_s())
+
     def _place(self) -> None:
         """Run a placement pass; a skipped one is scheduled again by the next event or tick."""
         self._placement_timer = None
@@ -295,6 +311,7 @@
             return
         if self._has_paused() or self._dispatcher.orders.has_backlog:
             return
+        self._limit_leases()
         started_at = self._loop.time()
         self._execute_effects(self.scheduler.place(started_at))
         took_s = self._loop.time() - started_at
@@ -344,6 +361,7 @@
     async def _async_run(self) -> None:
         """Recover the stored state, wait for the list of executors, then run the loops."""
         started_at = self._loop.time()
+        self._spawn(async_keep_running("proofs", self._async_prove_loop))
         while not await self._async_recover():
             await asyncio.sleep(RETRY_DELAY_S)
         self._spawn(async_keep_running("executors", self._executors_watcher.async_run))
@@ -366,7 +384,8 @@
             StoredJob(job, self._compute_accepted_at(job), revision, progress)
             for job, revision, progress in stored_state.jobs
         ]
-        lease_left_s = self._lease_s * LEASE_TOLERANCE_FACTOR + LEASE_EXPIRY_MARGIN_S
+        waited_s = max(0.0, self._read_uptime() - self.tenure.begun_at)
+        lease_left_s = max(0.0, PREDECESSOR_WAIT_S - waited_s)
         self._reduce(JobsRecovered(stored, stored_state.roster, lease_left_s, stored_state.as_of))
         self._jobs_watcher.start_after(stored_state.as_of)
         return True
@@ -379,6 +398,7 @@
                 log_event("loop_stood_still", pause_s=self._read_uptime() - self._last_tick_at)
                 await self._async_check_tenure()
             self._last_tick_at = self._read_uptime()
+            self._log_authority()
             self._reduce(TimePassed(self._measure_list_age_s()))
             now = self._loop.time()
             self._check_overload(now)
@@ -411,15 +431,41 @@
         self._min_tenure_from = now
         self._on_overload()
 
+    def _log_authority(self) -> None:
+        """Log when the term was not proven for some time, and when it is again."""
+        age_s = round(self.authority.get_age_s(), 3)
+        is_unproven = age_s > UNPROVEN_LOG_AGE_S
+        if is_unproven == self._is_unproven:
+            return
+        self._is_unproven = is_unproven
+        left_s = round(self.authority.get_left_s(), 3)
+        event = "term_unproven" if is_unproven else "term_proven"
+        log_event(event, term=self.tenure.term, age_s=age_s, left_s=left_s)
+
+    async def _async_prove_loop(self) -> None:
+        """Read the term whenever nothing else has proven it; reads overlap while unanswered."""
+        while True:
+            is_old = self.authority.get_age_s() > MAX_PROOF_AGE_S
+            if is_old and len(self._proofs) < MAX_CONCURRENT_PROOFS:
+                proof = self._loop.create_task(async_log_failure(self._async_check_tenure()))
+                self._proofs.add(proof)
+                proof.add_done_callback(self._proofs.discard)
+                self._tasks.add(proof)
+                proof.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(PROOF_INTERVAL_S)
+
     async def _async_check_tenure(self) -> None:
         """Check in the store whether another daemon took over; without an answer, continue."""
+        sent_at, fencing_token = self.authority.read_now(), self.tenure.fencing_token
         try:
             item = await self._store.async_get(KEY_TERM)
         except (StoreRefusedError, StoreUnknownError) as err:
             log_event("tenure_check_failed", error=err)
             return
         if item is None or item.revision > self.tenure.fencing_token:
-            self._on_tenure_lost("another daemon claimed a term while this one was paused")
+            self._on_tenure_lost("another daemon claimed a term")
+        elif item.revision == fencing_token:
+            self.authority.confirm(sent_at)
 
     def _handle_stored_job(self, key: str, item: Item | None) -> None:
         """Add a stored job that was not announced."""
@@ -438,7 +484,10 @@
             changes = self.scheduler.take_changes()
             if changes is None:
                 continue
+            sent_at = self.authority.read_now()
             if await self._journal.async_store(changes):
+                if not changes.is_empty:
+                    self.authority.confirm(sent_at)
                 self._reduce(Committed())
                 self._schedule_removals(changes)
             else:
--- a/wasabiramp/platform/clients.py
+++ b/wasabiramp/platform/clients.py
@@ -40,6 +40,10 @@
 CONNECTIONS_PER_EXECUTOR: Final = 6
 """One connection waits in a hold (the long poll that renews a lease); the others carry orders."""
 
+STORE_CONNECTIONS: Final = 24
+"""Four watches wait at the store; the other connections carry renewals, proofs and commits, which
+overlap while the store does not answer."""
+
 CONNECT_TIMEOUT_S: Final = 0.5
 WATCH_TIMEOUT_MARGIN_S: Final = 0.7
 """Both are several times the duration of a slow answer, yet detect a silent connection soon.
@@ -87,13 +91,13 @@
 
 
 class HttpClient:
-    """HTTP session for all calls to the platform."""
+    """HTTP session for calls to the platform."""
 
-    def __init__(self, lag: LoopLag) -> None:
-        """Open the session on the running event loop."""
+    def __init__(self, lag: LoopLag, connections: int = CONNECTIONS_PER_EXECUTOR) -> None:
+        """Open the session on the running event loop, with a limit of connections per address."""
         self._lag = lag
         connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=CONNECTIONS_PER_EXECUTOR, keepalive_timeout=KEEPALIVE_S
+            limit=0, limit_per_host=connections, keepalive_timeout=KEEPALIVE_S
         )
         self._session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -16,7 +16,13 @@
 from wasabiramp.entry.ports import EntrySettings
 from wasabiramp.logs import log_event, set_on_drop, set_up_logs
 from wasabiramp.platform.callers import CallerServer
-from wasabiramp.platform.clients import AdviserClient, ExecutorClient, HttpClient, StoreClient
+from wasabiramp.platform.clients import (
+    STORE_CONNECTIONS,
+    AdviserClient,
+    ExecutorClient,
+    HttpClient,
+    StoreClient,
+)
 from wasabiramp.platform.node import load_node_settings
 from wasabiramp.platform.wire import PlatformCodec
 from wasabiramp.policy.switches import set_switched_off
@@ -79,8 +85,8 @@
     """Run a daemon until SIGTERM or SIGINT, then shut down gracefully."""
     lag = LoopLag()
     lag.start()
-    http = HttpClient(lag)
-    store = StoreClient(http, settings.store_address)
+    http, store_http = HttpClient(lag), HttpClient(lag, STORE_CONNECTIONS)
+    store = StoreClient(store_http, settings.store_address)
     adviser = AdviserClient(http, settings.adviser_address)
     daemon = EntryDaemon(
         settings,
@@ -111,6 +117,7 @@
     await server.async_stop()
     await daemon.async_stop()
     await http.async_close()
+    await store_http.async_close()
     lag.stop()
 
 
--- /dev/null
+++ b/wasabiramp/scheduling/evidence.py
@@ -0,0 +1,89 @@
+"""Evidence that runs have ended, which an owner needs before it starts their tasks again.
+
+A run has ended, or never started, only if one of these is known:
+
+- its executor listed its end, or refused to start it;
+- a complete report, requested after the run was started or stopped there, does not list it;
+- its lease has ended, by the slowest clock and whichever owner gave it (`scheduling/leases.py`);
+- another process answers at the address at which the executor was reached.
+
+Nothing else is evidence. An executor may run on behind a partition while connections to it fail,
+while it drains, and while its entry is missing from the platform's list. A report with a full page
+of ends says nothing about the ends on the next page. After a takeover, this holds for what earlier
+owners may have started as well: the executor must have answered this owner completely, as it
+refuses orders of earlier owners from then on, or their leases must have ended.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from wasabiramp.scheduling.events import OTHER_INCARNATION
+from wasabiramp.scheduling.leases import calculate_lease_expiry
+from wasabiramp.scheduling.model import ExecutorReport
+from wasabiramp.scheduling.orders import release_run
+from wasabiramp.scheduling.state import ExecutorState, SchedulerState
+
+ENDS_PER_PAGE: Final = 500
+"""Maximum number of ends in one answer to a hold."""
+
+
+def is_complete(report: ExecutorReport) -> bool:
+    """Return whether no ends can follow after those of a report."""
+    return len(report.ended) < ENDS_PER_PAGE
+
+
+def is_replaced(executor: ExecutorState, outcome: str) -> bool:
+    """Return whether the outcome of the last hold shows that the executor's process is gone."""
+    return outcome == OTHER_INCARNATION and executor.hold_address == executor.reached_at
+
+
+def has_lease_ended(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Return whether all leases of an executor that does not answer have certainly ended."""
+    is_answering = executor.has_accepted_fence and executor.silent_since is None
+    return not is_answering and state.now > calculate_lease_expiry(executor)
+
+
+def expire_runs(state: SchedulerState, executor: ExecutorState, why: str) -> None:
+    """Release all runs of an executor whose leases have ended or whose process is gone."""
+    if executor.runs:
+        state.log_decision("runs_lapsed", executor=executor.id, runs=len(executor.runs), why=why)
+    for key, run in list(executor.runs.items()):
+        executor.expired_runs.add(key)
+        release_run(state, run)
+
+
+def release_unlisted_runs(
+    state: SchedulerState, executor: ExecutorState, listed: set[tuple[str, int]], sent_at: float
+) -> None:
+    """Release runs that a complete report does not list.
+
+    The report must have been requested after their start or stop was confirmed.
+    """
+    for key, run in list(executor.runs.items()):
+        if key in listed:
+            continue
+        settled_at = run.stop_confirmed_at if run.wants_stop else run.confirmed_at
+        if settled_at is not None and settled_at < sent_at:
+            release_run(state, run)
+
+
+def is_awaiting_answers(state: SchedulerState) -> bool:
+    """Return whether an executor has not answered completely since the takeover."""
+    return any(executor.must_answer for executor in state.executors.values())
+
+
+def conclude_recovery(state: SchedulerState) -> None:
+    """End the recovery once it is known of all executors what earlier owners left on them."""
+    if not state.is_recovering:
+        return
+    for executor in state.executors.values():
+        if executor.must_answer and has_lease_ended(state, executor):
+            state.log_decision("executor_written_off", executor=executor.id)
+            executor.must_answer = False
+    if is_awaiting_answers(state):
+        return
+    state.is_recovering = False
+    for job in state.jobs.values():
+        job.is_reconciled = True
+    state.log_decision("recovery_complete")
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -16,7 +16,6 @@
 )
 from wasabiramp.scheduling.events import (
     NOT_SENT,
-    OTHER_INCARNATION,
     REFUSED_FENCE,
     UNKNOWN,
     ExecutorListed,
@@ -25,8 +24,17 @@
     HoldFailed,
     TimePassed,
 )
+from wasabiramp.scheduling.evidence import (
+    conclude_recovery,
+    expire_runs,
+    has_lease_ended,
+    is_complete,
+    is_replaced,
+    release_unlisted_runs,
+)
+from wasabiramp.scheduling.leases import calculate_longest_hold_s, has_old_clock
 from wasabiramp.scheduling.model import ExecutorReport
-from wasabiramp.scheduling.orders import calculate_lease_expiry, release_run, send_hold, send_stop
+from wasabiramp.scheduling.orders import send_hold, send_stop
 from wasabiramp.scheduling.progress import measure_speed, update_slowness
 from wasabiramp.scheduling.runs import give_up_ownership, handle_run_end, reconcile_listed_run
 from wasabiramp.scheduling.sharing import SHARED_HOLD_WAIT_S, adjust_paces, is_shared
@@ -59,9 +67,6 @@
 UNSTORED_ENDS_DELAY_S: Final = 0.5
 """Delay between holds while ends that were read are not stored yet, as with a slow store."""
 
-ENDS_PER_PAGE: Final = 500
-"""Maximum number of ends in one answer to a hold."""
-
 MAX_ORDER_DELAY_S: Final = 13.0
 """Maximum delay with which an unanswered order may still reach the executor."""
 
@@ -157,6 +162,7 @@
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.has_accepted_fence = True
+    executor.reached_at = executor.hold_address
     executor.must_answer = False
     if executor.silent_since is not None:
         state.log_decision("executor_answers", executor=executor.id)
@@ -164,8 +170,8 @@
     if executor.tasks_at_silence:
         settle_silence(state, executor, report.born_ms)
     listed = _process_report(state, executor, report, event.sent_at)
-    if len(report.ended) < ENDS_PER_PAGE:
-        _release_unlisted_runs(state, executor, listed, event.sent_at)
+    if is_complete(report):
+        release_unlisted_runs(state, executor, listed, event.sent_at)
     schedule_next_hold(state, executor)
 
 
@@ -196,18 +202,6 @@
     return {(run_report.task, run_report.run) for run_report in report.running}
 
 
-def _release_unlisted_runs(
-    state: SchedulerState, executor: ExecutorState, listed: set[tuple[str, int]], sent_at: float
-) -> None:
-    """Release runs that are not listed by a hold sent after their start or stop was confirmed."""
-    for key, run in list(executor.runs.items()):
-        if key in listed:
-            continue
-        settled_at = run.stop_confirmed_at if run.wants_stop else run.confirmed_at
-        if settled_at is not None and settled_at < sent_at:
-            release_run(state, run)
-
-
 @switchable("ends-batch", "read ends that come together by one hold", plain=lambda: 0.0)
 def get_ends_batch_delay_s() -> float:
     """Return the delay before the next hold after ends were read."""
@@ -248,29 +242,20 @@
         state.log_decision("executor_silent", executor=executor.id, why=event.outcome)
         note_silence(state, executor)
     has_left = not executor.is_listed and executor.entry.is_draining
-    if event.outcome == OTHER_INCARNATION or (has_left and event.outcome == NOT_SENT):
+    if is_replaced(executor, event.outcome) or (has_left and event.outcome == NOT_SENT):
         expire_runs(state, executor, "executor process was replaced or has ended")
         confirm_crash(state, executor)
         forget_verdicts(state, executor)
         executor.must_answer = False
 
 
-def expire_runs(state: SchedulerState, executor: ExecutorState, why: str) -> None:
-    """Release all runs of an executor whose leases have expired or whose process is gone."""
-    if executor.runs:
-        state.log_decision("runs_lapsed", executor=executor.id, runs=len(executor.runs), why=why)
-    for key, run in list(executor.runs.items()):
-        executor.expired_runs.add(key)
-        release_run(state, run)
-
-
 @handles(TimePassed)
 def handle_time_passed(state: SchedulerState, event: TimePassed) -> None:
     """Send holds and stops that are due, and release runs whose leases have expired."""
     state.list_age_s = event.list_age_s
     for executor in list(state.executors.values()):
         is_silent = executor.silent_since is not None
-        if executor.runs and is_silent and state.now > calculate_lease_expiry(executor):
+        if executor.runs and has_lease_ended(state, executor):
             expire_runs(state, executor, "lease expired")
         if not executor.has_open_hold and state.now >= executor.next_hold_at:
             _hold_if_needed(state, executor)
@@ -280,11 +265,7 @@
             if run.wants_stop:
                 send_stop(state, run)
         _remove_if_gone(state, executor)
-    if state.recovery_deadline and not _is_awaiting_answers(state):
-        state.recovery_deadline = 0.0
-        for job in state.jobs.values():
-            job.is_reconciled = True
-        state.log_decision("recovery_complete")
+    conclude_recovery(state)
 
 
 @switchable(
@@ -300,12 +281,13 @@
 def _hold_if_needed(state: SchedulerState, executor: ExecutorState) -> None:
     """Send a hold if the executor has to be polled or ends have to be acknowledged.
 
-    It is polled while it has runs, is silent, is unlisted, has not answered yet, or may receive a
-    late start. It is not while ends that were read are still to be stored and it has no runs.
+    It is polled while it has runs, is silent, is unlisted, has not answered yet, may receive a
+    late start, or has not told its clock for long. It is not while ends that were read are still to
+    be stored and it has no runs.
     """
     if executor.last_read_end > executor.last_seen and not executor.runs:
         return
-    if executor.clock_ms is None or not executor.has_accepted_fence:
+    if not executor.has_accepted_fence or has_old_clock(state, executor):
         send_hold(state, executor, 0.0)
     elif (
         executor.runs
@@ -313,7 +295,8 @@
         or _may_receive_late_start(state, executor)
     ):
         can_wait = executor.last_read_end <= executor.last_seen and executor.silent_since is None
-        send_hold(state, executor, choose_hold_wait_s(executor) if can_wait else 0.0)
+        wait_s = min(choose_hold_wait_s(executor), calculate_longest_hold_s(state))
+        send_hold(state, executor, wait_s if can_wait else 0.0)
     elif executor.last_seen > executor.acknowledged_end or not executor.is_listed:
         send_hold(state, executor, 0.0)
     else:
@@ -361,18 +344,6 @@
         state.log_decision("executor_forgotten", executor=executor.id)
 
 
-def _is_awaiting_answers(state: SchedulerState) -> bool:
-    """Return whether executors that have not answered may still have runs of an earlier owner.
-
-    Once the recovery deadline has passed, those runs have ended, so no answer is awaited any more.
-    """
-    if state.now >= state.recovery_deadline:
-        for executor in state.executors.values():
-            executor.must_answer = False
-        return False
-    return any(executor.must_answer for executor in state.executors.values())
-
-
 def is_usable(state: SchedulerState, executor: ExecutorState) -> bool:
     """Return whether an executor may get new work now."""
     if (
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -66,9 +66,10 @@
     """Take over jobs and executors from an earlier owner.
 
     Tasks may still run on executors that have not answered yet. They are not started until all
-    executors of the roster have answered, or the earlier owner's leases have expired.
+    executors of the roster have answered, or the leases of earlier owners have expired. An executor
+    of the roster whose entry has not been read yet gets no work.
     """
-    state.recovery_deadline = state.now + event.lease_left_s
+    state.is_recovering = True
     state.recovered_revision = event.as_of
     for executor_id, address in event.roster:
         executor = state.executors.get(executor_id)
@@ -76,10 +77,11 @@
             entry = ExecutorEntry(executor_id, address, "", "", True, Resources(), (), 0)
             executor = ExecutorState(entry)
             executor.is_listed = False
+            executor.reached_at = address
             state.executors[executor_id] = executor
         executor.is_in_stored_roster = True
         executor.must_answer = True
-        executor.lease_expiry_floor = state.recovery_deadline
+        executor.lease_expiry_floor = state.now + event.lease_left_s
     for stored in event.jobs:
         if stored.definition.id not in state.jobs:
             add_job(state, stored).is_reconciled = False
--- /dev/null
+++ b/wasabiramp/scheduling/leases.py
@@ -0,0 +1,99 @@
+"""Leases of runs: how long an owner may extend them, and when they have certainly ended.
+
+Everything on an executor runs under one lease, whose end is a time on the executor's own clock.
+An owner gives no lease that ends later than MAX_UNCONFIRMED_S after the last proof that its term
+was current, so that leases end by themselves if another daemon has claimed a term since. The next
+owner waits for that long (`PREDECESSOR_WAIT_S`) before it starts elsewhere what may run on an
+executor that it does not reach. Neither side needs to know about the other.
+
+The limit is a time on the executor's clock, so it also holds for orders that are delayed, and for
+owners that are paused between a check and an order.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+from wasabiramp.scheduling.state import ExecutorState, SchedulerState
+
+MAX_UNCONFIRMED_S: Final = 6.0
+"""Time after the last proof of an owner's term at which all its leases have ended.
+
+Work survives outages of the store that are shorter. After longer ones it starts again, as the
+owner cannot tell an outage from a partition behind which another daemon took over."""
+
+MIN_START_LEASE_S: Final = 1.0
+"""Shortest lease with which a run is started: it lasts until a hold can extend it."""
+
+LIMITED_HOLD_SHARE: Final = 0.25
+"""Longest wait of a hold as a share of the time for which leases may still last."""
+
+MAX_CLOCK_DRIFT_SHARE: Final = 0.02
+"""Maximum share by which an executor's clock runs slower than ours; the platform guarantees it."""
+
+LEASE_EXPIRY_MARGIN_S: Final = 0.25
+"""Added to the lease expiry for the executor's own delay in ending its runs."""
+
+MAX_CLOCK_AGE_S: Final = 30.0
+"""Age from which an executor's clock is read again before a lease depends on it.
+
+The estimate is by then up to 0.6 s behind, which shortens the leases by as much."""
+
+
+def convert_lease_s(lease_s: float) -> float:
+    """Return the longest time for which a lease lasts by our clock."""
+    return lease_s / (1 - MAX_CLOCK_DRIFT_SHARE) + LEASE_EXPIRY_MARGIN_S
+
+
+PREDECESSOR_WAIT_S: Final = convert_lease_s(MAX_UNCONFIRMED_S)
+"""Time from the claim of a term at which all leases of earlier owners have ended."""
+
+
+def may_start_runs(state: SchedulerState) -> bool:
+    """Return whether the owner's term was proven recently enough to start runs."""
+    return state.now + MIN_START_LEASE_S <= state.leases_end_by
+
+
+def calculate_longest_hold_s(state: SchedulerState) -> float:
+    """Return how long a hold may wait while leases cannot be extended in full.
+
+    The next hold extends them once the term is proven again, so it must come before they end.
+    """
+    left_s = state.leases_end_by - state.now
+    return math.inf if left_s >= state.lease_s else max(0.0, left_s * LIMITED_HOLD_SHARE)
+
+
+def has_old_clock(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Return whether an executor's clock has to be read before it gets a lease."""
+    return executor.clock_ms is None or state.now > executor.clock_at + MAX_CLOCK_AGE_S
+
+
+def estimate_executor_clock_ms(state: SchedulerState, executor: ExecutorState) -> int | None:
+    """Return the earliest time that the executor's clock may show, or None if unknown."""
+    if executor.clock_ms is None:
+        return None
+    passed_s = (state.now - executor.clock_at) * (1 - MAX_CLOCK_DRIFT_SHARE)
+    return executor.clock_ms + int(passed_s * 1000)
+
+
+def extend_lease(state: SchedulerState, executor: ExecutorState) -> int | None:
+    """Extend the lease; return its expiry on the executor's clock.
+
+    Return None if the clock is unknown, or if the owner's term was not proven for too long.
+    """
+    clock_ms = estimate_executor_clock_ms(state, executor)
+    lease_s = min(state.lease_s, state.leases_end_by - state.now)
+    if clock_ms is None or lease_s <= 0:
+        return None
+    expiry_ms = clock_ms + int(lease_s * 1000)
+    executor.lease_until_ms = max(executor.lease_until_ms, expiry_ms)
+    return expiry_ms
+
+
+def calculate_lease_expiry(executor: ExecutorState) -> float:
+    """Return the time on our clock at which the executor's latest lease has certainly expired."""
+    if executor.clock_ms is None:
+        return executor.lease_expiry_floor
+    left_s = (executor.lease_until_ms - executor.clock_ms) / 1000
+    return max(executor.clock_at + convert_lease_s(left_s), executor.lease_expiry_floor)
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -1,4 +1,4 @@
-"""Send orders to executors: starts, stops and holds with their leases."""
+"""Send orders to executors: starts, stops and holds."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.leases import extend_lease
 from wasabiramp.scheduling.state import (
     ExecutorState,
     Run,
@@ -23,41 +24,6 @@
 
 Once is enough, as a second loss is rare while the executor is alive."""
 
-MAX_CLOCK_DRIFT_SHARE: Final = 0.02
-"""Maximum share by which an executor's clock runs slower than ours; the platform guarantees it."""
-
-LEASE_EXPIRY_MARGIN_S: Final = 0.25
-"""Added to the lease expiry for the executor's own delay in ending its runs."""
-
-
-def estimate_executor_clock_ms(state: SchedulerState, executor: ExecutorState) -> int | None:
-    """Return the estimated executor clock, or None if unknown.
-
-    It is ahead of the real one by at most the drift since the last report.
-    """
-    if executor.clock_ms is None:
-        return None
-    return executor.clock_ms + int((state.now - executor.clock_at) * 1000)
-
-
-def extend_lease(state: SchedulerState, executor: ExecutorState) -> int | None:
-    """Extend the lease; return its expiry on the executor's clock, or None if that is unknown."""
-    clock_ms = estimate_executor_clock_ms(state, executor)
-    if clock_ms is None:
-        return None
-    expiry_ms = clock_ms + int(state.lease_s * 1000)
-    executor.lease_until_ms = max(executor.lease_until_ms, expiry_ms)
-    return expiry_ms
-
-
-def calculate_lease_expiry(executor: ExecutorState) -> float:
-    """Return the time on our clock at which the executor's latest lease has certainly expired."""
-    if executor.clock_ms is None:
-        return executor.lease_expiry_floor
-    left_s = (executor.lease_until_ms - executor.clock_ms) / 1000
-    expires_at = executor.clock_at + left_s / (1 - MAX_CLOCK_DRIFT_SHARE) + LEASE_EXPIRY_MARGIN_S
-    return max(expires_at, executor.lease_expiry_floor)
-
 
 def start_run(
     state: SchedulerState,
@@ -69,7 +35,7 @@
     """Send a start and occupy its resources from now on; return the new run."""
     expiry_ms = extend_lease(state, executor)
     if expiry_ms is None:
-        raise ValueError(f"executor {executor.id} has not reported its clock")
+        raise ValueError(f"executor {executor.id} cannot get a lease")
     run = Run(step, task.index, step.build_task_name(task.index), executor.id, number, state.now)
     task.last_run = number
     task.runs.append(run)
@@ -151,6 +117,7 @@
     """
     executor.has_open_hold = True
     executor.hold_sent_at = state.now
+    executor.hold_address = executor.entry.address
     is_renewed = bool(executor.runs) and executor.silent_since is None
     expiry_ms = extend_lease(state, executor) if is_renewed else None
     state.effects.append(
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -11,6 +11,7 @@
 from wasabiramp.scheduling.capacity import measure_free_resources
 from wasabiramp.scheduling.executors import is_usable
 from wasabiramp.scheduling.isolation import Exposure
+from wasabiramp.scheduling.leases import may_start_runs
 from wasabiramp.scheduling.model import Queue, Resources
 from wasabiramp.scheduling.orders import start_run
 from wasabiramp.scheduling.reservations import (
@@ -265,7 +266,7 @@
 
 def place_work(state: SchedulerState) -> None:
     """Start waiting tasks that fit in order, and ask for advice on the next steps."""
-    if state.has_given_up_ownership:
+    if state.has_given_up_ownership or not may_start_runs(state):
         return
     ready = _find_ready_steps(state)
     if not ready:
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -62,6 +62,10 @@
         self._pending_changes: Changes | None = None
         self._pending_phases: dict[str, str] = {}
 
+    def limit_leases(self, end_by: float) -> None:
+        """Let no lease that is given from now on end after a time on the event loop's clock."""
+        self.state.leases_end_by = end_by
+
     def apply(self, event: Any, now: float) -> list[Effect]:
         """Reduce one event and return its effects."""
         self.state.now = now
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -268,9 +268,10 @@
     `last_read_end` is the number of the last end that was read, `last_seen` that of the last one
     that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
-    executor's runs are known. `slowness` is 1 at the estimated speed and higher if slower.
-    `is_gone` is set once its process is certainly gone, and `tasks_at_silence` holds what ran on it
-    when it stopped answering.
+    executor's runs are known. `hold_address` is the address to which the last hold was sent, and
+    `reached_at` the one from which the executor answered last. `slowness` is 1 at the estimated
+    speed and higher if slower. `is_gone` is set once its process is certainly gone, and
+    `tasks_at_silence` holds what ran on it when it stopped answering.
     """
 
     __slots__ = (
@@ -282,6 +283,7 @@
         "failures",
         "answered_at",
         "answered_hold_sent_at",
+        "hold_address",
         "hold_sent_at",
         "next_hold_at",
         "id",
@@ -295,6 +297,7 @@
         "expired_runs",
         "lease_until_ms",
         "must_answer",
+        "reached_at",
         "has_new_ends",
         "acknowledged_end",
         "last_read_end",
@@ -317,6 +320,8 @@
         self.is_in_stored_roster = False
         self.unlisted_at = 0.0
         self.must_answer = False
+        self.hold_address = ""
+        self.reached_at = ""
         self.runs: dict[tuple[str, int], Run] = {}
         self.used = Resources()
         self.lease_expiry_floor = 0.0
@@ -363,13 +368,14 @@
 class SchedulerState:
     """State of the scheduler of one domain.
 
-    After a takeover, `recovery_deadline` is the time at which the earlier owner's leases have
-    expired; it is 0 once the recovery is complete. `recovered_revision` is the store revision as of
+    `is_recovering` is set after a takeover until it is known what earlier owners left running.
+    `recovered_revision` is the store revision as of
     which jobs were recovered. `suspect_steps` are the open steps with suspects, by name.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
-    share of its greatest capacity to which an executor has shrunk.
+    share of its greatest capacity to which an executor has shrunk. No lease may end later than
+    `leases_end_by`, which follows from the last proof of the owner's term.
     """
 
     __slots__ = (
@@ -378,17 +384,18 @@
         "effects",
         "executors",
         "has_given_up_ownership",
+        "is_recovering",
         "is_roster_dirty",
         "jobs",
         "lease_limit_s",
         "lease_s",
+        "leases_end_by",
         "list_age_s",
         "smallest_capacity_share",
         "executor_list_version",
         "now",
         "open_steps",
         "recovered_revision",
-        "recovery_deadline",
         "risk_by_queue",
         "suspect_steps",
         "term",
@@ -404,6 +411,7 @@
         self.term = term
         self.lease_s = lease_s
         self.lease_limit_s = lease_limit_s
+        self.leases_end_by = math.inf
         self.wall_offset_s = wall_offset_s
         self.config = CellConfig(0, ())
         self.executors: dict[str, ExecutorState] = {}
@@ -416,7 +424,7 @@
         self.unexplained_at = 0.0
         self.now = 0.0
         self.effects: list[Effect] = []
-        self.recovery_deadline = 0.0
+        self.is_recovering = False
         self.recovered_revision = 0
         self.has_given_up_ownership = False
         self.is_roster_dirty = False
