Wait for the executors of an earlier owner

Cause: an executor of the roster whose entry had not been read yet was taken for one that had drained and left. One failed connection then ended its runs, or the wait for it, though it ran on behind a partition under the earlier owner's lease.

An executor that drained and left is awaited until its lease has ended, as one behind a partition looks the same. An answer of another process counts only at the address at which the executor was reached, and a report with an earlier start time than that of the entry counts as no answer.

--- /dev/null
+++ b/tests/scheduling/test_evidence.py
@@ -0,0 +1,114 @@
+"""Tests of what an owner takes as evidence that a run has ended."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scheduling.helpers import SchedulerHarness, make_step
+from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    OTHER_INCARNATION,
+    UNKNOWN,
+    ExecutorUnlisted,
+    HoldFailed,
+    JobsRecovered,
+    StoredJob,
+)
+from wasabiramp.scheduling.model import JobDefinition, RunReport
+
+JOB = "b" * 16
+LEASE_LEFT_S = 4.0
+"""Time for which leases of the earlier owner may last after the recovery of the tests."""
+
+ROSTER_ADDRESS = "lost:1"
+"""Address at which the earlier owner reached the executor `lost`."""
+
+
+def recover_job(harness: SchedulerHarness, executors: list[str], tasks: int = 1) -> None:
+    """Take over a job of equal tasks and a roster of executors from an earlier owner."""
+    queue = harness.scheduler.state.config.find("batch")
+    definition = JobDefinition(JOB, queue, "spec", (make_step(tasks, cpu=1),))
+    roster = [(name, ROSTER_ADDRESS if name == "lost" else name) for name in executors]
+    stored = StoredJob(definition, harness.now, 50)
+    harness.apply(JobsRecovered([stored], roster, LEASE_LEFT_S, 60))
+
+
+def fail_holds(harness: SchedulerHarness, name: str, outcome: str, seconds: float) -> None:
+    """Let all holds of an executor fail for some time."""
+    for _ in range(round(seconds / 0.1)):
+        harness.apply(HoldFailed(name, harness.now, outcome))
+        harness.tick(0.1)
+
+
+class TestUnlistedExecutors:
+    """An executor without an entry may run on, so only its lease tells when its runs end."""
+
+    # Guards against TWICE after an outage: an executor whose entry was not back yet, and that
+    # refused connections, counted as one that had drained and left.
+    @pytest.mark.parametrize("outcome", [NOT_SENT, UNKNOWN])
+    def test_executor_of_an_earlier_owner_is_awaited_without_its_entry(self, outcome: str) -> None:
+        harness = SchedulerHarness()
+        recover_job(harness, ["e0", "lost"])
+        harness.answer_hold("e0")
+        fail_holds(harness, "lost", outcome, LEASE_LEFT_S - 0.2)
+        assert harness.place() == []
+        assert "lost" in harness.scheduler.state.executors
+        fail_holds(harness, "lost", outcome, 0.4)
+        assert len(harness.place()) == 1
+
+    # Guards against TWICE: a draining executor behind a partition lost its entry, refused
+    # connections and ran on, while its tasks were started elsewhere.
+    def test_draining_executor_that_vanishes_keeps_its_runs_until_its_lease_ends(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.submit(JOB, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        harness.answer_hold(start.executor)
+        harness.tick()
+        harness.list_executor(start.executor, is_draining=True)
+        harness.apply(ExecutorUnlisted(start.executor))
+        fail_holds(harness, start.executor, NOT_SENT, 2.5)
+        assert harness.place() == []
+        fail_holds(harness, start.executor, NOT_SENT, 1.5)
+        assert [other.task for other in harness.place()] == [start.task]
+
+
+class TestReplacedProcesses:
+    """Another process at the address of an executor shows that its own process is gone."""
+
+    def test_runs_end_with_the_process(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.submit(JOB, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        harness.answer_hold(start.executor)
+        harness.tick()
+        harness.apply(HoldFailed(start.executor, harness.now, OTHER_INCARNATION))
+        assert [other.task for other in harness.place()] == [start.task]
+
+    # Guards against TWICE: an entry with a wrong address led to another process, whose answer
+    # said nothing about the executor.
+    def test_another_address_says_nothing(self) -> None:
+        harness = SchedulerHarness()
+        recover_job(harness, ["e0", "lost"])
+        harness.answer_hold("e0")
+        harness.list_executor("lost")
+        harness.tick()
+        harness.apply(HoldFailed("lost", harness.now, OTHER_INCARNATION))
+        harness.tick(0.1)
+        assert harness.place() == []
+
+
+class TestReportsOfOtherIncarnations:
+    """A report that is older than the entry says nothing about the executor's present runs."""
+
+    # Guards against an endless recovery: an executor whose entry had a wrong start time was asked
+    # again and again, and the tasks of earlier jobs waited for it.
+    def test_executor_with_a_wrong_start_time_is_written_off(self) -> None:
+        harness = SchedulerHarness()
+        recover_job(harness, ["e0", "lost"])
+        harness.answer_hold("e0")
+        harness.list_executor("lost", born_ms=10**15)
+        harness.running["lost"] = [RunReport(f"{JOB}.0.0.0", 1, "", 100.0, 0.0)]
+        for _ in range(round((LEASE_LEFT_S + 0.4) / 0.1)):
+            harness.tick(0.1)
+            harness.answer_hold("lost")
+        assert len(harness.place()) == 1
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -150,11 +150,13 @@
     if executor is None:
         return
     report = event.report
+    if report.born_ms < executor.born_ms:
+        # An earlier incarnation, or an entry with a wrong start time: nothing is known of this one.
+        handle_hold_failure(state, HoldFailed(event.executor, event.sent_at, UNKNOWN))
+        return
     executor.has_open_hold = False
     executor.answered_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
-    if report.born_ms < executor.born_ms:
-        return
     if report.born_ms > executor.born_ms:
         if executor.born_ms:
             record_new_incarnation(state, executor, report.born_ms)
@@ -222,7 +224,7 @@
 def handle_hold_failure(state: SchedulerState, event: HoldFailed) -> None:
     """Mark an executor as silent, so that it gets no new work until it answers.
 
-    If its process was replaced or has ended, release its runs at once.
+    If its process was replaced, release its runs at once.
     """
     executor = state.executors.get(event.executor)
     if executor is None:
@@ -241,9 +243,8 @@
         executor.silent_since = state.now
         state.log_decision("executor_silent", executor=executor.id, why=event.outcome)
         note_silence(state, executor)
-    has_left = not executor.is_listed and executor.entry.is_draining
-    if is_replaced(executor, event.outcome) or (has_left and event.outcome == NOT_SENT):
-        expire_runs(state, executor, "executor process was replaced or has ended")
+    if is_replaced(executor, event.outcome):
+        expire_runs(state, executor, "executor process was replaced")
         confirm_crash(state, executor)
         forget_verdicts(state, executor)
         executor.must_answer = False
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -77,6 +77,7 @@
             entry = ExecutorEntry(executor_id, address, "", "", True, Resources(), (), 0)
             executor = ExecutorState(entry)
             executor.is_listed = False
+            executor.unlisted_at = state.now
             executor.reached_at = address
             state.executors[executor_id] = executor
         executor.is_in_stored_roster = True
