Read all pages of ends before a recovery is over

Cause: an executor lists 500 ends at a time. A new owner took the first answer of an executor for a complete one, ended its recovery, and started the tasks whose ends were on the next page.

Change: only a report without a full page of ends is complete. An executor that answers is awaited until then, also beyond the leases of the earlier owner; one that falls silent until its lease ends.

--- a/tests/scheduling/test_evidence.py
+++ b/tests/scheduling/test_evidence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.scheduling.helpers import SchedulerHarness, make_step
+from tests.scheduling.helpers import SchedulerHarness, StartTask, make_step
 from wasabiramp.scheduling.events import (
     NOT_SENT,
     OTHER_INCARNATION,
@@ -14,7 +14,8 @@
     JobsRecovered,
     StoredJob,
 )
-from wasabiramp.scheduling.model import JobDefinition, RunReport
+from wasabiramp.scheduling.evidence import ENDS_PER_PAGE
+from wasabiramp.scheduling.model import EndReport, JobDefinition, RunReport
 
 JOB = "b" * 16
 LEASE_LEFT_S = 4.0
@@ -97,6 +98,62 @@
         assert harness.place() == []
 
 
+class TestPagesOfEnds:
+    """A report with a full page of ends does not tell what has ended."""
+
+    def end_tasks(self, harness: SchedulerHarness, tasks: int) -> None:
+        """Let the earlier owner's runs of all tasks end on one executor."""
+        harness.ended["e0"] = [
+            EndReport(number + 1, f"{JOB}.0.0.{number}", 1, "done", "") for number in range(tasks)
+        ]
+
+    def answer_page(self, harness: SchedulerHarness) -> None:
+        """Answer a hold with the first ends that are not acknowledged, as executors do."""
+        all_ends = harness.ended["e0"]
+        last_seen = harness.scheduler.state.executors["e0"].last_seen
+        harness.ended["e0"] = [e for e in all_ends if e.number > last_seen][:ENDS_PER_PAGE]
+        harness.answer_hold("e0")
+        harness.ended["e0"] = all_ends
+
+    # Guards against TWICE after a takeover: tasks were started again whose ends were on the
+    # second page.
+    def test_new_owner_reads_all_pages_before_it_starts_tasks(self) -> None:
+        harness = SchedulerHarness()
+        recover_job(harness, ["e0"], tasks=ENDS_PER_PAGE + 10)
+        self.end_tasks(harness, ENDS_PER_PAGE + 10)
+        self.answer_page(harness)
+        harness.tick()
+        assert harness.place() == []
+        harness.commit()
+        self.answer_page(harness)
+        harness.tick()
+        assert harness.place() == []
+        assert harness.scheduler.state.jobs[JOB].is_ended
+
+    # Guards against TWICE: the leases of the earlier owner end while the next page waits for the
+    # store, but the executor answers, so its ends will be known.
+    def test_pages_are_awaited_longer_than_the_leases(self) -> None:
+        harness = SchedulerHarness()
+        recover_job(harness, ["e0"], tasks=ENDS_PER_PAGE + 10)
+        self.end_tasks(harness, ENDS_PER_PAGE + 10)
+        self.answer_page(harness)
+        for _ in range(20):
+            harness.tick(0.5)
+            self.answer_page(harness)
+        assert harness.place() == []
+
+    def test_last_page_ends_the_recovery(self) -> None:
+        harness = SchedulerHarness()
+        recover_job(harness, ["e0"], tasks=ENDS_PER_PAGE + 10)
+        self.end_tasks(harness, ENDS_PER_PAGE + 9)
+        self.answer_page(harness)
+        harness.commit()
+        self.answer_page(harness)
+        harness.tick()
+        starts: list[StartTask] = harness.place()
+        assert [start.task for start in starts] == [f"{JOB}.0.0.{ENDS_PER_PAGE + 9}"]
+
+
 class TestReportsOfOtherIncarnations:
     """A report that is older than the entry says nothing about the executor's present runs."""
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -165,7 +165,7 @@
     executor.clock_at = state.now
     executor.has_accepted_fence = True
     executor.reached_at = executor.hold_address
-    executor.must_answer = False
+    executor.must_answer &= not is_complete(report)
     if executor.silent_since is not None:
         state.log_decision("executor_answers", executor=executor.id)
         executor.silent_since = None
