Let work use closed executors if it fits on no others

With more lasting work it would wait for minutes.

Cause: the executor of a suspect is closed to other work until the suspect is cleared, that is, until a run lives twice as long as the oldest one at a crash. Nothing bounded that wait for others.

Change: a step that would not fit on the open executors, even if they were empty, may use the closed ones after 2 s, the time for which suspects themselves wait for an executor of their own.

Evidence: tests/scheduling/test_trials.py on the code before: 2 of 3 failed (no start within 3 s); all pass now. Work that others may run still avoids a closed executor (third test).

--- /dev/null
+++ b/tests/scheduling/test_trials.py
@@ -0,0 +1,73 @@
+"""Tests of trials: suspects run apart, and other work does not wait for that for long."""
+
+from __future__ import annotations
+
+from tests.scheduling.helpers import SchedulerHarness, make_step
+from wasabiramp.scheduling.crashes import update_suspect
+from wasabiramp.scheduling.model import Crash
+from wasabiramp.scheduling.trials import MAX_TRIAL_WAIT_S
+
+MAX_WAIT_S = 3.0
+"""Time for which a task may wait although an executor has room for it."""
+
+CRASH_AGES_S = (8.0, 14.0)
+
+
+def start_lasting_suspect(harness: SchedulerHarness) -> str:
+    """Start a lasting task under which two executors have crashed; return its executor."""
+    job = harness.submit("a" * 16, "batch", make_step(1, is_lasting=True))
+    step = job.steps[(0, 0)]
+    step.progress.crashes[0] = [
+        Crash(f"gone{age_s}", 1, age_s, 0.5, is_proven=True) for age_s in CRASH_AGES_S
+    ]
+    update_suspect(harness.scheduler.state, step, 0)
+    (start,) = harness.place_and_start()
+    return start.executor
+
+
+class TestWorkBesideSuspects:
+    """An executor with a suspect gets other work only if no other executor may run that."""
+
+    # Guards against LOST: a lasting suspect kept its executor closed for twice its greatest age at
+    # a crash, also to a job that only this executor could run.
+    def test_work_that_only_the_closed_executor_may_run_starts_soon(self) -> None:
+        harness = SchedulerHarness(executors=0)
+        harness.list_executor("e0", labels=("special", "r0"))
+        harness.tick()
+        harness.commit()
+        harness.answer_hold("e0")
+        assert start_lasting_suspect(harness) == "e0"
+        submitted_at = harness.now
+        harness.submit("b" * 16, "urgent", make_step(1, label="special"))
+        assert harness.place() == []
+        while not harness.place():
+            harness.tick(0.1)
+            harness.answer_hold("e0")
+            assert harness.now <= submitted_at + MAX_WAIT_S
+        assert harness.now >= submitted_at + MAX_TRIAL_WAIT_S
+
+    # Guards against LOST: a gang that needs the closed executor as well never fitted.
+    def test_gang_that_needs_the_closed_executor_starts_soon(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        start_lasting_suspect(harness)
+        submitted_at = harness.now
+        harness.submit("b" * 16, "gangs", make_step(2, is_gang=True, max_per_executor=1))
+        while not harness.place():
+            harness.tick(0.1)
+            for name in ("e0", "e1"):
+                harness.answer_hold(name)
+            assert harness.now <= submitted_at + MAX_WAIT_S
+
+    def test_work_that_others_may_run_avoids_the_closed_executor(self) -> None:
+        harness = SchedulerHarness(executors=2, cpu=1_000)
+        closed = start_lasting_suspect(harness)
+        other = next(name for name in ("e0", "e1") if name != closed)
+        harness.submit("b" * 16, "urgent", make_step(1))
+        (start,) = harness.place_and_start()
+        assert start.executor == other
+        harness.submit("c" * 16, "urgent", make_step(1))
+        for _ in range(50):
+            harness.tick(0.1)
+            for name in ("e0", "e1"):
+                harness.answer_hold(name)
+            assert harness.place() == []
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -16,6 +16,7 @@
 from wasabiramp.scheduling.orders import start_run
 from wasabiramp.scheduling.reservations import (
     Reservation,
+    could_hold,
     count_fitting_tasks,
     estimate_ends,
     find_earliest_start,
@@ -153,8 +154,8 @@
         if queue.advice is not None:
             self._ask_if_needed(queue, step, group, waiting)
             group = self._find_executors_with_ticket(step)
-        closed = self.view.trials.closed
-        allowed = [e for e in group if e.id not in closed and self.view.can_use(e, queue, step)]
+        group = self.view.trials.find_open_executors(self.state, step, group)
+        allowed = [e for e in group if self.view.can_use(e, queue, step)]
         if not step.spec.is_gang:
             _place_tasks(self.state, step, allowed, self.view)
             step.lacks_resources = bool(step.find_waiting_tasks())
@@ -314,20 +315,17 @@
 
 def _fits_when_empty(state: SchedulerState, queue: Queue, step: StepRun) -> bool:
     """Return whether the step fits on empty executors that advice has not ruled out."""
-    wanted = step.spec.count if step.spec.is_gang else 1
-    members = 0
-    for executor in state.executors.values():
-        if not executor.is_listed or executor.entry.is_draining:
-            continue
-        if not step.verdicts.get((executor.id, executor.born_ms), True):
-            continue
-        if not matches(executor, queue.service, step.spec.label):
-            continue
-        fitting = count_fitting_tasks(step.spec.demand, executor.entry.capacity)
-        members += min(fitting, step.spec.max_per_executor or fitting)
-        if members >= wanted:
-            return True
-    return False
+    return could_hold(
+        step,
+        (
+            executor
+            for executor in state.executors.values()
+            if executor.is_listed
+            and not executor.entry.is_draining
+            and step.verdicts.get((executor.id, executor.born_ms), True)
+            and matches(executor, queue.service, step.spec.label)
+        ),
+    )
 
 
 def _fits_now(step: StepRun, candidates: list[ExecutorState], view: PlacementView) -> bool:
--- a/wasabiramp/scheduling/reservations.py
+++ b/wasabiramp/scheduling/reservations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from operator import itemgetter
 from typing import Final
@@ -40,6 +40,18 @@
     return max(0, count)
 
 
+def could_hold(step: StepRun, executors: Iterable[ExecutorState]) -> bool:
+    """Return whether a gang, or one task of another step, fits on empty executors."""
+    wanted = step.spec.count if step.spec.is_gang else 1
+    members = 0
+    for executor in executors:
+        fitting = count_fitting_tasks(step.spec.demand, executor.entry.capacity)
+        members += min(fitting, step.spec.max_per_executor or fitting)
+        if members >= wanted:
+            return True
+    return False
+
+
 def estimate_end(run: Run, now: float) -> float:
     """Return the estimated end of a run, based on its progress if known."""
     step = run.step
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -130,10 +130,12 @@
     `finished_runs` has a text for each successful run that is not logged yet.
     `lacks_resources` is set if a gang, or some tasks, did not fit in the last placement pass.
     `suspects` are the indexes of the tasks that may have crashed executors, and `trial_due_at` is
-    the time until which they wait for an executor without other work.
+    the time until which they wait for an executor without other work. Since `closed_out_since`, the
+    step fits only on executors that are closed to it by suspects of others.
     """
 
     __slots__ = (
+        "closed_out_since",
         "next_advice_at",
         "is_feasible",
         "due_at",
@@ -181,6 +183,7 @@
         self.suspects: set[int] = set()
         self.trial_due_at: float | None = None
         self.trial_executor = ""
+        self.closed_out_since: float | None = None
 
     @property
     def is_done(self) -> bool:
--- a/wasabiramp/scheduling/trials.py
+++ b/wasabiramp/scheduling/trials.py
@@ -8,13 +8,15 @@
 
 from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.crashes import measure_suspicion
+from wasabiramp.scheduling.reservations import could_hold
 from wasabiramp.scheduling.state import ExecutorState, SchedulerState, StepRun, TaskState
 
 MAX_TRIAL_SHARE: Final = 1 / 6
 """Greatest share of the executors that may be kept for trials or be down after crashes."""
 
 MAX_TRIAL_WAIT_S: Final = 2.0
-"""Longest time for which suspects wait until an executor is without other work."""
+"""Longest time for which suspects wait until an executor is without other work, and for which other
+work waits if only executors with suspects may run it."""
 
 LIKELY_SUSPICION: Final = 0.5
 MAX_LIKELY_TRIAL_WAIT_S: Final = 8.0
@@ -59,6 +61,22 @@
             return jobs == {step.job.definition.id}
         return executor.id not in self.closed or step.trial_executor == executor.id
 
+    def find_open_executors(
+        self, state: SchedulerState, step: StepRun, group: list[ExecutorState]
+    ) -> list[ExecutorState]:
+        """Return the executors of a group that are open to a step without suspects.
+
+        A step that fits on no others may use closed ones after MAX_TRIAL_WAIT_S: a suspect that
+        lasts may keep its executor closed for minutes.
+        """
+        is_open = [executor for executor in group if executor.id not in self.closed]
+        if len(is_open) == len(group) or could_hold(step, is_open):
+            step.closed_out_since = None
+            return is_open
+        if step.closed_out_since is None:
+            step.closed_out_since = state.now
+        return group if state.now >= step.closed_out_since + MAX_TRIAL_WAIT_S else is_open
+
     def add_run(self, executor: ExecutorState, step: StepRun) -> None:
         """Close an executor to other work, as a suspect of a step starts there."""
         self.closed.add(executor.id)
