Do not count executors that an earlier owner removed as crashed

Callers saw (possible, found by reading): a sound job shown as failed (LOST).

Cause: an executor is removed from the roster after it has not answered for long, also behind a partition. If the record of that in a job's progress was not stored before the owner died, the next one took the missing executor for one that had certainly crashed, and two of them convict a task.

Change: such a record counts as that of a vanished executor, that is, half.

Evidence: tests/scheduling/test_crashes.py on the code before: the new test failed (the job was given up at the recovery); it passes now.

--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -13,7 +13,7 @@
     JobsRecovered,
     StoredJob,
 )
-from wasabiramp.scheduling.model import DONE, FAILED
+from wasabiramp.scheduling.model import DONE, FAILED, Crash, JobProgress, StepProgress
 from wasabiramp.scheduling.records import decode_progress, encode_progress
 from wasabiramp.scheduling.scheduler import Scheduler
 
@@ -186,6 +186,17 @@
             assert start.executor not in harness.scheduler.state.executors
         assert not job.is_ended
 
+    def test_vanished_executors_of_an_earlier_owner_do_not_convict_a_task(self) -> None:
+        """Guards against LOST: the earlier owner removed executors that were only cut off."""
+        harness = SchedulerHarness(executors=1)
+        job = harness.submit(make_job_id(0), "batch", make_step(1))
+        crashes = [Crash(f"cut{number}", 1, 0.1, 0.9) for number in range(2)]
+        progress = JobProgress(steps={(0, 0): StepProgress(crashes={0: crashes})})
+        stored = StoredJob(job.definition, harness.now, 100, progress)
+        harness.scheduler = Scheduler(2, 3.0, 6.0, 1_000_000.0)
+        harness.apply(JobsRecovered([stored], [("e0", "e0")], 3.5, 100))
+        assert not harness.scheduler.state.jobs[make_job_id(0)].is_ended
+
     def test_sound_tasks_of_a_step_with_suspects_keep_their_place(self) -> None:
         """Guards against batch work that goes before urgent work because a task is suspect."""
         harness = SchedulerHarness(executors=2, cpu=2_000)
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -304,13 +304,14 @@
 def _restore_crashes(state: SchedulerState, step: StepRun) -> None:
     """Take over the recorded crashes of one step.
 
-    Those that are not proven yet are settled once the executor answers. An executor that the
-    earlier owner removed is certainly gone.
+    Those that are not proven yet are settled once the executor answers. One that the earlier owner
+    removed did not answer for long, but that does not show that it crashed.
     """
     for index, crashes in list(step.progress.crashes.items()):
         for crash in crashes:
             executor = state.executors.get(crash.executor)
             if executor is None:
+                crash.is_certain &= crash.is_proven
                 crash.is_proven = True
             elif not crash.is_proven:
                 executor.tasks_at_silence.append(TaskAtCrash(step, index, crash))
