Write a daemon's entry again if it was removed under a valid lease

Callers saw: cancels and announcements through most daemons got 504 for minutes in a calm cell (LOST, acknowledgements), as nobody knew the owner's address.

Cause: a daemon joined again only if its lease had ended. Its entry can go without the lease: the store may revoke keys, and a join that is carried out late binds the entry to an earlier lease. The daemon saw its own entry go, and waited for the lease to end.

Change: a daemon that sees its entry removed writes it again under its lease until it is seen, beside the renewals.

--- a/tests/entry/test_takeover.py
+++ b/tests/entry/test_takeover.py
@@ -7,7 +7,9 @@
 import msgpack
 import pytest
 
-from wasabiramp.entry.keys import KEY_TERM, PREFIX_JOB
+from wasabiramp.entry.answers import CANCELLED
+from wasabiramp.entry.keys import KEY_TERM, PREFIX_JOB, PREFIX_MEMBER
+from wasabiramp.model.entry.clock import async_run_on_node
 from wasabiramp.model.entry.schedule import find_owner
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
@@ -114,3 +116,31 @@
         world.run(run_scenario())
         # One answer each for the claim, the lists and the executors' entries, and the claim delays.
         assert gaps[0] <= 6 * SLOW_ANSWER_S
+
+
+class TestRevokedEntries:
+    """Keys of members are removed while their leases are valid."""
+
+    # Guards against LOST: a daemon whose entry was removed never wrote it again, so that no other
+    # daemon knew the owner's address, and cancels ended without an answer from it.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_members_write_their_entries_again(self, seed: int) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            world.store.delete_prefix(PREFIX_MEMBER)
+            await asyncio.sleep(1.0)
+            members = {key for key in world.store.items if key.startswith(PREFIX_MEMBER)}
+            assert members == {PREFIX_MEMBER + name for name in world.daemons}
+            job = make_long_job(world, 1)
+            assert await world.async_submit(job)
+            for name in world.daemons:
+                handler = world.daemons[name].request_handler
+                answer = await async_run_on_node(
+                    world.node_names[name], handler.async_cancel(job.id, 3.0)
+                )
+                assert answer.outcome == CANCELLED
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -120,6 +120,7 @@
         self._renewal_task: asyncio.Task[None] | None = None
         self._renewals: set[asyncio.Task[None]] = set()
         self._lease_ended = asyncio.Event()
+        self._restore_task: asyncio.Task[None] | None = None
         self._rejoin_at = 0.0
         self._deferred_until = 0.0
         self._claim_task: asyncio.Task[None] | None = None
@@ -199,7 +200,8 @@
 
     def stop(self) -> None:
         """Cancel the watch and the renewals."""
-        for task in (self._watch_task, self._renewal_task, *self._renewals):
+        tasks = (self._watch_task, self._renewal_task, self._restore_task, *self._renewals)
+        for task in tasks:
             if task is not None:
                 task.cancel()
 
@@ -221,6 +223,7 @@
             else:
                 self.addresses.pop(name, None)
                 log_event("member_left", member=name)
+                self._restore_entry(name)
         elif key == KEY_OWNER and item is None:
             log_event("owner_gone", last=self.owner_name)
             self._schedule_claim()
@@ -231,6 +234,30 @@
         elif key == KEY_TERM and item is not None:
             self._handle_term(item)
 
+    def _restore_entry(self, name: str) -> None:
+        """Write this daemon's own entry again if it was removed while the lease is valid.
+
+        Its keys may be revoked without its lease, and a join that is carried out late binds the
+        entry to an earlier lease.
+        """
+        is_restoring = self._restore_task is not None and not self._restore_task.done()
+        if name != self._settings.name or not self._lease or self._is_leaving or is_restoring:
+            return
+        self._restore_task = asyncio.get_running_loop().create_task(self._async_restore_entry())
+
+    async def _async_restore_entry(self) -> None:
+        """Write the entry until it is seen again, the lease has ended, or the daemon leaves."""
+        while self._lease and not self._is_leaving and self.name not in self.addresses:
+            try:
+                await self._async_write_entry(self._lease)
+                log_event("entry_restored", lease=self._lease)
+            except LeaseEndedError:
+                # The renewal finds that too, and joins again.
+                return
+            except (StoreRefusedError, StoreUnknownError) as err:
+                log_event("entry_not_restored", error=err)
+            await asyncio.sleep(RENEWAL_INTERVAL_S)
+
     def _handle_term(self, item: Item) -> None:
         """End the tenure if another daemon claimed a term; adopt a claim whose answer was lost."""
         if parse_name(item) != self._settings.name:
@@ -290,11 +317,15 @@
     async def _async_join(self) -> None:
         """Request a lease and write the daemon's entry under it."""
         lease = await self._store.async_grant(self._ttl_s)
+        await self._async_write_entry(lease)
+        self._lease = lease
+        log_event("joined", lease=lease)
+
+    async def _async_write_entry(self, lease: int) -> None:
+        """Write this daemon's entry under a lease."""
         settings = self._settings
         value = msgpack.packb((settings.name, settings.peer_address, settings.power))
         await self._store.async_commit(Transaction(writes={self._member_key: (value, lease)}))
-        self._lease = lease
-        log_event("joined", lease=lease)
 
     def _schedule_claim(self) -> None:
         """Schedule a claim if there is no owner and no claim is scheduled yet."""
