--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -138,6 +138,19 @@
             state.open_steps[step.name] = step
 
 
+def find_or_prepare_step(
+    state: SchedulerState, job: JobRun, occurrence: int, index: int
+) -> StepRun | None:
+    """Return a step of a job, or None if the job has no such step.
+
+    The occurrence is prepared if need be, unless the job has ended.
+    """
+    is_prepared = (occurrence, 0) in job.steps
+    if not is_prepared and not job.is_ended and occurrence < max(1, job.definition.repeat_count):
+        prepare_occurrence(state, job, occurrence)
+    return job.steps.get((occurrence, index))
+
+
 def calculate_objective(state: SchedulerState, job: JobRun) -> float:
     """Return when the job should be done: its stretched critical path plus the queue's target.
 
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -23,7 +23,12 @@
     StartAnswered,
     StopAnswered,
 )
-from wasabiramp.scheduling.jobs import finish_task, mark_job_dirty, record_failed_run
+from wasabiramp.scheduling.jobs import (
+    find_or_prepare_step,
+    finish_task,
+    mark_job_dirty,
+    record_failed_run,
+)
 from wasabiramp.scheduling.model import EndReport, RunReport, parse_task
 from wasabiramp.scheduling.orders import release_run, resend_start, send_stop, stop_run
 from wasabiramp.scheduling.state import (
@@ -187,13 +192,16 @@
 
 
 def find_step(state: SchedulerState, task: str) -> tuple[StepRun | None, int]:
-    """Return the step and the task index for a task name, or (None, 0) if unknown."""
+    """Return the step and the task index for a task name, or (None, 0) if unknown.
+
+    The occurrence is prepared if need be, as an earlier owner may have been further ahead.
+    """
     parsed = parse_task(task)
     if parsed is None:
         return None, 0
     job_id, occurrence, index, number = parsed
     job = state.jobs.get(job_id)
-    step = job.steps.get((occurrence, index)) if job is not None else None
+    step = find_or_prepare_step(state, job, occurrence, index) if job is not None else None
     if step is None or number >= step.spec.count:
         return None, 0
     return step, number
