--- a/tests/scheduling/helpers.py
+++ b/tests/scheduling/helpers.py
@@ -114,6 +114,10 @@
         self.now += seconds
         self.apply(TimePassed())
 
+    def confirm_jobs(self, confirmed_at: float) -> None:
+        """Apply a timer event with the time up to which the list of stored jobs is complete."""
+        self.apply(TimePassed(jobs_confirmed_at=confirmed_at))
+
     def commit(self) -> bool:
         """Commit pending changes and return whether there were any."""
         if self.scheduler.take_changes() is None:
--- a/wasabiramp/bench/load.py
+++ b/wasabiramp/bench/load.py
@@ -226,7 +226,7 @@
 
     def _tick(self) -> None:
         """Advance the scheduler's time and schedule the next tick."""
-        self.apply(TimePassed())
+        self.apply(TimePassed(jobs_confirmed_at=self.now))
         self.call_at(self.now + TICK_INTERVAL_S, self._tick)
 
     def apply(self, event: Any) -> None:
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine
+import math
 from typing import Any, Final
 
 from wasabiramp.core.records import DecodeError
@@ -386,7 +387,15 @@
         ]
         waited_s = max(0.0, self._read_uptime() - self.tenure.begun_at)
         lease_left_s = max(0.0, PREDECESSOR_WAIT_S - waited_s)
-        self._reduce(JobsRecovered(stored, stored_state.roster, lease_left_s, stored_state.as_of))
+        self._reduce(
+            JobsRecovered(
+                stored,
+                stored_state.roster,
+                lease_left_s,
+                stored_state.as_of,
+                stored_state.ended,
+            )
+        )
         self._jobs_watcher.start_after(stored_state.as_of)
         return True
 
@@ -399,7 +408,7 @@
                 await self._async_check_tenure()
             self._last_tick_at = self._read_uptime()
             self._log_authority()
-            self._reduce(TimePassed(self._measure_list_age_s()))
+            self._reduce(TimePassed(self._measure_list_age_s(), self._get_jobs_confirmed_at()))
             now = self._loop.time()
             self._check_overload(now)
             if now >= self._next_removal_at:
@@ -416,6 +425,11 @@
         confirmed_at = self._executors_watcher.confirmed_at
         return self._loop.time() - confirmed_at if confirmed_at is not None else 0.0
 
+    def _get_jobs_confirmed_at(self) -> float:
+        """Return the time up to which all stored jobs are known."""
+        confirmed_at = self._jobs_watcher.confirmed_at
+        return confirmed_at if confirmed_at is not None else -math.inf
+
     @switchable("resigning", "resign as the owner while the machine is slow", plain=do_nothing)
     def _check_overload(self, now: float) -> None:
         """Resign if the event loop lags for long, as on a machine that has become slow."""
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+import math
 from typing import Final
 
 from wasabiramp.scheduling.model import (
@@ -60,13 +61,14 @@
     """Jobs and executor roster of an earlier owner, as of a store revision.
 
     The roster holds the id and address of each executor. The earlier owner's leases on executors
-    have expired `lease_left_s` from now.
+    have expired `lease_left_s` from now. `ended` are the ids of jobs that have ended.
     """
 
     jobs: list[StoredJob]
     roster: list[tuple[str, str]]
     lease_left_s: float
     as_of: int
+    ended: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -180,6 +182,11 @@
 
 @dataclass(slots=True)
 class TimePassed:
-    """Periodic timer event; `list_age_s` is the time since the list of executors was complete."""
+    """Periodic timer event.
+
+    `list_age_s` is the time since the list of executors was complete, and `jobs_confirmed_at` the
+    time on the event loop's clock up to which all stored jobs are known.
+    """
 
     list_age_s: float = 0.0
+    jobs_confirmed_at: float = -math.inf
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -7,6 +7,12 @@
 from wasabiramp.core.registry import handles
 from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.advice import forget_verdicts
+from wasabiramp.scheduling.attribution import (
+    get_last_attributed_end,
+    is_blocked_by_ends,
+    process_end,
+    settle_runs,
+)
 from wasabiramp.scheduling.capacity import record_capacity
 from wasabiramp.scheduling.crashes import (
     clear_if_alive,
@@ -36,7 +42,7 @@
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import send_hold, send_stop
 from wasabiramp.scheduling.progress import measure_speed, update_slowness
-from wasabiramp.scheduling.runs import give_up_ownership, handle_run_end, reconcile_listed_run
+from wasabiramp.scheduling.runs import give_up_ownership, reconcile_listed_run
 from wasabiramp.scheduling.sharing import SHARED_HOLD_WAIT_S, adjust_paces, is_shared
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
 
@@ -186,11 +192,12 @@
         if end.number > executor.last_read_end:
             executor.last_read_end = end.number
             executor.has_new_ends = True
-            handle_run_end(state, executor, end)
+            process_end(state, executor, end)
     run_reports = {
         reconcile_listed_run(state, executor, run_report, sent_at): run_report
         for run_report in report.running
     }
+    settle_runs(state, executor)
     for run in run_reports:
         clear_if_alive(state, run, sent_at - run.sent_at)
     speeds = {
@@ -286,7 +293,7 @@
     late start, or has not told its clock for long. It is not while ends that were read are still to
     be stored and it has no runs.
     """
-    if executor.last_read_end > executor.last_seen and not executor.runs:
+    if get_last_attributed_end(executor) > executor.last_seen and not executor.runs:
         return
     if not executor.has_accepted_fence or has_old_clock(state, executor):
         send_hold(state, executor, 0.0)
@@ -361,6 +368,6 @@
     if executor.entry.born_ms and executor.entry.born_ms != executor.born_ms:
         return False
     # The resources that a run of an unknown job occupies are unknown until it ends.
-    if any(run.step is None for run in executor.runs.values()):
+    if any(run.step is None for run in executor.runs.values()) or is_blocked_by_ends(executor):
         return False
     return state.now >= executor.cooldown_until
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -144,7 +144,7 @@
 ) -> Run:
     """Return the tracked run for one that an executor lists, and stop it if it is not needed.
 
-    A run that is not tracked yet is adopted.
+    A run that is not tracked yet is adopted. One of an unknown job goes on for the time being.
     """
     run = executor.runs.get((run_report.task, run_report.run))
     if run is None:
@@ -153,7 +153,7 @@
         run.confirmed_at = sent_at
     if run.step is not None and run_report.saved:
         run.step.tasks[run.index].saved = run_report.saved
-    if not is_wanted(run) and not _ends_with_gang(run):
+    if run.step is not None and not is_wanted(run) and not _ends_with_gang(run):
         run.wants_stop = True
     if run.wants_stop:
         send_stop(state, run)
@@ -172,23 +172,21 @@
     run.pace = None
     executor.add_run(run)
     if step is None:
+        state.log_decision("run_unattributed", task=run.task, run=run.number, executor=executor.id)
+    else:
+        link_run(state, executor, run, step)
+    return run
+
+
+def link_run(state: SchedulerState, executor: ExecutorState, run: Run, step: StepRun) -> None:
+    """Link a run that is tracked to its task; a second run of a task is stopped."""
+    task = step.tasks[run.index]
+    if (run.task, run.number) in executor.expired_runs or (task.runs and not step.spec.may_copy):
         run.wants_stop = True
-        state.log_decision(
-            "run_foreign", task=run_report.task, run=run_report.run, executor=executor.id
-        )
-        return run
-    task = step.tasks[index]
-    if (run_report.task, run_report.run) in executor.expired_runs or (
-        task.runs and not step.spec.may_copy
-    ):
-        run.wants_stop = True
-    task.last_run = max(task.last_run, run_report.run)
+    task.last_run = max(task.last_run, run.number)
     task.runs.append(run)
     step.job.has_started = True
-    state.log_decision(
-        "run_adopted", task=run_report.task, run=run_report.run, executor=executor.id
-    )
-    return run
+    state.log_decision("run_adopted", task=run.task, run=run.number, executor=executor.id)
 
 
 def find_step(state: SchedulerState, task: str) -> tuple[StepRun | None, int]:
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -5,14 +5,23 @@
 from typing import Any, Final
 
 from wasabiramp.core.registry import EVENT_HANDLERS, handles
-from wasabiramp.scheduling import advice, crashes, executors, jobs, runs, sharing
+from wasabiramp.scheduling import advice, attribution, crashes, executors, jobs, runs, sharing
+from wasabiramp.scheduling.attribution import get_last_attributed_end
 from wasabiramp.scheduling.effects import Effect
 from wasabiramp.scheduling.events import Committed
 from wasabiramp.scheduling.model import FINAL_PHASES
 from wasabiramp.scheduling.placement import place_work
 from wasabiramp.scheduling.state import JobRun, SchedulerState
 
-EVENT_HANDLER_MODULES: Final = (advice, crashes, executors, jobs, runs, sharing)
+EVENT_HANDLER_MODULES: Final = (
+    advice,
+    attribution,
+    crashes,
+    executors,
+    jobs,
+    runs,
+    sharing,
+)
 """Modules that register event handlers on import."""
 
 LATE_STORAGE_S: Final = 0.2
@@ -33,7 +42,7 @@
         """Create a set of changes.
 
         `roster` is None if unchanged; `read_ends` maps an executor to its start time and the number
-        of the last end that was read.
+        of the last end that may be acknowledged.
         """
         self.jobs = jobs
         self.roster = roster
@@ -89,9 +98,9 @@
         state = self.state
         dirty = [job for job in state.jobs.values() if job.is_dirty]
         read_ends = {
-            e.id: (e.born_ms, e.last_read_end)
+            e.id: (e.born_ms, get_last_attributed_end(e))
             for e in state.executors.values()
-            if e.last_read_end > e.last_seen
+            if get_last_attributed_end(e) > e.last_seen
         }
         if not dirty and not read_ends and not state.is_roster_dirty:
             return None
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -14,6 +14,7 @@
     RUNNING,
     CellConfig,
     Crash,
+    EndReport,
     ExecutorEntry,
     JobDefinition,
     JobProgress,
@@ -268,7 +269,8 @@
     `last_read_end` is the number of the last end that was read, `last_seen` that of the last one
     that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
-    executor's runs are known. `hold_address` is the address to which the last hold was sent, and
+    executor's runs are known. `unattributed_ends` are ends of unknown jobs by number, with the time
+    at which each was read. `hold_address` is the address to which the last hold was sent, and
     `reached_at` the one from which the executor answered last. `slowness` is 1 at the estimated
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering.
@@ -308,6 +310,7 @@
         "silent_since",
         "slowness",
         "tasks_at_silence",
+        "unattributed_ends",
         "unlisted_at",
         "used",
     )
@@ -353,6 +356,7 @@
         self.silent_since: float | None = None
         self.tasks_at_silence: list[TaskAtCrash] = []
         self.expired_runs: set[tuple[str, int]] = set()
+        self.unattributed_ends: dict[int, tuple[EndReport, float]] = {}
 
     def add_run(self, run: Run) -> None:
         """Add a run and occupy its resources."""
@@ -369,24 +373,26 @@
     """State of the scheduler of one domain.
 
     `is_recovering` is set after a takeover until it is known what earlier owners left running.
-    `recovered_revision` is the store revision as of
-    which jobs were recovered. `suspect_steps` are the open steps with suspects, by name.
-    `unexplained_crashes` are the recent crashes for which no task is to blame, as of
-    `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
-    tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
-    share of its greatest capacity to which an executor has shrunk. No lease may end later than
-    `leases_end_by`, which follows from the last proof of the owner's term.
+    `recovered_revision` is the store revision as of which jobs were recovered. `ended_jobs` had
+    ended by then. All jobs stored up to `jobs_confirmed_at` are known. `suspect_steps` are the open
+    steps with suspects, by name. `unexplained_crashes` are the recent crashes for which no task is
+    to blame, as of `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds
+    the crashes by tasks of a queue, and the time as of which they count. `smallest_capacity_share`
+    is the smallest share of its greatest capacity to which an executor has shrunk. No lease may end
+    later than `leases_end_by`, which follows from the last proof of the owner's term.
     """
 
     __slots__ = (
         "config",
         "created_at",
         "effects",
+        "ended_jobs",
         "executors",
         "has_given_up_ownership",
         "is_recovering",
         "is_roster_dirty",
         "jobs",
+        "jobs_confirmed_at",
         "lease_limit_s",
         "lease_s",
         "leases_end_by",
@@ -426,6 +432,8 @@
         self.effects: list[Effect] = []
         self.is_recovering = False
         self.recovered_revision = 0
+        self.jobs_confirmed_at = -math.inf
+        self.ended_jobs: set[str] = set()
         self.has_given_up_ownership = False
         self.is_roster_dirty = False
         self.executor_list_version = 0
