--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -67,6 +67,52 @@
         assert world.checker.breaches == []
 
 
+class TestUnreadableRecords:
+    """Records that this build cannot read belong to jobs of a newer build, and are left alone."""
+
+    # Guards against TWICE during an upgrade: an owner of an older build took a job whose
+    # definition it could not read for one that had ended, and removed its progress.
+    def test_progress_of_an_unreadable_job_is_kept(self) -> None:
+        world = World(3, status_s=4.0)
+        job_id = f"{1:016x}"
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            world.store.put(PREFIX_JOB + job_id, b"not a record", 0)
+            world.store.put(PREFIX_PROGRESS + job_id, b"not a record", 0)
+            owner = find_owner(world)
+            assert owner is not None
+            world.kill_daemon(owner)
+            await asyncio.sleep(25.0)
+            assert PREFIX_PROGRESS + job_id in world.store.items
+
+        world.run(run_scenario())
+
+    @pytest.mark.parametrize("is_stored_before", [True, False])
+    def test_owner_knows_the_job(self, is_stored_before: bool) -> None:
+        world = World(4)
+        job_id = f"{1:016x}"
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            old = find_owner(world)
+            assert old is not None
+            if is_stored_before:
+                world.store.put(PREFIX_JOB + job_id, b"not a record", 0)
+                world.kill_daemon(old)
+                await asyncio.sleep(5.0)
+            else:
+                world.store.put(PREFIX_JOB + job_id, b"not a record", 0)
+                await asyncio.sleep(1.0)
+            name = find_owner(world)
+            assert name is not None
+            owner = world.daemons[name].owner
+            assert owner is not None
+            assert owner.scheduler.state.unreadable_jobs == {job_id}
+
+        world.run(run_scenario())
+
+
 class TestTakeover:
     """Starts resume after the loss of the owner: within 2 s at the median, 4 s at most."""
 
--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, StartTask, StopTask, make_step
-from wasabiramp.scheduling.events import JobsRecovered, StoredJob
+from wasabiramp.scheduling.events import JobsRecovered, JobUnreadable, StoredJob
 from wasabiramp.scheduling.model import EndReport, JobDefinition, RunReport
 
 JOB = "b" * 16
@@ -239,3 +239,29 @@
         finish_recovery(harness)
         harness.submit(OTHER_JOB, "batch", make_step(8))
         assert ("e0" in {start.executor for start in harness.place()}) is is_used
+
+
+class TestUnreadableJobs:
+    """A job whose record this build cannot read belongs to a newer owner."""
+
+    # Guards against TWICE during an upgrade: an owner of an older build stopped the runs of jobs
+    # whose records it could not read, and acknowledged their ends.
+    def test_runs_go_on_and_ends_stay_listed(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        recover(harness, unreadable=[JOB])
+        report_run(harness, "e0", f"{JOB}.0.0.0")
+        report_end(harness, "e1", f"{JOB}.0.0.1")
+        harness.confirm_jobs(harness.now)
+        harness.tick(5.0)
+        harness.confirm_jobs(harness.now)
+        assert harness.take_effects(StopTask) == []
+        assert not harness.commit()
+        assert harness.scheduler.state.executors["e1"].last_seen == 0
+
+    def test_job_found_after_the_recovery_is_left_alone(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        recover(harness)
+        report_run(harness, "e0", f"{JOB}.0.0.0")
+        harness.apply(JobUnreadable(JOB))
+        harness.confirm_jobs(harness.now)
+        assert harness.take_effects(StopTask) == []
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -57,13 +57,15 @@
     """Stored state as of a revision of the store.
 
     `roster` holds the ids and addresses of executors, `jobs` the jobs that have not ended, with
-    the revisions of their definitions and their progress, and `ended` the ids of ended jobs.
+    the revisions of their definitions and their progress, and `ended` the ids of ended jobs. Those
+    of jobs with records that cannot be read are in `unreadable`.
     """
 
     as_of: int
     roster: list[tuple[str, str]]
     jobs: list[tuple[JobDefinition, int, JobProgress | None]] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
+    unreadable: list[str] = field(default_factory=list)
 
 
 class Journal:
@@ -113,6 +115,7 @@
         for item in jobs:
             _add_job(stored_state, item, progress_items)
         unended_ids = {job.id for job, _revision, _progress in stored_state.jobs}
+        unended_ids.update(stored_state.unreadable)
         stored_state.ended = [job_id for job_id in progress_items if job_id not in unended_ids]
         return stored_state
 
@@ -194,6 +197,7 @@
         progress = decode_progress(progress_item.value) if progress_item is not None else None
     except DecodeError as err:
         log_event("job_unreadable", key=item.key, error=err)
+        stored_state.unreadable.append(item.key.removeprefix(PREFIX_JOB))
         return
     if progress is None or progress.phase not in FINAL_PHASES:
         stored_state.jobs.append((definition, item.revision, progress))
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -45,6 +45,7 @@
     ExecutorUnlisted,
     JobAccepted,
     JobsRecovered,
+    JobUnreadable,
     StoredJob,
     TimePassed,
 )
@@ -394,6 +395,7 @@
                 lease_left_s,
                 stored_state.as_of,
                 stored_state.ended,
+                stored_state.unreadable,
             )
         )
         self._jobs_watcher.start_after(stored_state.as_of)
@@ -488,6 +490,8 @@
             return
         if self.add_encoded_job(item.value, item.revision):
             log_event("job_found", job=job_id)
+        else:
+            self._reduce(JobUnreadable(job_id))
 
     async def _async_commit_loop(self) -> None:
         """Store changes one batch at a time."""
--- a/wasabiramp/scheduling/attribution.py
+++ b/wasabiramp/scheduling/attribution.py
@@ -5,6 +5,9 @@
 stored jobs is complete as of a time after the report, as a task runs only after its job was stored.
 Until then its runs go on, and its ends are kept and not acknowledged, so that the next owner reads
 them as well. Once the job is known, they are processed before anything of it is placed.
+
+A job whose record this build cannot read belongs to an owner of a newer build. Its runs and ends
+are left alone.
 """
 
 from __future__ import annotations
@@ -12,7 +15,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
-from wasabiramp.scheduling.events import JobAccepted, JobsRecovered, TimePassed
+from wasabiramp.scheduling.events import JobAccepted, JobsRecovered, JobUnreadable, TimePassed
 from wasabiramp.scheduling.model import EndReport
 from wasabiramp.scheduling.orders import stop_run
 from wasabiramp.scheduling.runs import find_step, handle_run_end, link_run
@@ -34,7 +37,7 @@
     job_id = parse_job_id(task)
     if job_id in state.jobs or job_id in state.ended_jobs:
         return False
-    return state.jobs_confirmed_at < reported_at
+    return job_id in state.unreadable_jobs or state.jobs_confirmed_at < reported_at
 
 
 def process_end(state: SchedulerState, executor: ExecutorState, end: EndReport) -> None:
@@ -97,6 +100,13 @@
 def handle_jobs_recovered(state: SchedulerState, event: JobsRecovered) -> None:
     """Note the jobs that are known but not to be run."""
     state.ended_jobs.update(event.ended)
+    state.unreadable_jobs.update(event.unreadable)
+
+
+@handles(JobUnreadable)
+def handle_job_unreadable(state: SchedulerState, event: JobUnreadable) -> None:
+    """Leave the runs and ends of a job alone."""
+    state.unreadable_jobs.add(event.job_id)
 
 
 @handles(JobAccepted)
@@ -105,6 +115,7 @@
     job_id = event.job.definition.id
     if job_id not in state.jobs:
         return
+    state.unreadable_jobs.discard(job_id)
     for executor in state.executors.values():
         for number, (end, _read_at) in sorted(executor.unattributed_ends.items()):
             if parse_job_id(end.task) == job_id:
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -61,7 +61,8 @@
     """Jobs and executor roster of an earlier owner, as of a store revision.
 
     The roster holds the id and address of each executor. The earlier owner's leases on executors
-    have expired `lease_left_s` from now. `ended` are the ids of jobs that have ended.
+    have expired `lease_left_s` from now. `ended` are the ids of jobs that have ended, and
+    `unreadable` those of jobs whose records this build cannot read.
     """
 
     jobs: list[StoredJob]
@@ -69,6 +70,7 @@
     lease_left_s: float
     as_of: int
     ended: list[str] = field(default_factory=list)
+    unreadable: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -78,6 +80,13 @@
     job: StoredJob
 
 
+@dataclass(slots=True)
+class JobUnreadable:
+    """A job was found whose record this build cannot read."""
+
+    job_id: str
+
+
 @dataclass(slots=True)
 class CancelAsked:
     """A caller asked to cancel a job."""
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -374,12 +374,13 @@
 
     `is_recovering` is set after a takeover until it is known what earlier owners left running.
     `recovered_revision` is the store revision as of which jobs were recovered. `ended_jobs` had
-    ended by then. All jobs stored up to `jobs_confirmed_at` are known. `suspect_steps` are the open
-    steps with suspects, by name. `unexplained_crashes` are the recent crashes for which no task is
-    to blame, as of `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds
-    the crashes by tasks of a queue, and the time as of which they count. `smallest_capacity_share`
-    is the smallest share of its greatest capacity to which an executor has shrunk. No lease may end
-    later than `leases_end_by`, which follows from the last proof of the owner's term.
+    ended by then, and `unreadable_jobs` have records that this build cannot read. All jobs stored
+    up to `jobs_confirmed_at` are known. `suspect_steps` are the open steps with suspects, by name.
+    `unexplained_crashes` are the recent crashes for which no task is to blame, as of
+    `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
+    tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
+    share of its greatest capacity to which an executor has shrunk. No lease may end later than
+    `leases_end_by`, which follows from the last proof of the owner's term.
     """
 
     __slots__ = (
@@ -407,6 +408,7 @@
         "term",
         "unexplained_at",
         "unexplained_crashes",
+        "unreadable_jobs",
         "wall_offset_s",
     )
 
@@ -434,6 +436,7 @@
         self.recovered_revision = 0
         self.jobs_confirmed_at = -math.inf
         self.ended_jobs: set[str] = set()
+        self.unreadable_jobs: set[str] = set()
         self.has_given_up_ownership = False
         self.is_roster_dirty = False
         self.executor_list_version = 0
