--- a/tests/scheduling/test_leases.py
+++ b/tests/scheduling/test_leases.py
@@ -5,8 +5,15 @@
 import pytest
 
 from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, StartTask, make_step
-from wasabiramp.scheduling.events import HoldAnswered, StartAnswered
+from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    ExecutorUnlisted,
+    HoldAnswered,
+    HoldFailed,
+    StartAnswered,
+)
 from wasabiramp.scheduling.leases import (
+    DRAINING_LEASE_S,
     MAX_CLOCK_AGE_S,
     MAX_CLOCK_DRIFT_SHARE,
     MAX_UNCONFIRMED_S,
@@ -63,6 +70,28 @@
         assert [hold.executor for hold in harness.take_effects(HoldExecutor)] == ["e0"]
 
 
+class TestDrainingExecutors:
+    """Tasks of an executor that drains and leaves start elsewhere soon."""
+
+    # Guards against a wait of a whole lease for each task of an executor that left in order.
+    def test_tasks_start_elsewhere_when_a_short_lease_has_ended(self) -> None:
+        harness = SchedulerHarness(executors=2, lease_s=LEASE_S)
+        harness.submit("a" * 16, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        harness.list_executor(start.executor, is_draining=True)
+        for _ in range(40):
+            harness.tick(0.1)
+            for hold in harness.take_effects(HoldExecutor):
+                assert hold.wait_s < DRAINING_LEASE_S / 2
+                harness.answer_hold(hold.executor)
+        left_at = harness.now
+        harness.apply(ExecutorUnlisted(start.executor))
+        while not harness.place():
+            harness.apply(HoldFailed(start.executor, harness.now, NOT_SENT))
+            harness.tick(0.1)
+        assert DRAINING_LEASE_S <= harness.now - left_at <= DRAINING_LEASE_S + 0.5
+
+
 class TestUnprovenTerm:
     """An owner whose term is not proven lets its leases end in time for the next owner."""
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -296,7 +296,7 @@
         or _may_receive_late_start(state, executor)
     ):
         can_wait = executor.last_read_end <= executor.last_seen and executor.silent_since is None
-        wait_s = min(choose_hold_wait_s(executor), calculate_longest_hold_s(state))
+        wait_s = min(choose_hold_wait_s(executor), calculate_longest_hold_s(state, executor))
         send_hold(state, executor, wait_s if can_wait else 0.0)
     elif executor.last_seen > executor.acknowledged_end or not executor.is_listed:
         send_hold(state, executor, 0.0)
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -26,6 +26,12 @@
 MIN_START_LEASE_S: Final = 1.0
 """Shortest lease with which a run is started: it lasts until a hold can extend it."""
 
+DRAINING_LEASE_S: Final = 2.0
+"""Longest lease on an executor that drains.
+
+It may leave at any moment. Its tasks start elsewhere when their lease has ended, as an executor
+behind a partition looks the same."""
+
 LIMITED_HOLD_SHARE: Final = 0.25
 """Longest wait of a hold as a share of the time for which leases may still last."""
 
@@ -55,13 +61,21 @@
     return state.now + MIN_START_LEASE_S <= state.leases_end_by
 
 
-def calculate_longest_hold_s(state: SchedulerState) -> float:
-    """Return how long a hold may wait while leases cannot be extended in full.
+def calculate_lease_s(state: SchedulerState, executor: ExecutorState) -> float:
+    """Return the length of a lease that is given now; it is negative if none may be given."""
+    wanted_s = state.lease_s
+    if executor.entry.is_draining:
+        wanted_s = min(wanted_s, DRAINING_LEASE_S)
+    return min(wanted_s, state.leases_end_by - state.now)
+
+
+def calculate_longest_hold_s(state: SchedulerState, executor: ExecutorState) -> float:
+    """Return how long a hold may wait while leases are not extended in full.
 
-    The next hold extends them once the term is proven again, so it must come before they end.
+    The next hold extends the lease, so it must come before that ends.
     """
-    left_s = state.leases_end_by - state.now
-    return math.inf if left_s >= state.lease_s else max(0.0, left_s * LIMITED_HOLD_SHARE)
+    lease_s = calculate_lease_s(state, executor)
+    return math.inf if lease_s >= state.lease_s else max(0.0, lease_s * LIMITED_HOLD_SHARE)
 
 
 def has_old_clock(state: SchedulerState, executor: ExecutorState) -> bool:
@@ -83,7 +97,7 @@
     Return None if the clock is unknown, or if the owner's term was not proven for too long.
     """
     clock_ms = estimate_executor_clock_ms(state, executor)
-    lease_s = min(state.lease_s, state.leases_end_by - state.now)
+    lease_s = calculate_lease_s(state, executor)
     if clock_ms is None or lease_s <= 0:
         return None
     expiry_ms = clock_ms + int(lease_s * 1000)
