--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -171,7 +171,7 @@
     executor.clock_at = state.now
     executor.has_accepted_fence = True
     executor.reached_at = executor.hold_address
-    executor.must_answer = False
+    executor.must_answer &= not is_complete(report)
     if executor.silent_since is not None:
         state.log_decision("executor_answers", executor=executor.id)
         executor.silent_since = None
@@ -303,7 +303,7 @@
         or _may_receive_late_start(state, executor)
     ):
         can_wait = executor.last_read_end <= executor.last_seen and executor.silent_since is None
-        wait_s = min(choose_hold_wait_s(executor), calculate_longest_hold_s(state))
+        wait_s = min(choose_hold_wait_s(executor), calculate_longest_hold_s(state, executor))
         send_hold(state, executor, wait_s if can_wait else 0.0)
     elif executor.last_seen > executor.acknowledged_end or not executor.is_listed:
         send_hold(state, executor, 0.0)
