--- a/tests/entry/test_takeover.py
+++ b/tests/entry/test_takeover.py
@@ -192,3 +192,25 @@
         world.run(run_scenario())
         assert world.checker.breaches == []
         assert world.checker.starts == 1
+
+    # Guards against TWICE after a takeover: a job found during the recovery was started at once,
+    # though an executor that had not answered yet ran it for the old owner.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_job_waits_for_an_executor_that_has_not_answered(self, seed: int) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            old, new = await async_take_over(world)
+            busy = await async_start_at_old_owner(world, old, 3.0)
+            for name in world.executors.by_id:
+                if name != busy:
+                    world.network.remove_partition(world.node_names[new], name)
+            await asyncio.sleep(1.5)
+            world.network.remove_all_partitions()
+            await world.async_wait_for_jobs(20.0)
+            assert await world.async_show(JOB_ID) == DONE
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+        assert world.checker.starts == 1
--- a/tests/scheduling/helpers.py
+++ b/tests/scheduling/helpers.py
@@ -125,11 +125,20 @@
         self.apply(Committed())
         return True
 
-    def submit(self, job_id: str, queue: str, *steps: Step, revision: int = 100, **options: Any):
+    def submit(
+        self,
+        job_id: str,
+        queue: str,
+        *steps: Step,
+        revision: int = 100,
+        is_new: bool = False,
+        is_found: bool = False,
+        **options: Any,
+    ):
         """Submit a job and return its state, or None if it was ignored."""
         found = next(q for q in QUEUES if q.name == queue)
         definition = JobDefinition(job_id, found, f"spec {job_id}", steps, **options)
-        self.apply(JobAccepted(StoredJob(definition, self.now, revision)))
+        self.apply(JobAccepted(StoredJob(definition, self.now, revision), is_new, is_found))
         return self.scheduler.state.jobs.get(job_id)
 
     def answer_start(self, start: StartTask, outcome: str = STARTED) -> None:
--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, StartTask, StopTask, make_step
 from wasabiramp.scheduling.events import JobsRecovered, JobUnreadable, StoredJob
+from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S
 from wasabiramp.scheduling.model import EndReport, JobDefinition, RunReport
 
 JOB = "b" * 16
@@ -15,7 +18,7 @@
 """Revision of the store as of which jobs are recovered."""
 
 
-def recover(harness: SchedulerHarness, *jobs: StoredJob, **options: list[str]) -> None:
+def recover(harness: SchedulerHarness, *jobs: StoredJob, **options: Any) -> None:
     """Take over jobs and the executors `e0` and `e1` from an earlier owner."""
     roster = [("e0", "e0"), ("e1", "e1")]
     harness.apply(JobsRecovered(list(jobs), roster, 4.0, AS_OF, **options))
@@ -265,3 +268,67 @@
         harness.apply(JobUnreadable(JOB))
         harness.confirm_jobs(harness.now)
         assert harness.take_effects(StopTask) == []
+
+
+class TestJobsDuringARecovery:
+    """A job that becomes known during a recovery may run under an earlier owner."""
+
+    # Guards against TWICE after a takeover: a job that an earlier owner, which still acted, had
+    # started on an executor that had not answered yet was started again at once.
+    def test_job_waits_for_the_executors(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        recover(harness)
+        harness.answer_hold("e0")
+        harness.submit(JOB, "batch", make_step(1))
+        assert harness.place() == []
+        report_run(harness, "e1", f"{JOB}.0.0.0")
+        harness.tick(0.1)
+        assert harness.place() == []
+
+    def test_job_that_no_earlier_owner_knew_starts_at_once(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        recover(harness)
+        harness.answer_hold("e0")
+        harness.submit(JOB, "batch", make_step(1), is_new=True)
+        assert len(harness.place()) == 1
+
+    def test_waiting_job_starts_after_the_recovery(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        recover(harness)
+        harness.submit(JOB, "batch", make_step(1))
+        finish_recovery(harness)
+        assert len(harness.place()) == 1
+
+    # Guards against TWICE beside a newer owner, which takes a job for new that is announced to it
+    # first, while this one finds the job in the store.
+    def test_found_job_waits_for_a_later_proof_of_the_term(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.scheduler.limit_leases(harness.now + MAX_UNCONFIRMED_S)
+        harness.tick(0.2)
+        harness.submit(JOB, "batch", make_step(1), is_found=True)
+        assert harness.place() == []
+        harness.scheduler.limit_leases(harness.now + MAX_UNCONFIRMED_S)
+        assert len(harness.place()) == 1
+
+    def test_found_job_starts_once_it_is_announced(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.scheduler.limit_leases(harness.now + MAX_UNCONFIRMED_S)
+        harness.tick(0.2)
+        harness.submit(JOB, "batch", make_step(1), is_found=True)
+        harness.submit(JOB, "batch", make_step(1))
+        assert len(harness.place()) == 1
+
+    @pytest.mark.parametrize(("revision", "is_awaited"), [(50, False), (58, True)])
+    def test_recovered_job_that_is_newer_than_the_claim_waits_for_a_proof(
+        self, revision: int, is_awaited: bool
+    ) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.scheduler.limit_leases(harness.now + MAX_UNCONFIRMED_S)
+        harness.tick(0.2)
+        job = make_repeated_job(harness)
+        job.revision = revision
+        recover(harness, job, claim_revision=55)
+        finish_recovery(harness)
+        assert (harness.place() == []) is is_awaited
+        harness.scheduler.limit_leases(harness.now + MAX_UNCONFIRMED_S)
+        assert (harness.place() != []) is is_awaited
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -250,19 +250,32 @@
         """Apply a newer configuration."""
         self._reduce(ConfigChanged(config))
 
-    def add_stored_job(self, definition: JobDefinition, revision: int) -> None:
-        """Add a job that a daemon stored at the given revision."""
-        accepted_at = self._compute_accepted_at(definition)
-        self._reduce(JobAccepted(StoredJob(definition, accepted_at, revision)))
+    def add_stored_job(
+        self,
+        definition: JobDefinition,
+        revision: int,
+        is_first: bool = False,
+        is_found: bool = False,
+    ) -> None:
+        """Add a job that a daemon stored at the given revision.
+
+        `is_first` is set if the job was not announced to any owner before, and `is_found` if it was
+        not announced at all.
+        """
+        stored = StoredJob(definition, self._compute_accepted_at(definition), revision)
+        is_new = is_first and revision > self.tenure.fencing_token
+        self._reduce(JobAccepted(stored, is_new, is_found))
 
-    def add_encoded_job(self, data: bytes, revision: int) -> bool:
+    def add_encoded_job(
+        self, data: bytes, revision: int, is_first: bool = False, is_found: bool = False
+    ) -> bool:
         """Add a stored job from its record; return whether the record could be decoded."""
         try:
             definition = decode_definition(data)
         except DecodeError as err:
             log_event("job_unreadable", revision=revision, error=err)
             return False
-        self.add_stored_job(definition, revision)
+        self.add_stored_job(definition, revision, is_first, is_found)
         return True
 
     def _compute_accepted_at(self, definition: JobDefinition) -> float:
@@ -396,6 +409,7 @@
                 stored_state.as_of,
                 stored_state.ended,
                 stored_state.unreadable,
+                self.tenure.fencing_token,
             )
         )
         self._jobs_watcher.start_after(stored_state.as_of)
@@ -488,7 +502,7 @@
         job_id = key.removeprefix(PREFIX_JOB)
         if item is None or job_id in self.scheduler.state.jobs:
             return
-        if self.add_encoded_job(item.value, item.revision):
+        if self.add_encoded_job(item.value, item.revision, is_found=True):
             log_event("job_found", job=job_id)
         else:
             self._reduce(JobUnreadable(job_id))
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -33,6 +33,9 @@
 ENDING: Final = "ending"
 """The job has ended, but whether its end is stored is unknown: read the phase from the store."""
 
+SILENT: Final = "silent"
+"""Value of an answer `NOT_OWNER` if the call was not answered, so that it may have arrived."""
+
 UNKNOWN_JOB: Final = "unknown-job"
 FAILED: Final = "failed"
 
@@ -44,6 +47,13 @@
     jobs: list[tuple[bytes, int]]
 
 
+@record
+class AnnounceNewJobs:
+    """The same for jobs that certainly were not announced to any owner before."""
+
+    jobs: list[tuple[bytes, int]]
+
+
 @record
 class StoreJobs:
     """Jobs that the sender cannot store itself, as the bytes of their definitions."""
--- a/wasabiramp/entry/request_handler.py
+++ b/wasabiramp/entry/request_handler.py
@@ -29,9 +29,11 @@
     FAILED,
     NOT_OWNER,
     OK,
+    SILENT,
     UNCONFIRMED,
     UNKNOWN_JOB,
     AnnounceJobs,
+    AnnounceNewJobs,
     CancelJob,
     CountWaiting,
     PeerAnswer,
@@ -113,6 +115,19 @@
     return min(MAX_RETRY_AFTER_S, max(OUTAGE_RETRY_AFTER_S, silence_s))
 
 
+class Announcement:
+    """A stored job that is to be announced; `may_be_known` is set once an owner may know it."""
+
+    __slots__ = ("job", "may_be_known", "queued_at", "revision")
+
+    def __init__(self, job: JobDefinition, revision: int, queued_at: float) -> None:
+        """Create the announcement of a job that no owner was told of."""
+        self.job = job
+        self.revision = revision
+        self.queued_at = queued_at
+        self.may_be_known = False
+
+
 class RequestHandler:
     """Serves callers at this daemon, and calls of other daemons to the owner."""
 
@@ -133,7 +148,8 @@
         self._metrics = metrics
         self._read_wall = read_wall
         self.admission = Admission(store)
-        self._unannounced: dict[str, tuple[JobDefinition, int, float]] = {}
+        self._unannounced: dict[str, Announcement] = {}
+        self._older_owner_address = ""
         self._announcement_ready = asyncio.Event()
         self._owner_breaker = OwnerCircuitBreaker(membership.name)
         self._waiting_counts = WaitingCounts(self._async_ask_counts)
@@ -202,9 +218,10 @@
         """Announce a stored job to the owner, before the owner finds it in the store."""
         owner = self._get_owner()
         if owner is not None and owner.is_recovered:
-            owner.add_stored_job(job, revision)
+            owner.add_stored_job(job, revision, is_first=True)
             return
-        self._unannounced[job.id] = (job, revision, asyncio.get_running_loop().time())
+        queued_at = asyncio.get_running_loop().time()
+        self._unannounced.setdefault(job.id, Announcement(job, revision, queued_at))
         self._announcement_ready.set()
 
     async def async_run_announcer(self) -> None:
@@ -218,25 +235,40 @@
             await self._announcement_ready.wait()
             self._announcement_ready.clear()
             while self._unannounced:
-                batch = list(self._unannounced.items())[:size]
-                encoded = [
-                    (encode_definition(job), revision) for _id, (job, revision, _at) in batch
-                ]
-                answer = await self.async_ask_owner(AnnounceJobs(encoded), PEER_CALL_TIMEOUT_S)
+                batch = list(self._unannounced.values())[:size]
+                answer = await self._async_announce_batch(batch)
                 if answer.outcome != OK:
                     size = 1
                     await asyncio.sleep(RETRY_DELAY_S)
                     self._drop_old_announcements()
                     continue
                 size = min(MAX_JOBS_PER_ANNOUNCEMENT, 2 * size)
-                for job_id, _entry in batch:
-                    self._unannounced.pop(job_id, None)
+                for announcement in batch:
+                    self._unannounced.pop(announcement.job.id, None)
+
+    async def _async_announce_batch(self, batch: list[Announcement]) -> PeerAnswer:
+        """Announce jobs to the current owner, and note whether one may have been told of them."""
+        rows = [(encode_definition(item.job), item.revision) for item in batch]
+        address = self._membership.owner_address
+        are_new = not any(item.may_be_known for item in batch)
+        message = AnnounceJobs(rows)
+        if are_new and address != self._older_owner_address:
+            message = AnnounceNewJobs(rows)
+        for item in batch:
+            item.may_be_known = True
+        answer = await self.async_ask_owner(message, PEER_CALL_TIMEOUT_S)
+        if answer.outcome == FAILED:
+            self._older_owner_address = address
+        if answer.outcome != OK and answer.value != SILENT and are_new:
+            for item in batch:
+                item.may_be_known = False
+        return answer
 
     def _drop_old_announcements(self) -> None:
         """Drop expired announcements; the next owner finds these jobs in the store."""
         oldest = asyncio.get_running_loop().time() - ANNOUNCEMENT_LIFETIME_S
-        for job_id, (_job, _revision, queued_at) in list(self._unannounced.items()):
-            if queued_at < oldest:
+        for job_id, announcement in list(self._unannounced.items()):
+            if announcement.queued_at < oldest:
                 log_event("announcement_dropped", job=job_id)
                 del self._unannounced[job_id]
 
@@ -269,6 +301,7 @@
             self._membership.replace_owner(address)
         except NoAnswerError as err:
             log_event("owner_silent", address=address, error=err)
+            return PeerAnswer(NOT_OWNER, SILENT)
         return PeerAnswer(NOT_OWNER)
 
     async def async_serve(self, message: Any) -> PeerAnswer:
@@ -278,9 +311,10 @@
         owner = self._get_owner()
         if owner is None or not owner.is_recovered:
             return PeerAnswer(NOT_OWNER)
-        if isinstance(message, AnnounceJobs):
+        if isinstance(message, AnnounceJobs | AnnounceNewJobs):
+            is_first = isinstance(message, AnnounceNewJobs)
             for data, revision in message.jobs:
-                owner.add_encoded_job(data, revision)
+                owner.add_encoded_job(data, revision, is_first)
             return PeerAnswer(OK)
         if isinstance(message, CountWaiting):
             return PeerAnswer(OK, owner.count_waiting())
--- a/wasabiramp/scheduling/attribution.py
+++ b/wasabiramp/scheduling/attribution.py
@@ -16,10 +16,11 @@
 
 from wasabiramp.core.registry import handles
 from wasabiramp.scheduling.events import JobAccepted, JobsRecovered, JobUnreadable, TimePassed
+from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S
 from wasabiramp.scheduling.model import EndReport
 from wasabiramp.scheduling.orders import stop_run
 from wasabiramp.scheduling.runs import find_step, handle_run_end, link_run
-from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
+from wasabiramp.scheduling.state import ExecutorState, JobRun, Run, SchedulerState
 
 MAX_WAITING_ENDS: Final = 250
 """Number of ends behind one that is kept from which an executor gets no more work.
@@ -27,6 +28,15 @@
 Ends that are not acknowledged are listed again, and further ones have to fit on the same page."""
 
 
+def may_start_job(state: SchedulerState, job: JobRun) -> bool:
+    """Return whether it is known of a job what earlier owners did, and that none came later.
+
+    The next owner takes a job that is first announced to it for one that no other owner knows. So
+    a job that was only found in the store waits until the term is proven to be current after that.
+    """
+    return job.is_reconciled and state.leases_end_by - MAX_UNCONFIRMED_S >= job.found_at
+
+
 def parse_job_id(task: str) -> str:
     """Return the id of the job from a task name, also if the rest has an unknown format."""
     return task.partition(".")[0]
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -62,7 +62,8 @@
 
     The roster holds the id and address of each executor. The earlier owner's leases on executors
     have expired `lease_left_s` from now. `ended` are the ids of jobs that have ended, and
-    `unreadable` those of jobs whose records this build cannot read.
+    `unreadable` those of jobs whose records this build cannot read. `claim_revision` is that at
+    which this owner claimed its term.
     """
 
     jobs: list[StoredJob]
@@ -71,13 +72,19 @@
     as_of: int
     ended: list[str] = field(default_factory=list)
     unreadable: list[str] = field(default_factory=list)
+    claim_revision: int = 0
 
 
 @dataclass(slots=True)
 class JobAccepted:
-    """A daemon stored a new job."""
+    """A daemon stored a new job.
+
+    `is_new` is set if no earlier owner can know the job, and `is_found` if it was not announced.
+    """
 
     job: StoredJob
+    is_new: bool = False
+    is_found: bool = False
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from wasabiramp.core.registry import handles
@@ -40,17 +41,24 @@
 
 @handles(JobAccepted)
 def handle_job_accepted(state: SchedulerState, event: JobAccepted) -> None:
-    """Add a job that a daemon stored; a repeated announcement is ignored.
+    """Add a job that a daemon stored; a repeated announcement does not add it again.
 
     A job that was stored before the recovery but was not recovered had already ended, so its
-    announcement is late.
+    announcement is late. During a recovery, a job that an earlier owner may know waits like those
+    that were recovered.
     """
-    if event.job.definition.id in state.jobs:
+    known = state.jobs.get(event.job.definition.id)
+    if known is not None:
+        if not event.is_found:
+            known.found_at = -math.inf
         return
     if event.job.revision <= state.recovered_revision:
         state.log_decision("job_over", job=event.job.definition.id, revision=event.job.revision)
         return
     job = add_job(state, event.job)
+    job.is_reconciled = event.is_new or not state.is_recovering
+    if event.is_found:
+        job.found_at = state.now
     queue = state.find_queue(job)
     state.log_decision(
         "job_taken",
@@ -84,8 +92,12 @@
         executor.must_answer = True
         executor.lease_expiry_floor = state.now + event.lease_left_s
     for stored in event.jobs:
-        if stored.definition.id not in state.jobs:
-            add_job(state, stored).is_reconciled = False
+        if stored.definition.id in state.jobs:
+            continue
+        job = add_job(state, stored)
+        job.is_reconciled = False
+        if stored.revision > event.claim_revision:
+            job.found_at = state.now
     state.log_decision(
         "recovered", jobs=len(event.jobs), executors=len(event.roster), term=state.term
     )
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -8,6 +8,7 @@
 
 from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.advice import ask_for_advice, get_max_refreshed_steps, has_ticket
+from wasabiramp.scheduling.attribution import may_start_job
 from wasabiramp.scheduling.capacity import measure_free_resources
 from wasabiramp.scheduling.executors import is_usable
 from wasabiramp.scheduling.isolation import Exposure
@@ -285,7 +286,7 @@
     ready = []
     for step in state.open_steps.values():
         job = step.job
-        if job.is_ended or not job.is_reconciled or state.now < step.due_at:
+        if job.is_ended or not may_start_job(state, job) or state.now < step.due_at:
             continue
         if not job.has_done_predecessors(step):
             continue
@@ -487,7 +488,7 @@
         row["asking"] += step.is_advice_pending
         row["with_ticket"] += any(has_ticket(state, step, executor) for executor in usable)
         row["not_ready"] += not step.job.has_done_predecessors(step)
-        row["unaccounted"] += not step.job.is_reconciled
+        row["unaccounted"] += not may_start_job(state, step.job)
         row["oldest"] = row["oldest"] or step.name
         row["stale_verdicts"] += sum(key not in incarnations for key in step.verdicts)
     return list(rows.values())
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -219,12 +219,14 @@
     """A job at its owner; `shown_phase` is the last phase that was stored and may be shown.
 
     `is_reconciled` is False after a takeover until its runs under the earlier owner are known.
+    `found_at` is the time at which a job was found that has not been announced.
     """
 
     __slots__ = (
         "accepted_at",
         "definition",
         "ended_at",
+        "found_at",
         "has_started",
         "is_reconciled",
         "is_dirty",
@@ -242,6 +244,7 @@
         self.shown_phase = progress.phase if progress.phase in FINAL_PHASES else PENDING
         self.is_dirty = False
         self.is_reconciled = True
+        self.found_at = -math.inf
         self.has_started = False
         self.objective_at = accepted_at
         self.ended_at: float | None = None
