--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -5,7 +5,16 @@
 from typing import Any, Final
 
 from wasabiramp.core.registry import EVENT_HANDLERS, handles
-from wasabiramp.scheduling import advice, attribution, crashes, executors, jobs, runs, sharing
+from wasabiramp.scheduling import (
+    advice,
+    attribution,
+    crashes,
+    evidence,
+    executors,
+    jobs,
+    runs,
+    sharing,
+)
 from wasabiramp.scheduling.attribution import get_last_attributed_end
 from wasabiramp.scheduling.effects import Effect
 from wasabiramp.scheduling.events import Committed
@@ -17,6 +26,7 @@
     advice,
     attribution,
     crashes,
+    evidence,
     executors,
     jobs,
     runs,
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -378,10 +378,11 @@
 class SchedulerState:
     """State of the scheduler of one domain.
 
-    `is_recovering` is set after a takeover until it is known what earlier owners left running.
-    `recovered_revision` is the store revision as of which jobs were recovered. `ended_jobs` had
-    ended by then, and `unreadable_jobs` have records that this build cannot read. All jobs stored
-    up to `jobs_confirmed_at` are known. `suspect_steps` are the open steps with suspects, by name.
+    `is_recovering` is set after a takeover until it is known what earlier owners left running, and
+    their leases end at `predecessor_leases_end_at` at the latest. `recovered_revision` is the store
+    revision as of which jobs were recovered. `ended_jobs` had ended by then, and `unreadable_jobs`
+    have records that this build cannot read. All jobs stored up to `jobs_confirmed_at` are known.
+    `suspect_steps` are the open steps with suspects, by name.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -408,6 +409,7 @@
         "executor_list_version",
         "now",
         "open_steps",
+        "predecessor_leases_end_at",
         "recovered_revision",
         "risk_by_queue",
         "suspect_steps",
@@ -439,6 +441,7 @@
         self.now = 0.0
         self.effects: list[Effect] = []
         self.is_recovering = False
+        self.predecessor_leases_end_at = 0.0
         self.recovered_revision = 0
         self.jobs_confirmed_at = -math.inf
         self.ended_jobs: set[str] = set()
