--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -141,6 +141,25 @@
         )
         assert self.watch(store) == [("p/a", 8), ("p/a", None)]
 
+    # Guards against TWICE: a job that a stale list lacked would have counted as over.
+    def test_list_that_is_older_than_the_copy_confirms_nothing(self) -> None:
+        stale: Any = ([], 4)
+        store = ScriptedStore(
+            lists=[([Item("p/a", b"", 8)], 8)] + 20 * [stale], watches=[HistoryLostError("p/")]
+        )
+        confirmed_at: list[float | None] = []
+
+        async def run_scenario() -> None:
+            watcher = PrefixWatcher(store, "p/", 1.0, lambda key, item: None)
+            task = asyncio.get_running_loop().create_task(watcher.async_run())
+            for _ in range(2):
+                await asyncio.sleep(0.3)
+                confirmed_at.append(watcher.confirmed_at)
+            task.cancel()
+
+        run(run_scenario())
+        assert confirmed_at[0] is not None and confirmed_at[0] == confirmed_at[1]
+
     def test_older_change_is_dropped(self) -> None:
         late = Change("p/a", 5, Item("p/a", b"", 5))
         store = ScriptedStore(lists=[([Item("p/a", b"", 8)], 8)], watches=[([late], 9)])
--- a/wasabiramp/entry/watcher.py
+++ b/wasabiramp/entry/watcher.py
@@ -69,7 +69,9 @@
             try:
                 if self._watch_after is None:
                     items, as_of = await self._store.async_list(self._prefix)
-                    self._apply_list(items, as_of)
+                    if not self._apply_list(items, as_of):
+                        await asyncio.sleep(RETRY_DELAY_S)
+                        continue
                 else:
                     changes, as_of = await self._store.async_watch(
                         self._prefix, self._watch_after, self._watch_timeout_s
@@ -91,11 +93,11 @@
             self.synced.set()
             await asyncio.sleep(self._batch_delay_s)
 
-    def _apply_list(self, items: list[Item], as_of: int) -> None:
-        """Apply a complete list; items missing from it were removed."""
+    def _apply_list(self, items: list[Item], as_of: int) -> bool:
+        """Apply a complete list, whose missing items were removed; return False if it is stale."""
         if as_of < self._revision:
             log_event("store_list_stale", prefix=self._prefix, revision=as_of, known=self._revision)
-            return
+            return False
         listed = {item.key for item in items}
         for key in [key for key in self.items if key not in listed]:
             del self.items[key]
@@ -103,6 +105,7 @@
         for item in items:
             self._apply_item(item)
         self._watch_after = self._revision = as_of
+        return True
 
     def _apply_changes(self, changes: list[Change], as_of: int) -> None:
         """Apply changes in the order of their revisions."""
