--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -581,6 +581,7 @@
         for job_id in await self._journal.async_remove_records(due):
             del self._removal_due_at[job_id]
             self.scheduler.state.jobs.pop(job_id, None)
+            self.scheduler.state.ended_jobs.discard(job_id)
 
     def find_phase(self, job_id: str) -> str | None:
         """Return the phase that callers may see, or None for an unknown job."""
--- a/wasabiramp/logs.py
+++ b/wasabiramp/logs.py
@@ -24,13 +24,17 @@
     {
         "advice",
         "advice_lost",
+        "end_dropped",
         "end_ignored",
+        "end_unattributed",
         "executor_silent",
         "executor_answers",
         "run_adopted",
         "run_ended",
+        "run_foreign",
         "run_paced",
         "run_started",
+        "run_unattributed",
         "start_refused",
         "start_repeated",
     }
