--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine
+import math
 from typing import Any, Final
 
 from wasabiramp.core.records import DecodeError
@@ -46,6 +47,7 @@
     ExecutorUnlisted,
     JobAccepted,
     JobsRecovered,
+    JobUnreadable,
     PredecessorEnded,
     StoredJob,
     TimePassed,
@@ -257,19 +259,32 @@
         """Apply a newer configuration."""
         self._reduce(ConfigChanged(config))
 
-    def add_stored_job(self, definition: JobDefinition, revision: int) -> None:
-        """Add a job that a daemon stored at the given revision."""
-        accepted_at = self._compute_accepted_at(definition)
-        self._reduce(JobAccepted(StoredJob(definition, accepted_at, revision)))
+    def add_stored_job(
+        self,
+        definition: JobDefinition,
+        revision: int,
+        is_first: bool = False,
+        is_found: bool = False,
+    ) -> None:
+        """Add a job that a daemon stored at the given revision.
+
+        `is_first` is set if the job was not announced to any owner before, and `is_found` if it was
+        not announced at all.
+        """
+        stored = StoredJob(definition, self._compute_accepted_at(definition), revision)
+        is_new = is_first and revision > self.tenure.fencing_token
+        self._reduce(JobAccepted(stored, is_new, is_found))
 
-    def add_encoded_job(self, data: bytes, revision: int) -> bool:
+    def add_encoded_job(
+        self, data: bytes, revision: int, is_first: bool = False, is_found: bool = False
+    ) -> bool:
         """Add a stored job from its record; return whether the record could be decoded."""
         try:
             definition = decode_definition(data)
         except DecodeError as err:
             log_event("job_unreadable", revision=revision, error=err)
             return False
-        self.add_stored_job(definition, revision)
+        self.add_stored_job(definition, revision, is_first, is_found)
         return True
 
     def _compute_accepted_at(self, definition: JobDefinition) -> float:
@@ -395,7 +410,17 @@
             for job, revision, progress in stored_state.jobs
         ]
         lease_left_s = self._measure_predecessor_lease_s()
-        self._reduce(JobsRecovered(stored, stored_state.roster, lease_left_s, stored_state.as_of))
+        self._reduce(
+            JobsRecovered(
+                stored,
+                stored_state.roster,
+                lease_left_s,
+                stored_state.as_of,
+                stored_state.ended,
+                stored_state.unreadable,
+                self.tenure.fencing_token,
+            )
+        )
         self._jobs_watcher.start_after(stored_state.as_of)
         return True
 
@@ -436,7 +461,7 @@
                 await self._async_check_tenure()
             self._last_tick_at = self._read_uptime()
             self._log_authority()
-            self._reduce(TimePassed(self._measure_list_age_s()))
+            self._reduce(TimePassed(self._measure_list_age_s(), self._get_jobs_confirmed_at()))
             now = self._loop.time()
             self._check_overload(now)
             if now >= self._next_removal_at:
@@ -453,6 +478,11 @@
         confirmed_at = self._executors_watcher.confirmed_at
         return self._loop.time() - confirmed_at if confirmed_at is not None else 0.0
 
+    def _get_jobs_confirmed_at(self) -> float:
+        """Return the time up to which all stored jobs are known."""
+        confirmed_at = self._jobs_watcher.confirmed_at
+        return confirmed_at if confirmed_at is not None else -math.inf
+
     @switchable("resigning", "resign as the owner while the machine is slow", plain=do_nothing)
     def _check_overload(self, now: float) -> None:
         """Resign if the event loop lags for long, as on a machine that has become slow."""
@@ -509,8 +539,10 @@
         job_id = key.removeprefix(PREFIX_JOB)
         if item is None or job_id in self.scheduler.state.jobs:
             return
-        if self.add_encoded_job(item.value, item.revision):
+        if self.add_encoded_job(item.value, item.revision, is_found=True):
             log_event("job_found", job=job_id)
+        else:
+            self._reduce(JobUnreadable(job_id))
 
     async def _async_commit_loop(self) -> None:
         """Store changes one batch at a time."""
@@ -549,6 +581,7 @@
         for job_id in await self._journal.async_remove_records(due):
             del self._removal_due_at[job_id]
             self.scheduler.state.jobs.pop(job_id, None)
+            self.scheduler.state.ended_jobs.discard(job_id)
 
     def find_phase(self, job_id: str) -> str | None:
         """Return the phase that callers may see, or None for an unknown job."""
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+import math
 from typing import Final
 
 from wasabiramp.scheduling.model import (
@@ -60,13 +61,18 @@
     """Jobs and executor roster of an earlier owner, as of a store revision.
 
     The roster holds the id and address of each executor. The earlier owner's leases on executors
-    have expired `lease_left_s` from now.
+    have expired `lease_left_s` from now. `ended` are the ids of jobs that have ended, and
+    `unreadable` those of jobs whose records this build cannot read. `claim_revision` is that at
+    which this owner claimed its term.
     """
 
     jobs: list[StoredJob]
     roster: list[tuple[str, str]]
     lease_left_s: float
     as_of: int
+    ended: list[str] = field(default_factory=list)
+    unreadable: list[str] = field(default_factory=list)
+    claim_revision: int = 0
 
 
 @dataclass(slots=True)
@@ -81,9 +87,21 @@
 
 @dataclass(slots=True)
 class JobAccepted:
-    """A daemon stored a new job."""
+    """A daemon stored a new job.
+
+    `is_new` is set if no earlier owner can know the job, and `is_found` if it was not announced.
+    """
 
     job: StoredJob
+    is_new: bool = False
+    is_found: bool = False
+
+
+@dataclass(slots=True)
+class JobUnreadable:
+    """A job was found whose record this build cannot read."""
+
+    job_id: str
 
 
 @dataclass(slots=True)
@@ -190,6 +208,11 @@
 
 @dataclass(slots=True)
 class TimePassed:
-    """Periodic timer event; `list_age_s` is the time since the list of executors was complete."""
+    """Periodic timer event.
+
+    `list_age_s` is the time since the list of executors was complete, and `jobs_confirmed_at` the
+    time on the event loop's clock up to which all stored jobs are known.
+    """
 
     list_age_s: float = 0.0
+    jobs_confirmed_at: float = -math.inf
