Let waits on an owner end when it stops, and answer each caller in time

Cause: Owner.async_wait_stored waits for an event that only the commit loop sets. Owner.stop cancels that loop and woke no waiter, and the request handler asked the owner in its own process without a timeout. The same held for a cancel at an owner that leaves at SIGTERM; a flush polled for changes that nobody stores any more; and shows read the store with timeouts of their own, beyond the caller's.

Now a stopped owner wakes all who wait, and each wait raises OwnerStoppedError, which the request handler answers as "not the owner", so that the request goes on at the next one. Calls to the owner in the same process have the timeout of remote ones. Submissions, shows, cancels and counts all end shortly before the caller's timeout, whatever they wait for.

Conclusion: the class of fault is a wait whose waker can be gone.

--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -14,7 +14,7 @@
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Membership, Tenure
-from wasabiramp.entry.owner import Owner
+from wasabiramp.entry.owner import Owner, OwnerStoppedError
 from wasabiramp.entry.peers import (
     FAILED,
     OK,
@@ -155,8 +155,8 @@
             try:
                 async with asyncio.timeout(FLUSH_TIMEOUT_S):
                     await owner.async_flush()
-            except TimeoutError:
-                log_event("flush_incomplete")
+            except (TimeoutError, OwnerStoppedError) as err:
+                log_event("flush_incomplete", error=err)
             owner.stop()
             self._owner = None
         await self._membership.async_leave()
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -24,6 +24,7 @@
     Store,
     StoreRefusedError,
     StoreUnknownError,
+    WasabirampError,
 )
 from wasabiramp.entry.shards import choose_shards
 from wasabiramp.entry.supervision import async_keep_running, async_log_failure
@@ -128,6 +129,14 @@
     return COMMIT_INTERVAL_S
 
 
+FLUSH_POLL_INTERVAL_S: Final = 0.01
+"""Interval at which a flush polls whether all orders are answered and all changes stored."""
+
+
+class OwnerStoppedError(WasabirampError):
+    """The owner has stopped, so what was awaited from it will not happen."""
+
+
 class Owner:
     """Acts for the domain during one or more terms in a row."""
 
@@ -207,9 +216,10 @@
         self._spawn(self._async_run_or_give_up())
 
     def stop(self) -> None:
-        """Stop all tasks and send nothing more."""
+        """Stop all tasks, send nothing more, and end all waits with OwnerStoppedError."""
         self._is_stopped = True
         self._journal.stop()
+        self._committed.set()
         for task in self._tasks:
             task.cancel()
         if self._placement_timer is not None:
@@ -226,12 +236,22 @@
         self._is_placement_enabled = False
 
     async def async_flush(self) -> None:
-        """Wait until all orders are answered and the resulting changes are stored."""
+        """Wait until all orders are answered and the resulting changes are stored.
+
+        Raise OwnerStoppedError if the owner stops meanwhile.
+        """
         while not self._dispatcher.orders.is_idle:
-            await asyncio.sleep(0.01)
+            self._check_running()
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
         self._commit_requested.set()
         while self.scheduler.has_changes():
-            await asyncio.sleep(0.01)
+            self._check_running()
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
+
+    def _check_running(self) -> None:
+        """Raise OwnerStoppedError if this owner has stopped; each wait checks it when it wakes."""
+        if self._is_stopped:
+            raise OwnerStoppedError("the owner has stopped")
 
     def apply_config(self, config: CellConfig) -> None:
         """Apply a newer configuration."""
@@ -262,13 +282,17 @@
         self._reduce(event)
 
     async def async_wait_stored(self) -> None:
-        """Wait until all current changes are stored."""
+        """Wait until all current changes are stored, or a commit of them has failed.
+
+        Raise OwnerStoppedError if the owner stops meanwhile.
+        """
         if not self.scheduler.has_changes():
             return
         # A commit in progress may lack the newest change; the commit after it contains it.
         target = self._commit_count + (2 if self.scheduler.is_storing else 1)
         self._commit_requested.set()
         while self._commit_count < target and self.scheduler.has_changes():
+            self._check_running()
             self._committed.clear()
             await self._committed.wait()
 
--- a/wasabiramp/entry/request_handler.py
+++ b/wasabiramp/entry/request_handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 from wasabiramp.entry import admission as admission_outcomes
@@ -23,7 +23,7 @@
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.keys import build_job_key, build_progress_key
 from wasabiramp.entry.membership import Membership
-from wasabiramp.entry.owner import Owner
+from wasabiramp.entry.owner import Owner, OwnerStoppedError
 from wasabiramp.entry.peers import (
     ENDING,
     FAILED,
@@ -77,6 +77,9 @@
 ANSWER_MARGIN_S: Final = 0.25
 """Part of a caller's timeout that is reserved for sending the answer."""
 
+MIN_ANSWER_TIME_S: Final = 0.1
+"""Shortest time that a request gets, also if its caller's timeout is shorter."""
+
 RETRY_AFTER_S: Final = 1.0
 """Retry-after while the store or the owner is unavailable: about the time of a takeover."""
 
@@ -140,9 +143,15 @@
 
     async def async_submit(self, job: JobDefinition, caller_timeout_s: float) -> Answer:
         """Store a job and announce it to the owner."""
+        late = Answer(MAY_HAVE_RUN, reason="the store does not answer", retry_after_s=RETRY_AFTER_S)
+        answer_by_s = _compute_answer_time_s(caller_timeout_s)
+        return await _async_answer_in_time(self._async_submit(job, answer_by_s), answer_by_s, late)
+
+    async def _async_submit(self, job: JobDefinition, answer_by_s: float) -> Answer:
+        """Store a job within a time, and announce it to the owner."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        deadline = started_at + max(0.1, caller_timeout_s - ANSWER_MARGIN_S)
+        deadline = started_at + answer_by_s
         may_be_stored = False
         while True:
             outcome = await self._async_store(job, deadline - loop.time())
@@ -241,9 +250,9 @@
                 del self._unannounced[job_id]
 
     async def async_ask_owner(self, message: Any, timeout_s: float) -> PeerAnswer:
-        """Return the owner's answer, or `NOT_OWNER` if no owner answers."""
+        """Return the owner's answer, or `NOT_OWNER` if no owner answers in time."""
         if self._get_owner() is not None:
-            return await self.async_serve(message)
+            return await self._async_ask_local_owner(message, timeout_s)
         address = self._membership.owner_address
         loop = asyncio.get_running_loop()
         if not address or not self._owner_breaker.can_call(address, loop.time()):
@@ -260,6 +269,15 @@
                 self._owner_breaker.record_success(address)
         return answer
 
+    async def _async_ask_local_owner(self, message: Any, timeout_s: float) -> PeerAnswer:
+        """Return the answer of the owner in this process, with the timeout of a remote call."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.async_serve(message)
+        except TimeoutError:
+            log_event("owner_slow", call=type(message).__name__)
+            return PeerAnswer(NOT_OWNER)
+
     async def _async_call_owner(self, address: str, message: Any, timeout_s: float) -> PeerAnswer:
         """Return the answer of the owner at an address."""
         try:
@@ -286,6 +304,13 @@
             return PeerAnswer(OK, owner.count_waiting())
         if not isinstance(message, ShowJob | CancelJob):
             return PeerAnswer(FAILED, f"unknown call {type(message).__name__}")
+        try:
+            return await self._async_serve_job(owner, message)
+        except OwnerStoppedError:
+            return PeerAnswer(NOT_OWNER)
+
+    async def _async_serve_job(self, owner: Owner, message: ShowJob | CancelJob) -> PeerAnswer:
+        """Show or cancel a job as the owner; raise OwnerStoppedError if the owner stops."""
         phase = owner.find_phase(message.job)
         if phase is None:
             return PeerAnswer(UNKNOWN_JOB)
@@ -329,6 +354,14 @@
         return PeerAnswer(OK, outcome)
 
     async def async_show(self, job_id: str, caller_timeout_s: float) -> Answer:
+        """Return a job's phase from the owner, or from the store if no owner answers."""
+        late = Answer(NOT_READY, reason="the store is away", retry_after_s=RETRY_AFTER_S)
+        answer_by_s = _compute_answer_time_s(caller_timeout_s)
+        return await _async_answer_in_time(
+            self._async_show(job_id, caller_timeout_s), answer_by_s, late
+        )
+
+    async def _async_show(self, job_id: str, caller_timeout_s: float) -> Answer:
         """Return a job's phase from the owner, or from the store if no owner answers."""
         answer = await self.async_ask_owner(
             ShowJob(job_id), min(PEER_CALL_TIMEOUT_S, caller_timeout_s / 2)
@@ -361,9 +394,14 @@
         return Answer(SHOWN, PENDING)
 
     async def async_cancel(self, job_id: str, caller_timeout_s: float) -> Answer:
-        """Cancel a job at the owner; return once the cancellation is stored."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + max(0.1, caller_timeout_s - ANSWER_MARGIN_S)
+        """Cancel a job at the owner, or at the next one; return once that is stored."""
+        reason = "the owner does not answer"
+        late = Answer(MAY_HAVE_RUN, reason=reason, retry_after_s=RETRY_AFTER_S)
+        answer_by_s = _compute_answer_time_s(caller_timeout_s)
+        return await _async_answer_in_time(self._async_cancel(job_id), answer_by_s, late)
+
+    async def _async_cancel(self, job_id: str) -> Answer:
+        """Ask the current owner to cancel a job until the outcome is known."""
         while True:
             answer = await self.async_ask_owner(CancelJob(job_id), CANCEL_CALL_TIMEOUT_S)
             if answer.outcome == OK and answer.value in FINAL_PHASES:
@@ -375,22 +413,20 @@
                     return stored_answer
                 if stored_answer.phase in FINAL_PHASES:
                     return Answer(CANCELLED, stored_answer.phase)
-            if loop.time() + RETRY_DELAY_S >= deadline:
-                log_event("cancel_unanswered", job=job_id, outcome=answer.outcome)
-                reason = "the owner does not answer"
-                return Answer(MAY_HAVE_RUN, reason=reason, retry_after_s=RETRY_AFTER_S)
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def async_count_waiting(self, queue: Queue, caller_timeout_s: float) -> Answer:
         """Return the number of jobs of a queue without a started task."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + max(0.1, caller_timeout_s - ANSWER_MARGIN_S)
+        late = Answer(NOT_READY, reason="no owner", retry_after_s=RETRY_AFTER_S)
+        answer_by_s = _compute_answer_time_s(caller_timeout_s)
+        return await _async_answer_in_time(self._async_count_waiting(queue), answer_by_s, late)
+
+    async def _async_count_waiting(self, queue: Queue) -> Answer:
+        """Ask the current owner for its counts until one answers."""
         while True:
             waiting = await self._waiting_counts.async_get(queue.name)
             if waiting is not None:
                 return Answer(SHOWN, waiting=waiting)
-            if loop.time() + RETRY_DELAY_S >= deadline:
-                return Answer(NOT_READY, reason="no owner", retry_after_s=RETRY_AFTER_S)
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _async_ask_counts(self) -> Counts | None:
@@ -401,3 +437,23 @@
     def read_wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
         return int(self._read_wall() * 1000)
+
+
+def _compute_answer_time_s(caller_timeout_s: float) -> float:
+    """Return the time within which a caller with this timeout has to be answered."""
+    return max(MIN_ANSWER_TIME_S, caller_timeout_s - ANSWER_MARGIN_S)
+
+
+async def _async_answer_in_time(
+    work: Awaitable[Answer], answer_by_s: float, late: Answer
+) -> Answer:
+    """Return the answer of a request, or the answer `late` if it takes longer than allowed.
+
+    Whatever a request waits for, its caller is answered.
+    """
+    try:
+        async with asyncio.timeout(answer_by_s):
+            return await work
+    except TimeoutError:
+        log_event("request_timed_out", outcome=late.outcome, reason=late.reason)
+        return late
