Keep a job from being stored after its cancel

Cause: a cancel of an unknown job left nothing behind, and a 410 took the absence of a record as proof that none would come. The platform allows writes that are carried out seconds later, if their condition holds.

Now the owner answers such a cancel only after it has written a progress record of the phase `void`, on condition that neither a definition nor a progress record exists. Submissions have the same condition, so just one of the two succeeds. It is one write, in place of two reads. If a definition is there, the owner adds it and the cancel goes on as that of a known job; a stored end is answered as such; without an answer of the store there is no 410. A later repeat of the submission is answered 503 with a reason: it is not accepted and never runs. A show answers 410, as no such job was accepted. The record carries the condition on the term, so that the present owner or a later one knows and removes it like those of ended jobs. The removal passes over jobs that are live: they were stored after a cancel without an answer. The end of such a job sets the time of its removal anew.

--- a/wasabiramp/entry/admission.py
+++ b/wasabiramp/entry/admission.py
@@ -15,15 +15,23 @@
 )
 from wasabiramp.logs import log_event, log_failure
 from wasabiramp.scheduling.model import JobDefinition
-from wasabiramp.scheduling.records import encode_definition
+from wasabiramp.scheduling.records import encode_definition, encode_void
 
 MAX_JOBS_PER_COMMIT: Final = 10
 """Each job takes three of the 32 entries of a transaction: two conditions and a write."""
 
 STORED: Final = "stored"
 REPEATED: Final = "repeated"
+VOIDED: Final = "voided"
 REFUSED: Final = "refused"
 UNKNOWN: Final = "unknown"
+"""Outcomes of a submission.
+
+A job is `REPEATED` if it was stored before, and `VOIDED` if it was cancelled before it was stored
+and therefore never runs. `UNKNOWN` means that it may or may not be stored."""
+
+CERTAIN_OUTCOMES: Final = frozenset({STORED, REPEATED, VOIDED})
+"""Outcomes that no other attempt to store the job can change."""
 
 AdmissionResult = tuple[str, int]
 Batch = list[tuple[JobDefinition, asyncio.Future[AdmissionResult]]]
@@ -43,10 +51,7 @@
         self._job_queued = asyncio.Event()
 
     async def async_store(self, job: JobDefinition) -> AdmissionResult:
-        """Store one job; return the outcome and, if it is `STORED`, the revision.
-
-        `UNKNOWN` means that the job may or may not be stored.
-        """
+        """Store one job; return the outcome and, if it is `STORED`, the revision."""
         future: asyncio.Future[AdmissionResult] = asyncio.get_running_loop().create_future()
         self._waiting.append((job, future))
         self._job_queued.set()
@@ -92,10 +97,13 @@
             _set_outcome(batch, STORED, revision)
 
     def _resolve_conflict(self, batch: Batch, err: StoreConflictError) -> None:
-        """Give existing jobs the outcome `REPEATED`, and queue the others again."""
+        """Give existing jobs the outcome `REPEATED` or `VOIDED`, and queue the others again."""
         retried = []
         for job, future in batch:
-            if build_job_key(job.id) in err.items or build_progress_key(job.id) in err.items:
+            progress = err.items.get(build_progress_key(job.id))
+            if progress is not None and progress.value == encode_void():
+                _set_outcome([(job, future)], VOIDED)
+            elif progress is not None or build_job_key(job.id) in err.items:
                 _set_outcome([(job, future)], REPEATED)
             else:
                 retried.append((job, future))
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -35,6 +35,7 @@
     decode_definition,
     decode_progress,
     encode_progress,
+    encode_void,
 )
 from wasabiramp.scheduling.scheduler import Changes
 
@@ -167,6 +168,28 @@
         log_event("commit_conflict", revision=self._commits_revision)
         return False
 
+    async def async_void(self, job_id: str) -> dict[str, Item]:
+        """Keep a job from being stored; return what is stored of it, if that prevents this.
+
+        Like the daemons that store jobs, it writes on condition that neither a definition nor a
+        progress record exists, so that only one of the two succeeds. The condition on the term
+        leaves the removal of the record to this owner or a later one.
+
+        Raise StoreRefusedError or StoreUnknownError if the outcome is unknown.
+        """
+        job_key, progress_key = build_job_key(job_id), build_progress_key(job_id)
+        transaction = Transaction(
+            expected={KEY_TERM: self.tenure.fencing_token, job_key: 0, progress_key: 0},
+            writes={progress_key: (encode_void(), 0)},
+        )
+        try:
+            await self._store.async_commit(transaction)
+        except StoreConflictError as err:
+            if job_key not in err.items and progress_key not in err.items:
+                raise StoreRefusedError("the store holds another term") from err
+            return err.items
+        return {}
+
     async def async_remove_records(self, job_ids: list[str]) -> list[str]:
         """Remove the records of ended jobs; return the ids of the removed ones."""
         removed_ids: list[str] = []
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -15,6 +15,8 @@
 from wasabiramp.entry.keys import (
     KEY_TERM,
     PREFIX_JOB,
+    build_job_key,
+    build_progress_key,
 )
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Tenure
@@ -52,12 +54,14 @@
 from wasabiramp.scheduling.model import (
     FINAL_PHASES,
     PENDING,
+    VOID,
     CellConfig,
     JobDefinition,
 )
 from wasabiramp.scheduling.placement import summarize_queues
 from wasabiramp.scheduling.records import (
     decode_definition,
+    decode_progress,
 )
 from wasabiramp.scheduling.scheduler import Changes, Scheduler
 
@@ -527,16 +531,59 @@
         removal_due_at = self._loop.time() + self._retention_s
         for job in changes.jobs:
             if job.shown_phase in FINAL_PHASES:
-                self._removal_due_at.setdefault(job.definition.id, removal_due_at)
+                self._removal_due_at[job.definition.id] = removal_due_at
 
     async def _async_remove_ended_jobs(self) -> None:
         """Remove ended jobs whose retention has expired."""
         now = self._loop.time()
         due = [job_id for job_id, at in self._removal_due_at.items() if at <= now]
-        for job_id in await self._journal.async_remove_records(due):
+        for job_id in [job_id for job_id in due if self._is_live(job_id)]:
+            due.remove(job_id)
             del self._removal_due_at[job_id]
+        for job_id in await self._journal.async_remove_records(due):
+            self._removal_due_at.pop(job_id, None)
             self.scheduler.state.jobs.pop(job_id, None)
 
+    def _is_live(self, job_id: str) -> bool:
+        """Return whether a job is known whose end is not stored.
+
+        Such a job was stored after a cancel that had no answer.
+        """
+        job = self.scheduler.state.jobs.get(job_id)
+        return job is not None and job.shown_phase not in FINAL_PHASES
+
+    async def async_void_job(self, job_id: str) -> str:
+        """Keep an unknown job from being stored; return `VOID`, or its phase if it is stored.
+
+        The phase is empty if the outcome is not known.
+        """
+        # Also without an answer, as the record may be stored all the same.
+        self._removal_due_at.setdefault(job_id, self._loop.time() + self._retention_s)
+        try:
+            found = await self._journal.async_void(job_id)
+        except (StoreRefusedError, StoreUnknownError) as err:
+            self._check_running()
+            log_event("job_not_voided", job=job_id, error=err)
+            return ""
+        self._check_running()
+        if not found:
+            log_event("job_voided", job=job_id)
+            return VOID
+        return self._adopt_stored_job(job_id, found)
+
+    def _adopt_stored_job(self, job_id: str, found: dict[str, Item]) -> str:
+        """Add a stored job that was not known; return its phase, empty if that is unknown."""
+        definition = found.get(build_job_key(job_id))
+        if definition is not None:
+            self._removal_due_at.pop(job_id, None)
+            self.add_encoded_job(definition.value, definition.revision)
+            return self.find_phase(job_id) or ""
+        try:
+            return decode_progress(found[build_progress_key(job_id)].value).phase
+        except DecodeError as err:
+            log_event("job_unreadable", job=job_id, error=err)
+            return ""
+
     def find_phase(self, job_id: str) -> str | None:
         """Return the phase that callers may see, or None for an unknown job."""
         job = self.scheduler.state.jobs.get(job_id)
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -60,7 +60,10 @@
 
 @record
 class CancelJob:
-    """Ask the owner to cancel a job; the answer comes once that is stored."""
+    """Ask the owner to cancel a job; the answer comes once that is stored.
+
+    `UNKNOWN_JOB` means that no such job is stored, and that none can be from now on.
+    """
 
     job: str
 
--- a/wasabiramp/entry/request_handler.py
+++ b/wasabiramp/entry/request_handler.py
@@ -49,10 +49,10 @@
 from wasabiramp.metrics import Metrics
 from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.events import CancelAsked
-from wasabiramp.scheduling.model import CANCELLED as PHASE_CANCELLED
 from wasabiramp.scheduling.model import (
     FINAL_PHASES,
     PENDING,
+    VOID,
     JobDefinition,
     Queue,
 )
@@ -155,7 +155,10 @@
         may_be_stored = False
         while True:
             outcome = await self._async_store(job, deadline - loop.time())
-            if outcome in (admission_outcomes.STORED, admission_outcomes.REPEATED):
+            if outcome == admission_outcomes.VOIDED:
+                log_event("job_refused", job=job.id, queue=job.queue.name, reason="cancelled")
+                return Answer(NOT_RUN, reason="the job was cancelled before it was stored")
+            if outcome in admission_outcomes.CERTAIN_OUTCOMES:
                 self._metrics.record_value("submit_seconds", loop.time() - started_at, {})
                 took_s = round(loop.time() - started_at, 4)
                 log_event("job_stored", job=job.id, queue=job.queue.name, how=outcome, s=took_s)
@@ -182,7 +185,7 @@
                 return admission_outcomes.UNKNOWN
             if outcome == admission_outcomes.STORED:
                 self._announce(job, revision)
-            if outcome in (admission_outcomes.STORED, admission_outcomes.REPEATED):
+            if outcome in admission_outcomes.CERTAIN_OUTCOMES:
                 return outcome
         message = StoreJobs([encode_definition(job)])
         for address in self._list_peers()[:MAX_PEERS_TRIED]:
@@ -194,7 +197,7 @@
             except NoAnswerError:
                 outcome = admission_outcomes.UNKNOWN
                 continue
-            if answer.value in (admission_outcomes.STORED, admission_outcomes.REPEATED):
+            if answer.value in admission_outcomes.CERTAIN_OUTCOMES:
                 return answer.value
             if answer.value != admission_outcomes.REFUSED:
                 outcome = admission_outcomes.UNKNOWN
@@ -312,7 +315,11 @@
     async def _async_serve_job(self, owner: Owner, message: ShowJob | CancelJob) -> PeerAnswer:
         """Show or cancel a job as the owner; raise OwnerStoppedError if the owner stops."""
         phase = owner.find_phase(message.job)
-        if phase is None:
+        if phase is None and isinstance(message, CancelJob):
+            phase = await owner.async_void_job(message.job)
+            if not phase:
+                return PeerAnswer(FAILED, "the store does not answer")
+        if phase is None or phase == VOID:
             return PeerAnswer(UNKNOWN_JOB)
         if isinstance(message, ShowJob):
             phase = await self._async_wait_for_end(owner, message.job, phase)
@@ -388,6 +395,8 @@
             phase = decode_progress(record.value).phase
             if phase in FINAL_PHASES:
                 return Answer(SHOWN, phase)
+            if phase == VOID:
+                return Answer(NO_SUCH_JOB)
         if item is None and record is None:
             log_event("job_unknown", job=job_id)
             return Answer(NO_SUCH_JOB)
@@ -408,11 +417,8 @@
                 log_event("cancel_answered", job=job_id, phase=answer.value)
                 return Answer(CANCELLED, answer.value)
             if answer.outcome == UNKNOWN_JOB:
-                stored_answer = await self._async_show_stored(job_id)
-                if stored_answer.outcome == NO_SUCH_JOB or stored_answer.phase == PHASE_CANCELLED:
-                    return stored_answer
-                if stored_answer.phase in FINAL_PHASES:
-                    return Answer(CANCELLED, stored_answer.phase)
+                log_event("cancel_answered", job=job_id, phase=VOID)
+                return Answer(NO_SUCH_JOB)
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def async_count_waiting(self, queue: Queue, caller_timeout_s: float) -> Answer:
--- a/wasabiramp/model/entry/schedule.py
+++ b/wasabiramp/model/entry/schedule.py
@@ -258,10 +258,14 @@
 
 
 async def _async_run_caller(world: World, number: int, max_delay_s: float) -> None:
-    """Submit one job, query its phase a few times and, at random, submit it again or cancel it."""
+    """Submit one job, query its phase a few times and, at random, submit it again or cancel it.
+
+    A job that was not accepted is cancelled.
+    """
     await asyncio.sleep(world.random.uniform(0, max_delay_s))
     job = draw_job(world.random, world, number)
     if not await world.async_submit(job):
+        await world.async_cancel(job.id)
         return
     if world.random.random() < 0.2:
         await world.async_submit(job)
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -12,6 +12,11 @@
 CANCELLED: Final = "cancelled"
 FINAL_PHASES: Final = frozenset({DONE, FAILED, CANCELLED})
 
+VOID: Final = "void"
+"""Phase of an id in the store that was cancelled before its job was stored.
+
+It is not a phase of a job: callers are told that there is none, and none is stored under the id."""
+
 
 @dataclass(slots=True, frozen=True)
 class Resources:
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -9,6 +9,7 @@
 
 from wasabiramp.core.records import DecodeError
 from wasabiramp.scheduling.model import (
+    VOID,
     AdvicePolicy,
     Crash,
     JobDefinition,
@@ -107,6 +108,11 @@
     return (*fields, crashes)
 
 
+def encode_void() -> bytes:
+    """Encode the record of an id that was cancelled before its job was stored."""
+    return encode_progress(JobProgress(VOID))
+
+
 def decode_progress(data: bytes) -> JobProgress:
     """Decode the progress of a job; raise DecodeError if the data is invalid."""
     try:
