Answer every request that was read before a process stops

Callers saw: requests that ended without an answer (LOST).

Cause: 2.2 s after SIGTERM the callers' server closed. aiohttp then cuts requests in progress after twice SHUTDOWN_TIMEOUT_S, drops the rest of a request whose head has arrived, and closes idle connections without telling callers that use them to leave. The time until SIGKILL was not used.

An unexpected error in one step of the shutdown does not skip the next ones.

--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -14,6 +14,7 @@
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.peers import PeerCaller, PeerListener
 from wasabiramp.entry.ports import EntrySettings
+from wasabiramp.entry.supervision import async_log_failure
 from wasabiramp.logs import log_event, set_on_drop, set_up_logs
 from wasabiramp.platform.callers import CallerServer
 from wasabiramp.platform.clients import (
@@ -27,6 +28,9 @@
 from wasabiramp.platform.wire import PlatformCodec
 from wasabiramp.policy.switches import set_switched_off
 
+EXIT_MARGIN_S: Final = 1.0
+"""Part of the time until the platform kills the process that is left once callers are answered."""
+
 EXIT_SETTINGS: Final = 2
 OPTION_WITHOUT: Final = "--without"
 
@@ -109,18 +113,29 @@
         settings.caller_address, settings.ready_address, settings.metrics_address
     )
     await daemon.stop_requested.wait()
-    hand_over_began_at = loop.time()
-    await daemon.async_relinquish()
-    hand_over_s = loop.time() - hand_over_began_at
-    # Serve until the load balancer has taken this instance out of rotation.
-    await asyncio.sleep(max(0.0, ROTATION_DELAY_S - hand_over_s))
-    await server.async_stop()
-    await daemon.async_stop()
+    await _async_shut_down(daemon, server, settings.grace_s)
     await http.async_close()
     await store_http.async_close()
     lag.stop()
 
 
+async def _async_shut_down(daemon: EntryDaemon, server: CallerServer, grace_s: float) -> None:
+    """Hand ownership over, answer all callers, and stop within a grace period.
+
+    An unexpected error of one step does not prevent the next ones.
+    """
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    answer_by = began_at + max(0.0, grace_s - EXIT_MARGIN_S)
+    await async_log_failure(daemon.async_relinquish())
+    # Serve until the load balancer has taken this instance out of rotation.
+    out_of_rotation_at = min(began_at + ROTATION_DELAY_S, answer_by)
+    await asyncio.sleep(max(0.0, out_of_rotation_at - loop.time()))
+    await async_log_failure(server.async_stop(answer_by))
+    log_event("callers_left", after_s=round(loop.time() - began_at, 3))
+    await async_log_failure(daemon.async_stop())
+
+
 def parse_switched_off(arguments: list[str]) -> list[str]:
     """Return the mechanisms named by `--without NAME`; raise ValueError for other arguments."""
     options = arguments[::2]
