--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -4,7 +4,8 @@
 An owner gives no lease that ends later than MAX_UNCONFIRMED_S after the last proof that its term
 was current, so that leases end by themselves if another daemon has claimed a term since. The next
 owner waits for that long (`PREDECESSOR_WAIT_S`) before it starts elsewhere what may run on an
-executor that it does not reach. Neither side needs to know about the other.
+executor that it does not reach. Neither side needs to know about the other, but an earlier owner
+that tells that it has ended shortens the wait to one lease.
 
 The limit is a time on the executor's clock, so it also holds for orders that are delayed, and for
 owners that are paused between a check and an order.
@@ -17,7 +18,7 @@
 
 from wasabiramp.scheduling.state import ExecutorState, SchedulerState
 
-MAX_UNCONFIRMED_S: Final = 6.0
+MAX_UNCONFIRMED_S: Final = 7.5
 """Time after the last proof of an owner's term at which all its leases have ended.
 
 Work survives outages of the store that are shorter. After longer ones it starts again, as the
@@ -26,6 +27,12 @@
 MIN_START_LEASE_S: Final = 1.0
 """Shortest lease with which a run is started: it lasts until a hold can extend it."""
 
+DRAINING_LEASE_S: Final = 2.0
+"""Longest lease on an executor that drains.
+
+It may leave at any moment. Its tasks start elsewhere when their lease has ended, as an executor
+behind a partition looks the same."""
+
 LIMITED_HOLD_SHARE: Final = 0.25
 """Longest wait of a hold as a share of the time for which leases may still last."""
 
@@ -55,13 +62,21 @@
     return state.now + MIN_START_LEASE_S <= state.leases_end_by
 
 
-def calculate_longest_hold_s(state: SchedulerState) -> float:
-    """Return how long a hold may wait while leases cannot be extended in full.
+def calculate_lease_s(state: SchedulerState, executor: ExecutorState) -> float:
+    """Return the length of a lease that is given now; it is negative if none may be given."""
+    wanted_s = state.lease_s
+    if executor.entry.is_draining:
+        wanted_s = min(wanted_s, DRAINING_LEASE_S)
+    return min(wanted_s, state.leases_end_by - state.now)
+
+
+def calculate_longest_hold_s(state: SchedulerState, executor: ExecutorState) -> float:
+    """Return how long a hold may wait while leases are not extended in full.
 
-    The next hold extends them once the term is proven again, so it must come before they end.
+    The next hold extends the lease, so it must come before that ends.
     """
-    left_s = state.leases_end_by - state.now
-    return math.inf if left_s >= state.lease_s else max(0.0, left_s * LIMITED_HOLD_SHARE)
+    lease_s = calculate_lease_s(state, executor)
+    return math.inf if lease_s >= state.lease_s else max(0.0, lease_s * LIMITED_HOLD_SHARE)
 
 
 def has_old_clock(state: SchedulerState, executor: ExecutorState) -> bool:
@@ -83,7 +98,7 @@
     Return None if the clock is unknown, or if the owner's term was not proven for too long.
     """
     clock_ms = estimate_executor_clock_ms(state, executor)
-    lease_s = min(state.lease_s, state.leases_end_by - state.now)
+    lease_s = calculate_lease_s(state, executor)
     if clock_ms is None or lease_s <= 0:
         return None
     expiry_ms = clock_ms + int(lease_s * 1000)
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -130,10 +130,12 @@
     `finished_runs` has a text for each successful run that is not logged yet.
     `lacks_resources` is set if a gang, or some tasks, did not fit in the last placement pass.
     `suspects` are the indexes of the tasks that may have crashed executors, and `trial_due_at` is
-    the time until which they wait for an executor without other work.
+    the time until which they wait for an executor without other work. Since `closed_out_since`, the
+    step fits only on executors that are closed to it by suspects of others.
     """
 
     __slots__ = (
+        "closed_out_since",
         "next_advice_at",
         "is_feasible",
         "due_at",
@@ -181,6 +183,7 @@
         self.suspects: set[int] = set()
         self.trial_due_at: float | None = None
         self.trial_executor = ""
+        self.closed_out_since: float | None = None
 
     @property
     def is_done(self) -> bool:
@@ -368,9 +371,10 @@
 class SchedulerState:
     """State of the scheduler of one domain.
 
-    `is_recovering` is set after a takeover until it is known what earlier owners left running.
-    `recovered_revision` is the store revision as of
-    which jobs were recovered. `suspect_steps` are the open steps with suspects, by name.
+    `is_recovering` is set after a takeover until it is known what earlier owners left running, and
+    their leases end at `predecessor_leases_end_at` at the latest. `recovered_revision` is the store
+    revision as of which jobs were recovered. `suspect_steps` are the open steps with suspects, by
+    name.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -395,6 +399,7 @@
         "executor_list_version",
         "now",
         "open_steps",
+        "predecessor_leases_end_at",
         "recovered_revision",
         "risk_by_queue",
         "suspect_steps",
@@ -425,6 +430,7 @@
         self.now = 0.0
         self.effects: list[Effect] = []
         self.is_recovering = False
+        self.predecessor_leases_end_at = 0.0
         self.recovered_revision = 0
         self.has_given_up_ownership = False
         self.is_roster_dirty = False
