Keep the progress of jobs that cannot be read

Callers would see: tasks of a job that ended run again (TWICE) once a later version can read the job.

Cause: a new owner took each progress record without a readable, unfinished job for that of an ended job, and removed it after the retention. Absence from the list of readable jobs is no proof of an end.

Now a record belongs to an ended job only if no definition is stored; the commit of the end removes the definition.

Evidence: test_progress_of_an_unreadable_job_is_kept failed before (the progress record was removed) and passes; tests/entry: 154 passed.

--- a/tests/entry/test_owner.py
+++ b/tests/entry/test_owner.py
@@ -18,7 +18,8 @@
 from wasabiramp.model.entry.network import STORE
 from wasabiramp.model.entry.schedule import draw_job, find_owner
 from wasabiramp.model.entry.world import World
-from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
+from wasabiramp.scheduling.model import DONE, JobDefinition, JobProgress, Resources, Step
+from wasabiramp.scheduling.records import encode_progress
 
 
 def make_job(world: World, number: int, estimate_s: float = 0.5) -> JobDefinition:
@@ -66,6 +67,24 @@
         world.run(run_scenario())
         assert world.checker.breaches == []
 
+    def test_progress_of_an_unreadable_job_is_kept(self) -> None:
+        """Guards against TWICE: a later version that can read the job needs its progress."""
+        world = World(3, status_s=4.0)
+        job_id = "b" * 16
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            world.store.put(PREFIX_JOB + job_id, b"from a later version", 0)
+            world.store.put(PREFIX_PROGRESS + job_id, encode_progress(JobProgress()), 0)
+            owner = find_owner(world)
+            assert owner is not None
+            world.kill_daemon(owner)
+            await asyncio.sleep(25.0)
+            assert PREFIX_JOB + job_id in world.store.items
+            assert PREFIX_PROGRESS + job_id in world.store.items
+
+        world.run(run_scenario())
+
 
 class TestTakeover:
     """Starts resume after the loss of the owner: within 2 s at the median, 4 s at most."""
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -113,8 +113,9 @@
         progress_items = {item.key.removeprefix(PREFIX_PROGRESS): item for item in progress}
         for item in jobs:
             _add_job(stored_state, item, progress_items)
-        unended_ids = {job.id for job, _revision, _progress in stored_state.jobs}
-        stored_state.ended = [job_id for job_id in progress_items if job_id not in unended_ids]
+        # The commit of a job's end removes its definition. Unreadable jobs have not ended.
+        defined_ids = {item.key.removeprefix(PREFIX_JOB) for item in jobs}
+        stored_state.ended = [job_id for job_id in progress_items if job_id not in defined_ids]
         return stored_state
 
     async def async_store(self, changes: Changes) -> bool:
