Follow the settings file without a signal

Callers would see: no daemon that reaches the store, and accepted work that does not run.

Cause: the file was read only at SIGHUP. A file that was half written at that moment was refused and never read again, and a change between the start and the handler of the signal was not noticed.

Now a daemon looks once a second whether the file has changed, and reads it once more after its start.

Evidence: tests/platform/test_reload.py, TestFile: both failed before, as there was nothing that follows the file; they pass now.

--- a/wasabiramp/platform/entry.py
+++ b/wasabiramp/platform/entry.py
@@ -14,7 +14,7 @@
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.peers import PeerCaller, PeerListener
 from wasabiramp.entry.ports import EntrySettings
-from wasabiramp.entry.supervision import async_log_failure
+from wasabiramp.entry.supervision import async_keep_running, async_log_failure
 from wasabiramp.logs import log_event, set_on_drop, set_up_logs
 from wasabiramp.platform.callers import CallerServer
 from wasabiramp.platform.clients import (
@@ -24,13 +24,16 @@
     HttpClient,
     StoreClient,
 )
-from wasabiramp.platform.node import load_node_settings
+from wasabiramp.platform.node import load_node_settings, read_settings_version
 from wasabiramp.platform.wire import PlatformCodec
 from wasabiramp.policy.switches import set_switched_off
 
 EXIT_MARGIN_S: Final = 1.0
 """Part of the time until the platform kills the process that is left once callers are answered."""
 
+SETTINGS_POLL_INTERVAL_S: Final = 1.0
+"""Interval at which a change of the settings file is looked for."""
+
 EXIT_SETTINGS: Final = 2
 OPTION_WITHOUT: Final = "--without"
 
@@ -59,7 +62,9 @@
 class SettingsReloader:
     """Applies changed addresses of the store and the adviser while the process runs.
 
-    Other changed settings are logged but take effect only when the process is restarted.
+    The file is read at a signal, and also when it has changed without one, such as by a write that
+    was not complete at the signal. Other changed settings are logged but take effect only when the
+    process is restarted.
     """
 
     def __init__(self, settings: EntrySettings, store: StoreClient, adviser: AdviserClient) -> None:
@@ -67,9 +72,21 @@
         self._settings = settings
         self._store = store
         self._adviser = adviser
+        self._version: tuple[int, ...] = ()
+
+    async def async_run(self) -> None:
+        """Read the settings file whenever it has changed, and once at first.
+
+        It may have changed since it was read at the start, when a signal had no effect yet.
+        """
+        while True:
+            if read_settings_version() != self._version:
+                self.reload()
+            await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
 
     def reload(self) -> None:
         """Read the settings file again; invalid settings change nothing."""
+        self._version = read_settings_version()
         loaded = load_node_settings()
         if loaded.is_error():
             log_event("reload_refused", error=loaded.error)
@@ -106,7 +123,9 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, daemon.stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, SettingsReloader(settings, store, adviser).reload)
+    reloader = SettingsReloader(settings, store, adviser)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    reload_task = loop.create_task(async_keep_running("settings", reloader.async_run))
     server = CallerServer(CallerBackend(daemon))
     await daemon.async_start()
     await server.async_start(
@@ -114,6 +133,7 @@
     )
     await daemon.stop_requested.wait()
     await _async_shut_down(daemon, server, settings.grace_s)
+    reload_task.cancel()
     await http.async_close()
     await store_http.async_close()
     lag.stop()
--- a/wasabiramp/platform/node.py
+++ b/wasabiramp/platform/node.py
@@ -91,6 +91,15 @@
     )
 
 
+def read_settings_version() -> tuple[int, ...]:
+    """Return what changes with the settings file of this process; empty if there is none."""
+    try:
+        status = os.stat(os.environ.get(ENV_NODE_FILE, ""))
+    except OSError:
+        return ()
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def load_node_settings(path: Path | None = None) -> Result[EntrySettings, str]:
     """Read and validate a settings file, by default the one named in the environment."""
     if path is None:
