--- a/tests/platform/test_reload.py
+++ b/tests/platform/test_reload.py
@@ -5,9 +5,12 @@
 import asyncio
 import os
 from pathlib import Path
+import signal
+import time
 
 import pytest
 
+from soak.cell import Cell, DaemonProcess
 from tests.platform.test_node import VALID_SETTINGS
 from wasabiramp.model.entry.clock import VirtualLoop
 from wasabiramp.platform.entry import SETTINGS_POLL_INTERVAL_S, SettingsReloader
@@ -15,6 +18,7 @@
 
 OLD_STORE = "10.0.0.7:8169"
 NEW_STORE = "10.0.0.8:8169"
+IMPORT_LIMIT_S = 20.0
 
 
 class AddressRecorder:
@@ -70,3 +74,34 @@
         changed = VALID_SETTINGS.replace(OLD_STORE, NEW_STORE)
         addresses = self.follow(monkeypatch, tmp_path / "node.toml", [changed[:90], changed])
         assert addresses == [OLD_STORE, NEW_STORE]
+
+
+def has_begun_imports(daemon: DaemonProcess) -> bool:
+    """Return whether a process has loaded a library of its own packages."""
+    assert daemon.process is not None
+    maps = Path(f"/proc/{daemon.process.pid}/maps").read_text(encoding="utf-8")
+    return "site-packages" in maps
+
+
+class TestStart:
+    """SIGHUP may come while a process starts."""
+
+    def test_signal_during_the_imports_does_not_end_the_process(self) -> None:
+        """Guards against processes that end by themselves: without a handler, SIGHUP ends them."""
+
+        async def run_scenario() -> int | None:
+            cell = Cell(1, daemons=1, executors=1)
+            await cell.async_start()
+            try:
+                daemon = cell.daemons[0]
+                deadline = time.monotonic() + IMPORT_LIMIT_S
+                while not has_begun_imports(daemon) and time.monotonic() < deadline:
+                    time.sleep(0.001)
+                daemon.signal_process(signal.SIGHUP)
+                await asyncio.sleep(1.0)
+                assert daemon.process is not None
+                return daemon.process.poll()
+            finally:
+                await cell.async_stop()
+
+        assert asyncio.run(run_scenario()) is None
