Try the ports of callers again while they are busy

The platform would see a process that ends by itself at its start; not seen yet. Found while looking for requests that are lost.

Cause: an earlier process may still hold an address. Only the port for other daemons was tried again; the ports of callers, of the readiness check and of the metrics ended the process at once.

Evidence: test_busy_port_is_tried_again failed before with "address already in use", and passes; tests/platform/test_callers.py and test_startup.py: 19 passed.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -240,6 +240,33 @@
         continue
 
 
+class TestStart:
+    """The ports of callers may still be held by an earlier process."""
+
+    def test_busy_port_is_tried_again(self) -> None:
+        """Guards against a process that ends by itself: only the port for peers was tried again."""
+
+        async def run_scenario() -> bool:
+            ports = find_free_ports(3)
+            with socket.socket() as holder:
+                holder.bind(("127.0.0.1", ports[0]))
+                holder.listen()
+                server = CallerServer(SlowBackend())
+                start = asyncio.ensure_future(
+                    server.async_start(*(f"127.0.0.1:{port}" for port in ports))
+                )
+                await asyncio.sleep(SHORT_S)
+            await start
+            caller = RawCaller(*await asyncio.open_connection("127.0.0.1", ports[0]))
+            caller.send("GET")
+            status, _is_open = await caller.async_read()
+            caller.writer.close()
+            await stop_by(server, 1.0)
+            return status == 200
+
+        assert asyncio.run(run_scenario())
+
+
 class TestDeadline:
     """Each request is answered before its caller gives up, whatever it waits for."""
 
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -137,7 +137,7 @@
         """Open the port for other daemons, join, and watch the configuration."""
         log_event("starting", member=self.settings.name, zone=self.settings.zone)
         loop = asyncio.get_running_loop()
-        await _async_bind(lambda: self._listener.async_start(self.settings.peer_address))
+        await async_bind(lambda: self._listener.async_start(self.settings.peer_address))
         self._membership.start()
         self._tasks = [
             loop.create_task(async_keep_running(name, work))
@@ -351,7 +351,7 @@
         return PeerAnswer(OK, (eligible, valid_s))
 
 
-async def _async_bind(bind: Any) -> None:
+async def async_bind(bind: Any) -> None:
     """Bind a port; retry while an earlier process still holds it."""
     for attempt in range(MAX_BIND_ATTEMPTS):
         try:
--- a/wasabiramp/platform/callers.py
+++ b/wasabiramp/platform/callers.py
@@ -22,6 +22,7 @@
     SHOWN,
     Answer,
 )
+from wasabiramp.entry.daemon import async_bind
 from wasabiramp.entry.ports import WasabirampError
 from wasabiramp.logs import log_event, log_failure
 from wasabiramp.platform.wire import InputError, decode_job
@@ -147,7 +148,9 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
+        await async_bind(
+            lambda: web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
+        )
         self._runners.append(runner)
         return server
 
