--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -14,7 +14,7 @@
 from wasabiramp.entry.health import MonitoredStore
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Membership, Tenure
-from wasabiramp.entry.owner import Owner
+from wasabiramp.entry.owner import Owner, OwnerStoppedError
 from wasabiramp.entry.peers import (
     FAILED,
     OK,
@@ -137,7 +137,7 @@
         """Open the port for other daemons, join, and watch the configuration."""
         log_event("starting", member=self.settings.name, zone=self.settings.zone)
         loop = asyncio.get_running_loop()
-        await _async_bind(lambda: self._listener.async_start(self.settings.peer_address))
+        await async_bind(lambda: self._listener.async_start(self.settings.peer_address))
         self._membership.start()
         self._tasks = [
             loop.create_task(async_keep_running(name, work))
@@ -159,8 +159,8 @@
             try:
                 async with asyncio.timeout(FLUSH_TIMEOUT_S):
                     await owner.async_flush()
-            except TimeoutError:
-                log_event("flush_incomplete")
+            except (TimeoutError, OwnerStoppedError) as err:
+                log_event("flush_incomplete", error=err)
             self._stop_owner()
         await self._membership.async_leave()
 
@@ -351,7 +351,7 @@
         return PeerAnswer(OK, (eligible, valid_s))
 
 
-async def _async_bind(bind: Any) -> None:
+async def async_bind(bind: Any) -> None:
     """Bind a port; retry while an earlier process still holds it."""
     for attempt in range(MAX_BIND_ATTEMPTS):
         try:
