Model: play lost contact, outages, suspension and wide steps

What they could not play: an executor that is cut off from some daemons only, a refused connection to one that runs on, entries that lapse, leases that expire or pause in an outage, a store that serves all but the owner, runs that outlast a takeover (the longest took 4.8 s), repeated jobs that run ahead, more than 500 ends on an executor, patient callers at an owner that loses contact, writes that are applied after an outage, and suspended machines, as the model passed one clock for both the loop and the uptime.

--- a/wasabiramp/model/entry/checker.py
+++ b/wasabiramp/model/entry/checker.py
@@ -23,6 +23,14 @@
 CANCEL_GRACE_S: Final = 3.0
 """Time after the acknowledgement of a cancel within which a task may still start."""
 
+CONTACT_S: Final = 3.0
+CANCEL_WAIT_S: Final = 4.0
+"""Time from the last disturbance until daemons are in touch, and time after that for which a cancel
+may wait for its answer before it counts as acknowledged."""
+
+MAX_ANSWER_DELAY_S: Final = 3.0
+"""Time after the deadline of a request by which it must be answered."""
+
 MAX_EARLY_START_S: Final = 0.25
 """Greatest time by which a task of a repeated job may start before it is due."""
 
@@ -32,6 +40,7 @@
 
     `submit_attempts` counts the calls that submit the job, and `refusals` those that were refused.
     `acknowledged_failures` counts the failed runs of each task whose end the owner acknowledged.
+    `is_cancel_waiting` is True while a caller waits for the answer to a cancel.
     """
 
     __slots__ = (
@@ -41,6 +50,7 @@
         "cancel_asked_at",
         "definition",
         "acknowledged_failures",
+        "is_cancel_waiting",
         "refusals",
         "last_phase",
     )
@@ -53,6 +63,7 @@
         self.accepted_at: float | None = None
         self.cancel_asked_at: float | None = None
         self.cancel_acked_at: float | None = None
+        self.is_cancel_waiting = False
         self.last_phase: str = ""
         self.acknowledged_failures: dict[str, int] = {}
 
@@ -70,7 +81,8 @@
     - ROUTE: a start on an executor without the label or with too many tasks of the step.
     - BUDGET: a start after the greatest number of failures, or of crashes by the task.
     - MIXED: a phase shown to a caller that contradicts an earlier one or the tasks.
-    - LOST: an accepted job that is unknown, does not end, or fails without a reason.
+    - LOST: an accepted job that is unknown, does not end, or fails without a reason; a request
+      that a daemon does not answer while it lives.
 
     The soak test adds STATUS (a call got an unexpected status) and STOP (a daemon did not exit).
     """
@@ -93,12 +105,40 @@
         # By task, when its latest run started.
         self.started_at: dict[str, float] = {}
         self.starts = 0
+        # The end of the last disturbance, once that is over.
+        self.calm_from = float("inf")
+        # By number, the text, the daemon and the time by which it answers, of each open request.
+        self._open_requests: dict[int, tuple[str, str, float]] = {}
+        self._request_count = 0
         self.breaches: list[str] = []
 
     def report(self, text: str) -> None:
         """Add a breach, whose text begins with its code."""
         self.breaches.append(text)
 
+    def record_request(self, text: str, daemon: str, due_at: float) -> int:
+        """Record that a daemon got a request of a caller, and return its number."""
+        self._request_count += 1
+        self._open_requests[self._request_count] = (text, daemon, due_at)
+        return self._request_count
+
+    def record_answer(self, request: int) -> None:
+        """Record that a request was answered, or that its daemon ended."""
+        self._open_requests.pop(request, None)
+
+    def check_answers(self, now: float, resumed_at: dict[str, float]) -> None:
+        """Report the requests that are overdue at daemons that live.
+
+        `resumed_at` holds for each living daemon the end of its last pause; it gets some time to
+        answer after that.
+        """
+        for request, (text, daemon, due_at) in list(self._open_requests.items()):
+            if daemon not in resumed_at:
+                del self._open_requests[request]
+            elif now > max(due_at, resumed_at[daemon] + MAX_ANSWER_DELAY_S):
+                del self._open_requests[request]
+                self.report(f"LOST at {now:.3f} {text}: no answer though the daemon lives")
+
     def find_task(self, task: str) -> tuple[JobRecord, int, int, int, Step]:
         """Return the job record, occurrence, step number, index and step of a task.
 
@@ -150,10 +190,20 @@
         acked_at = record.cancel_acked_at
         if acked_at is not None and now > acked_at + CANCEL_GRACE_S and not is_late:
             self.report(f"UNASKED {where}: cancelled at {acked_at:.3f}")
+        self._check_waiting_cancel(now, where, record)
         self.starts += 1
         self.started_at[task] = now
         self.running.setdefault(task, set()).add((executor, run))
 
+    def _check_waiting_cancel(self, now: float, where: str, record: JobRecord) -> None:
+        """Report a start of a job whose cancel has waited for its answer for long enough."""
+        asked_at = record.cancel_asked_at
+        if asked_at is None or not record.is_cancel_waiting:
+            return
+        acked_at = max(asked_at, self.calm_from + CONTACT_S) + CANCEL_WAIT_S
+        if now > acked_at + CANCEL_GRACE_S:
+            self.report(f"UNASKED {where}: a cancel waits since {asked_at:.3f}")
+
     def _check_limits(
         self,
         now: float,
--- a/wasabiramp/model/entry/clock.py
+++ b/wasabiramp/model/entry/clock.py
@@ -55,12 +55,19 @@
         self._virtual = VirtualSelector()
         super().__init__(self._virtual)
         self._paused: dict[str, float] = {}
+        # By node, the time for which its machine was suspended.
+        self._suspended_s: dict[str, float] = {}
         self._deferred_count = 0
 
     def pause(self, node: str, until: float) -> None:
         """Defer everything that runs on behalf of a node until a time."""
         self._paused[node] = until
 
+    def suspend(self, node: str, duration_s: float) -> None:
+        """Suspend the machine of a node, whose own clock stands still meanwhile."""
+        self.pause(node, self.true_time + duration_s)
+        self._suspended_s[node] = self._suspended_s.get(node, 0.0) + duration_s
+
     def get_resume_time(self, node: str) -> float:
         """Return when a node resumes; a time in the past where it is not paused."""
         return self._paused.get(node, 0.0)
@@ -77,14 +84,30 @@
     def call_at(
         self, when: float, callback: Callable[..., Any], *args: Any, context: Any = None
     ) -> Any:
-        """Schedule a callback for a time, or for when its node resumes."""
+        """Schedule a callback for a time on its node's clock, or for when the node resumes."""
         handles: list[asyncio.Handle] = []
+        offset_s = self._get_suspended_s()
         handle = super().call_at(
-            when, self._run_unless_paused, handles, callback, args, context=context
+            when + offset_s, self._run_timer, offset_s, handles, callback, args, context=context
         )
         handles.append(handle)
         return handle
 
+    def _run_timer(
+        self,
+        offset_s: float,
+        handles: list[asyncio.Handle],
+        callback: Callable[..., Any],
+        args: tuple[Any, ...],
+    ) -> None:
+        """Run a timer, or delay it by the time for which its node was suspended meanwhile."""
+        suspended_s = self._get_suspended_s()
+        if suspended_s <= offset_s:
+            self._run_unless_paused(handles, callback, args)
+        elif not handles or not handles[0].cancelled():
+            when = self.true_time + suspended_s - offset_s
+            super().call_at(when, self._run_timer, suspended_s, handles, callback, args)
+
     def _run_unless_paused(
         self, handles: list[asyncio.Handle], callback: Callable[..., Any], args: tuple[Any, ...]
     ) -> None:
@@ -96,13 +119,22 @@
         if handles and handles[0].cancelled():
             return
         resume_at = self.get_resume_time(CURRENT_NODE.get())
-        if resume_at <= self.time():
+        if resume_at <= self.true_time:
             callback(*args)
             return
         self._deferred_count += 1
         when = resume_at + self._deferred_count * DEFERRED_CALL_SPACING_S
         super().call_at(when, self._run_unless_paused, handles, callback, args)
 
-    def time(self) -> float:
-        """Return the virtual time in seconds."""
+    def _get_suspended_s(self) -> float:
+        """Return for how long the machine of the current node was suspended."""
+        return self._suspended_s.get(CURRENT_NODE.get(), 0.0) if self._suspended_s else 0.0
+
+    @property
+    def true_time(self) -> float:
+        """Return the virtual time in seconds, which also counts while machines are suspended."""
         return self._virtual.now
+
+    def time(self) -> float:
+        """Return the virtual time in seconds on the clock of the current node."""
+        return self._virtual.now - self._get_suspended_s()
--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -10,7 +10,7 @@
 
 from wasabiramp.entry.ports import NoAnswerError, OrderAnswer
 from wasabiramp.model.entry.checker import HistoryChecker
-from wasabiramp.model.entry.network import Network
+from wasabiramp.model.entry.network import ONE_WAY_LATENCY_S, Network
 from wasabiramp.scheduling import events
 from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask, StopTask
 from wasabiramp.scheduling.model import (
@@ -51,6 +51,10 @@
 """Greatest number of ended runs in one report."""
 
 
+DURATION_RANGE: Final = (0.5, 1.6)
+"""Range of the random duration of a run, relative to the estimate of its step."""
+
+
 class ModelRun:
     """A run of a task on a simulated executor.
 
@@ -87,7 +91,8 @@
     """One simulated executor through all its incarnations.
 
     Faults set `fails_all`, which fails all runs that start, and `late_share`, the share of orders
-    that are applied late and without an answer.
+    that are applied late and without an answer. With `refuses_when_down` the machine of an executor
+    that is down refuses connections; otherwise it does not answer.
     """
 
     def __init__(self, fleet: ModelExecutors, entry: ExecutorEntry, random: Random) -> None:
@@ -98,6 +103,7 @@
         self.is_up = True
         self.fails_all = False
         self.late_share = 0.0
+        self.refuses_when_down = False
         self._shrunk_at = float("-inf")
         self.full_capacity = entry.capacity
         self._capacity_before = entry.capacity
@@ -217,7 +223,7 @@
     def _draw_end(self, run: ModelRun, estimate_s: float) -> None:
         """Draw at random when and how a run ends."""
         now = asyncio.get_running_loop().time()
-        run.ends_at = now + estimate_s * self._random.uniform(0.5, 1.6)
+        run.ends_at = now + estimate_s * self._random.uniform(*self.fleet.duration_range)
         if self.fails_all or self._random.random() < self.fleet.failure_share:
             run.how = FAILED
 
@@ -329,6 +335,7 @@
         self.checker = checker
         self.by_id: dict[str, ModelExecutor] = {}
         self.failure_share = 0.0
+        self.duration_range = DURATION_RANGE
         self.on_add: Callable[[ModelExecutor], None] = lambda executor: None
         self.deadly_tasks: set[str] = set()
         self.deadly_start_share = 0.0
@@ -364,7 +371,7 @@
         if len(members) < run.gang_size:
             return
         now = asyncio.get_running_loop().time()
-        ends_at = now + estimate_s * self._random.uniform(0.5, 1.6)
+        ends_at = now + estimate_s * self._random.uniform(*self.duration_range)
         fails = self._random.random() < self.failure_share
         for _executor, other in members:
             other.ends_at = ends_at
@@ -407,6 +414,15 @@
         self._executors = executors
         self._random = random
 
+    async def _async_is_refused(self, executor_id: str) -> bool:
+        """Return whether the machine of an executor refuses the connection, after a round trip."""
+        executor = self._executors.by_id.get(executor_id)
+        is_down = executor is not None and not executor.is_up and executor.refuses_when_down
+        if not is_down and not self._network.is_refused(self._source, executor_id):
+            return False
+        await asyncio.sleep(ONE_WAY_LATENCY_S[1])
+        return True
+
     async def _async_send_order(
         self, executor_id: str, order: Callable[[ModelExecutor, bool], str]
     ) -> OrderAnswer:
@@ -424,6 +440,8 @@
                 await asyncio.sleep(3600)
             return OrderAnswer(order(executor, False), executor.clock_ms)
 
+        if await self._async_is_refused(executor_id):
+            return OrderAnswer(events.NOT_SENT)
         try:
             return await self._network.async_call(self._source, executor_id, ORDER_TIMEOUT_S, serve)
         except NoAnswerError:
@@ -461,6 +479,8 @@
                 await asyncio.sleep(3600)
             return answer
 
+        if await self._async_is_refused(effect.executor):
+            return events.NOT_SENT
         timeout_s = effect.wait_s + HOLD_TIMEOUT_MARGIN_S
         try:
             return await self._network.async_call(self._source, effect.executor, timeout_s, serve)
--- a/wasabiramp/model/entry/network.py
+++ b/wasabiramp/model/entry/network.py
@@ -82,19 +82,46 @@
         self._killed: set[str] = set()
         self.listeners: dict[str, ServeCall] = {}
         self._powered_off: set[str] = set()
+        self._refused: set[frozenset[str]] = set()
+        self._isolated: set[str] = set()
+        self._refusing: set[str] = set()
         self.limits: dict[str, NodeLimits] = {}
 
     def add_partition(self, one: str, other: str) -> None:
         """Drop all messages between two nodes."""
         self._partitions.add(frozenset((one, other)))
 
+    def add_refusal(self, one: str, other: str) -> None:
+        """Refuse connections between two nodes, and drop the messages in transit."""
+        self.add_partition(one, other)
+        self._refused.add(frozenset((one, other)))
+
     def remove_partition(self, one: str, other: str) -> None:
         """Deliver messages between two nodes again."""
         self._partitions.discard(frozenset((one, other)))
+        self._refused.discard(frozenset((one, other)))
+
+    def isolate(self, node: str, refuses: bool = False) -> None:
+        """Drop all messages from and to a node but those to the store; or refuse connections."""
+        self._isolated.add(node)
+        if refuses:
+            self._refusing.add(node)
+
+    def rejoin(self, node: str) -> None:
+        """Deliver messages from and to an isolated node again."""
+        self._isolated.discard(node)
+        self._refusing.discard(node)
 
     def remove_all_partitions(self) -> None:
         """Remove all partitions."""
         self._partitions.clear()
+        self._refused.clear()
+        self._isolated.clear()
+        self._refusing.clear()
+
+    def is_refused(self, source: str, target: str) -> bool:
+        """Return whether a connection is refused, so that nothing is sent."""
+        return target in self._refusing or frozenset((source, target)) in self._refused
 
     def kill(self, node: str) -> None:
         """Drop all messages from and to a node.
@@ -112,7 +139,10 @@
     def is_unreachable(self, one: str, other: str) -> bool:
         """Return whether messages between two nodes are dropped."""
         is_killed = one in self._killed or other in self._killed
-        return is_killed or frozenset((one, other)) in self._partitions
+        if is_killed or frozenset((one, other)) in self._partitions:
+            return True
+        is_isolated = one in self._isolated or other in self._isolated
+        return is_isolated and STORE not in (one, other)
 
     async def async_deliver(self, source: str, target: str, size: int = 0) -> bool:
         """Wait for the one-way transfer of `size` payload bytes and return whether they arrived."""
--- a/wasabiramp/model/entry/store.py
+++ b/wasabiramp/model/entry/store.py
@@ -32,6 +32,9 @@
 LATE_WRITE_DELAY_S: Final = (1.0, 6.0)
 """Range of the random delay of a write that is applied late, after its answer was lost."""
 
+KEPT_WRITE_DELAY_S: Final = (0.2, 4.0)
+"""Range of the random delay after an outage of a write that arrived in it."""
+
 Result = Any
 
 
@@ -56,6 +59,11 @@
         self._next_lease = 1
         self._changed = asyncio.Event()
         self.is_down = False
+        self.is_refusing = False
+        self.does_lapse = False
+        self.kept_share = 0.0
+        self._kept_writes: list[Callable[[], Any]] = []
+        self._down_since: float | None = None
         self.answer_loss_share = 0.0
         self.late_share = 0.0
         self.answer_delay_s = ANSWER_DELAY_S
@@ -67,10 +75,48 @@
         while True:
             now = loop.time()
             for lease, (ends_at, _ttl) in list(self._leases.items()):
-                if now >= ends_at and not self.is_down:
+                if now >= ends_at and (not self.is_down or self.does_lapse):
                     self.end_lease(lease)
             await asyncio.sleep(0.02)
 
+    @property
+    def is_in_outage(self) -> bool:
+        """Return whether an outage is on, in which also the watches that wait get no answer."""
+        return self._down_since is not None
+
+    def begin_outage(
+        self, does_lapse: bool, does_refuse: bool = False, kept_share: float = 0.0
+    ) -> None:
+        """Begin an outage in which leases expire or pause; the store must not be in one.
+
+        Calls are refused, or get no answer; of the writes among the latter, the share `kept_share`
+        is applied after the end.
+        """
+        self.is_down = True
+        self.is_refusing = does_refuse
+        self.does_lapse = does_lapse
+        self.kept_share = kept_share
+        self._down_since = asyncio.get_running_loop().time()
+
+    def end_outage(self) -> None:
+        """End the outage; leases that paused go on with the time that they had left."""
+        loop = asyncio.get_running_loop()
+        down_since = self._down_since if self._down_since is not None else loop.time()
+        if not self.does_lapse:
+            down_s = loop.time() - down_since
+            for lease, (ends_at, ttl_s) in self._leases.items():
+                self._leases[lease] = (ends_at + down_s, ttl_s)
+        self.is_down = self.is_refusing = self.does_lapse = False
+        self._down_since = None
+        kept, self._kept_writes = self._kept_writes, []
+        for operation in kept:
+            loop.call_later(self._random.uniform(*KEPT_WRITE_DELAY_S), _apply_unanswered, operation)
+
+    def keep_write(self, operation: Callable[[], Any]) -> None:
+        """Keep a write that arrives in an outage, at random, to apply it after the end."""
+        if self.kept_share and self._random.random() < self.kept_share:
+            self._kept_writes.append(operation)
+
     def grant(self, ttl_s: float) -> int:
         """Grant a lease and return its id."""
         lease = self._next_lease
@@ -218,6 +264,8 @@
         async def serve() -> Result:
             # A call without an answer sleeps for longer than the timeout of its caller.
             if self._store.is_down:
+                if is_write:
+                    self._store.keep_write(operation)
                 await asyncio.sleep(3600)
             await asyncio.sleep(self._store.answer_delay_s)
             if is_write and self._store.draw_answer_loss():
@@ -231,11 +279,16 @@
                 await asyncio.sleep(3600)
             try:
                 result = operation()
-                return (await result, None) if asyncio.iscoroutine(result) else (result, None)
+                if not asyncio.iscoroutine(result):
+                    return result, None
+                changes = await result
+                if self._store.is_in_outage:
+                    await asyncio.sleep(3600)
+                return changes, None
             except (StoreConflictError, LeaseEndedError, HistoryLostError) as err:
                 return None, err
 
-        if self.is_refused:
+        if self.is_refused or self._store.is_refusing:
             await asyncio.sleep(ANSWER_DELAY_S)
             raise StoreRefusedError("status 503")
         try:
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -19,13 +19,14 @@
 from wasabiramp.entry.daemon import EntryDaemon
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.ports import EntrySettings, NoAnswerError
-from wasabiramp.model.entry.checker import HistoryChecker, JobRecord
+from wasabiramp.model.entry.checker import MAX_ANSWER_DELAY_S, HistoryChecker, JobRecord
 from wasabiramp.model.entry.clock import CURRENT_NODE, VirtualLoop, async_run_on_node
 from wasabiramp.model.entry.executors import (
     ModelExecutor,
     ModelExecutorClient,
     ModelExecutors,
 )
+from wasabiramp.model.entry.heartbeats import Heartbeats
 from wasabiramp.model.entry.network import ADVISER, ModelListener, ModelPeers, Network, NodeLimits
 from wasabiramp.model.entry.store import ModelStore, ModelStoreClient
 from wasabiramp.scheduling.model import (
@@ -138,6 +139,7 @@
         self.loop = VirtualLoop()
         self.random = Random(seed)
         self.checker = HistoryChecker(WALL_START_S)
+        self.heartbeats: Heartbeats | None = None
         self.network = Network(self.random)
         self.good_share = 0.7
         self._counts = (daemons, executors)
@@ -213,18 +215,34 @@
         )
         return self.executors.add(entry)
 
+    def start_heartbeats(self) -> None:
+        """Let executors write their entries themselves, which lapse after a silence."""
+        self.heartbeats = Heartbeats(
+            self.random, self.store, self.network, self.executors, self._write_entry
+        )
+        self.loop.create_task(self.heartbeats.async_run())
+
     def list_executor(self, executor: ModelExecutor) -> None:
+        """List an executor in the store; with heartbeats, as soon as it reaches the store."""
+        if self.heartbeats is not None:
+            self.heartbeats.report_soon(executor)
+            return
+        self._write_entry(executor)
+
+    def _write_entry(self, executor: ModelExecutor) -> None:
         """Write the entry of an executor to the store, where daemons find it."""
         key = ModelCodec.executors_prefix + executor.entry.id
         self.store.put(key, self.codec.encode(executor.entry), 0)
 
     def unlist_executor(self, executor_id: str) -> None:
         """Remove the entry of an executor from the store."""
+        if self.heartbeats is not None:
+            self.heartbeats.forget(executor_id)
         self.store.put(ModelCodec.executors_prefix + executor_id, None, 0)
 
     def read_wall_ms(self) -> int:
         """Return Unix time in milliseconds."""
-        return int((WALL_START_S + self.loop.time()) * 1000)
+        return int((WALL_START_S + self.loop.true_time) * 1000)
 
     async def async_start_daemon(self, name: str) -> None:
         """Start a new incarnation of a daemon."""
@@ -261,8 +279,8 @@
                 ModelPeers(self.network, node),
                 lambda serve: ModelListener(self.network, serve),
                 LoopLag(),
-                lambda: WALL_START_S + self.loop.time(),
-                self.loop.time,
+                lambda: WALL_START_S + self.loop.true_time,
+                lambda: self.loop.true_time,
             )
             await daemon.async_start()
         finally:
@@ -315,27 +333,41 @@
         executor.crash()
         self.unlist_executor(executor.entry.id)
 
-    async def _async_call(self, call: str, *args: Any) -> Answer:
-        """Call the request handler of a random daemon as a caller."""
+    async def _async_call(
+        self, call: str, *args: Any, timeout_s: float = CALL_TIMEOUT_S, name: str | None = None
+    ) -> Answer:
+        """Call the request handler of a daemon, by default a random one, as a caller."""
         names = sorted(self.daemons)
         if not names:
             raise NoAnswerError("no daemon is running")
-        name = self.random.choice(names)
+        if name not in self.daemons:
+            name = self.random.choice(names)
         handler, node = self.daemons[name].request_handler, self.node_names[name]
 
         async def serve() -> Answer:
             # The request runs in the daemon: a killed daemon never answers.
+            due_at = self.loop.time() + timeout_s + MAX_ANSWER_DELAY_S
+            request = self.checker.record_request(f"{call} at {node}", node, due_at)
             try:
-                return await async_run_on_node(node, getattr(handler, call)(*args, CALL_TIMEOUT_S))
+                return await async_run_on_node(node, getattr(handler, call)(*args, timeout_s))
             except asyncio.CancelledError:
                 return await self.loop.create_future()
+            finally:
+                self.checker.record_answer(request)
+
+        self._check_answers()
 
-        return await self.network.async_call(CALLER, node, CALL_TIMEOUT_S, serve)
+        return await self.network.async_call(CALLER, node, timeout_s, serve)
 
-    async def async_submit(self, job: JobDefinition) -> bool:
+    def _check_answers(self) -> None:
+        """Check that the daemons have answered in time, as far as they ran."""
+        resumed_at = {node: self.loop.get_resume_time(node) for node in self.node_names.values()}
+        self.checker.check_answers(self.loop.time(), resumed_at)
+
+    async def async_submit(self, job: JobDefinition, attempts: int = MAX_CALL_ATTEMPTS) -> bool:
         """Submit a job with retries and return whether it was accepted."""
         record = self.checker.jobs.setdefault(job.id, JobRecord(job))
-        for _ in range(MAX_CALL_ATTEMPTS):
+        for _ in range(attempts):
             record.submit_attempts += 1
             try:
                 answer = await self._async_call("async_submit", job)
@@ -361,19 +393,29 @@
         self.checker.check_shown(self.loop.time(), job_id, answer.phase)
         return answer.phase
 
-    async def async_cancel(self, job_id: str) -> None:
-        """Cancel a job, with retries until the cancel is acknowledged."""
+    async def async_cancel(
+        self, job_id: str, timeout_s: float = CALL_TIMEOUT_S, name: str | None = None
+    ) -> None:
+        """Cancel a job, with retries until the cancel is acknowledged.
+
+        The first call goes to the daemon `name`, where given.
+        """
         record = self.checker.jobs[job_id]
         record.cancel_asked_at = self.loop.time()
+        record.is_cancel_waiting = True
         for _ in range(MAX_CALL_ATTEMPTS):
             try:
-                answer = await self._async_call("async_cancel", job_id)
+                answer = await self._async_call(
+                    "async_cancel", job_id, timeout_s=timeout_s, name=name
+                )
             except NoAnswerError:
+                name = None
                 continue
             if answer.outcome in (CANCELLED, NO_SUCH_JOB):
                 record.cancel_acked_at = self.loop.time()
-                return
+                break
             await asyncio.sleep(0.5)
+        record.is_cancel_waiting = False
 
     async def async_wait_for_jobs(self, limit_s: float) -> None:
         """Wait until all accepted jobs have ended and report the others as lost after the limit."""
@@ -384,5 +426,6 @@
                 if await self.async_show(job_id) in FINAL_PHASES:
                     waiting.discard(job_id)
             await asyncio.sleep(0.5)
+        self._check_answers()
         for job_id in sorted(waiting):
             self.checker.report(f"LOST {job_id}: not ended {limit_s:.0f} s after the last fault")
