Model: check lasting tasks and standstill once disturbances are over

Callers saw accepted work that never went on (LOST); the kinds of schedules only checked that jobs end within 60 s. A further kind adds faults of the store.

--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -7,6 +7,12 @@
 from typing import Final
 
 from wasabiramp.model.entry.contact import CONTACT_FAULTS, heal
+from wasabiramp.model.entry.liveness import (
+    MAX_GAP_S,
+    SETTLE_S,
+    async_check_standstill,
+    check_lasting_tasks,
+)
 from wasabiramp.model.entry.schedule import FAULTS, FINISH_TIMEOUT_S, draw_job, find_owner
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.model import JobDefinition, Resources, Step
@@ -14,9 +20,6 @@
 SCHEDULE_S: Final = 16.0
 """Time from the start within which jobs are submitted and faults begin."""
 
-FINAL_CALM_S: Final = 8.0
-"""Time from the last fault for which lasting jobs run on, until they are cancelled."""
-
 PATIENT_TIMEOUT_S: Final = 30.0
 """Time for which a caller waits that keeps its connection open."""
 
@@ -157,6 +160,15 @@
         6,
         14,
     ),
+    "contact_and_store": ScheduleKind(
+        draw_any_job,
+        [
+            *(name for name in sorted(CONTACT_FAULTS) if "suspend" not in name),
+            *("compact", "kill_daemon", "kill_owner", "lose_answers", "revoke", "store_slow"),
+        ],
+        8,
+        14,
+    ),
     "outage": ScheduleKind(
         draw_long_job, ["have_outage_and_cut", "have_outage_and_cut", "lose_power"], 3
     ),
@@ -205,13 +217,16 @@
     faults = [_async_run_fault(world, name, random.uniform(2.0, SCHEDULE_S)) for name in names]
     await asyncio.gather(*faults)
     heal(world)
-    world.checker.calm_from = world.loop.time()
+    world.checker.calm_from = calm_from = world.loop.time()
     await asyncio.gather(*callers)
-    await asyncio.sleep(FINAL_CALM_S)
+    await asyncio.sleep(max(0.0, calm_from + SETTLE_S + MAX_GAP_S - world.loop.time()))
+    check_lasting_tasks(world)
+    standstill_check = world.loop.create_task(async_check_standstill(world))
     for job_id, record in world.checker.jobs.items():
         if record.definition.steps[0].is_lasting and record.accepted_at is not None:
             await world.async_cancel(job_id)
     await world.async_wait_for_jobs(FINISH_TIMEOUT_S)
+    standstill_check.cancel()
 
 
 async def _async_run_caller(world: World, kind: ScheduleKind, number: int) -> None:
