Model: hand-overs under load, slow paths, pauses beside cuts

Three more ways in which a daemon acts on what it no longer knows: jobs that are accepted all the while ownership changes (100 jobs of one task), messages to executors that take up to 1.5 s and overtake each other, and pauses in which the clock goes on.

--- a/wasabiramp/model/entry/contact.py
+++ b/wasabiramp/model/entry/contact.py
@@ -15,6 +15,9 @@
 CUT_S: Final = (1.0, 6.0)
 """Range of the duration of a cut."""
 
+MESSAGE_DELAY_S: Final = (0.2, 1.5)
+"""Range of the longest delay of a message on a slow path; orders time out after 0.3 s."""
+
 OUTAGE_S: Final = (1.5, 5.0)
 """Range of the duration of an outage of the store."""
 
@@ -115,6 +118,21 @@
     await async_isolate(world, draw_executors(world, 1), world.random.uniform(5.0, 10.0), True)
 
 
+@contact_fault
+async def async_delay_executors(world: World) -> None:
+    """Delay the messages between the owner and executors, so that orders time out and overtake."""
+    name = find_owner(world)
+    if name is None:
+        return
+    node, longest_s = world.node_names[name], world.random.uniform(*MESSAGE_DELAY_S)
+    chosen = draw_executors(world, 3)
+    for executor in chosen:
+        world.network.add_delay(node, executor, longest_s)
+    await asyncio.sleep(world.random.uniform(*CUT_S))
+    for executor in chosen:
+        world.network.remove_delay(node, executor)
+
+
 @contact_fault
 async def async_cut_daemons(world: World) -> None:
     """Cut the path between two daemons, or between the owner and all others."""
--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -57,6 +57,12 @@
     return _make_job(world, number, (Step(1, demand, world.random.uniform(8.0, 16.0)),))
 
 
+def draw_small_job(world: World, number: int) -> JobDefinition:
+    """Draw a job of one small task that outlasts a takeover."""
+    step = Step(1, Resources(200, 200, 0), world.random.uniform(4.0, 10.0))
+    return _make_job(world, number, (step,))
+
+
 def draw_repeated_job(world: World, number: int) -> JobDefinition:
     """Draw a job that is due again before its earlier occurrences have ended."""
     random = world.random
@@ -108,10 +114,17 @@
     for _ in range(3):
         await asyncio.sleep(world.random.uniform(0.05, 3.0))
         await world.async_show(job.id)
+    if world.random.random() < 0.2:
+        await world.async_submit(job)
     if world.random.random() < 0.15:
         await world.async_cancel(job.id, PATIENT_TIMEOUT_S, find_owner(world))
 
 
+async def async_submit_only(world: World, job: JobDefinition) -> None:
+    """Submit a job."""
+    await world.async_submit(job)
+
+
 async def async_cancel_patiently(world: World, job: JobDefinition) -> None:
     """Submit a job, and cancel it at the owner after a while, with a long timeout."""
     if await world.async_submit(job):
@@ -193,7 +206,19 @@
     ),
     "late_write": ScheduleKind(draw_chain_job, ["keep_writes"], 3, 20, async_cancel_unconfirmed),
     "suspension": ScheduleKind(
-        draw_long_job, ["suspend_owner", "suspend_daemon", "cut_from_others", "cut_owner_off"], 4
+        draw_long_job,
+        ["suspend_owner", "suspend_daemon", "pause_owner", "cut_from_others", "cut_owner_off"],
+        4,
+    ),
+    "handover": ScheduleKind(
+        draw_small_job,
+        ["cut_owner_off", "refuse_owner", "revoke_owner", "pause_owner", "suspend_owner"],
+        5,
+        100,
+        async_submit_only,
+    ),
+    "delays": ScheduleKind(
+        draw_any_job, ["delay_executors", "delay_executors", "kill_owner", "cut_owner_off"], 5, 10
     ),
     "draining": ScheduleKind(
         draw_long_job, ["drain_cut_off", "kill_owner", "cut_from_all", "cut_owner_off"], 4
--- a/wasabiramp/model/entry/network.py
+++ b/wasabiramp/model/entry/network.py
@@ -85,6 +85,8 @@
         self._refused: set[frozenset[str]] = set()
         self._isolated: set[str] = set()
         self._refusing: set[str] = set()
+        # By pair of nodes, the longest delay of a message between them.
+        self._delays_s: dict[frozenset[str], float] = {}
         self.limits: dict[str, NodeLimits] = {}
 
     def add_partition(self, one: str, other: str) -> None:
@@ -101,6 +103,14 @@
         self._partitions.discard(frozenset((one, other)))
         self._refused.discard(frozenset((one, other)))
 
+    def add_delay(self, one: str, other: str, longest_s: float) -> None:
+        """Delay each message between two nodes by a random time, so that messages overtake."""
+        self._delays_s[frozenset((one, other))] = longest_s
+
+    def remove_delay(self, one: str, other: str) -> None:
+        """Deliver messages between two nodes without a further delay."""
+        self._delays_s.pop(frozenset((one, other)), None)
+
     def isolate(self, node: str, refuses: bool = False) -> None:
         """Drop all messages from and to a node but those to the store; or refuse connections."""
         self._isolated.add(node)
@@ -113,8 +123,9 @@
         self._refusing.discard(node)
 
     def remove_all_partitions(self) -> None:
-        """Remove all partitions."""
+        """Remove all partitions and delays."""
         self._partitions.clear()
+        self._delays_s.clear()
         self._refused.clear()
         self._isolated.clear()
         self._refusing.clear()
@@ -154,6 +165,9 @@
             return False
         await self._async_wait_for_link(source, "out", size)
         await asyncio.sleep(self._random.uniform(*ONE_WAY_LATENCY_S))
+        longest_s = self._delays_s.get(frozenset((source, target)), 0.0)
+        if longest_s:
+            await asyncio.sleep(self._random.uniform(0.0, longest_s))
         await self._async_wait_for_link(target, "in", size)
         if target in self.limits:
             await asyncio.sleep(self.limits[target].reserve_processing(loop.time()) - loop.time())
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -144,7 +144,8 @@
         self.good_share = 0.7
         self._counts = (daemons, executors)
         self._status_s = status_s
-        self._tasks: dict[str, set[asyncio.Task[Any]]] = {}
+        # By node, its tasks in the order of their creation.
+        self._tasks: dict[str, dict[asyncio.Task[Any], None]] = {}
         self.daemons: dict[str, EntryDaemon] = {}
         self.clients: dict[str, ModelStoreClient] = {}
         self.node_names: dict[str, str] = {}
@@ -176,9 +177,9 @@
     def _make_task(self, loop: Any, coroutine: Any, **options: Any) -> asyncio.Task[Any]:
         """Create a task and record the node that it belongs to."""
         task = asyncio.Task(coroutine, loop=loop, **options)
-        tasks = self._tasks.setdefault(CURRENT_NODE.get(), set())
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        tasks = self._tasks.setdefault(CURRENT_NODE.get(), {})
+        tasks[task] = None
+        task.add_done_callback(lambda task: tasks.pop(task, None))
         return task
 
     async def async_start(self) -> None:
