Model: run kinds of schedules by hand, and find daemons without an entry

At the end of each schedule every daemon must be found by the others, and one must own the cell: otherwise cancels get no answer.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -83,6 +83,18 @@
     def test_more_ends_than_one_report_holds(self, seed: int) -> None:
         check(run_wide_schedule(seed))
 
+    @pytest.mark.parametrize("seed", FEW_SEEDS)
+    def test_jobs_accepted_during_hand_overs(self, seed: int) -> None:
+        check(run_kind("handover", seed))
+
+
+class TestSlowPaths:
+    """Orders that time out or overtake each other start no task twice."""
+
+    @pytest.mark.parametrize("seed", FEW_SEEDS)
+    def test_delayed_messages(self, seed: int) -> None:
+        check(run_kind("delays", seed))
+
 
 class TestCancels:
     """Each cancel gets an answer, and stops the job for good once it is acknowledged."""
@@ -93,7 +105,7 @@
         check(run_kind("cancel", seed))
 
     # A job that was stored after its cancel was acknowledged with 410 ran to its end (UNASKED).
-    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("seed", [*SEEDS, 17])
     def test_of_a_job_that_is_stored_late(self, seed: int) -> None:
         check(run_kind("late_write", seed))
 
--- a/tests/model/entry/test_platform.py
+++ b/tests/model/entry/test_platform.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from wasabiramp.entry.keys import PREFIX_MEMBER
 from wasabiramp.entry.ports import (
     LeaseEndedError,
     StoreRefusedError,
@@ -16,7 +17,11 @@
 from wasabiramp.model.entry.checker import CANCEL_WAIT_S, CONTACT_S, HistoryChecker, JobRecord
 from wasabiramp.model.entry.clock import async_run_on_node
 from wasabiramp.model.entry.heartbeats import ENTRY_TTL_S
-from wasabiramp.model.entry.liveness import async_check_standstill, check_lasting_tasks
+from wasabiramp.model.entry.liveness import (
+    async_check_standstill,
+    check_lasting_tasks,
+    check_members,
+)
 from wasabiramp.model.entry.network import STORE
 from wasabiramp.model.entry.store import ModelStoreClient
 from wasabiramp.model.entry.world import World
@@ -359,3 +364,17 @@
             assert [text.split()[0] for text in world.checker.breaches] == ["LOST"] * is_held
 
         run_world(main)
+
+
+class TestMembers:
+    """A living daemon that the others cannot find is reported."""
+
+    def test_entry_is_gone(self) -> None:
+        async def main(world: World) -> None:
+            check_members(world)
+            assert world.checker.breaches == []
+            world.store.delete_prefix(PREFIX_MEMBER)
+            check_members(world)
+            assert len(world.checker.breaches) == 1
+
+        run_world(main)
--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -12,6 +12,7 @@
     SETTLE_S,
     async_check_standstill,
     check_lasting_tasks,
+    check_members,
 )
 from wasabiramp.model.entry.schedule import FAULTS, FINISH_TIMEOUT_S, draw_job, find_owner
 from wasabiramp.model.entry.world import World
@@ -89,9 +90,18 @@
 def draw_chain_job(world: World, number: int) -> JobDefinition:
     """Draw a job of steps that follow each other, so that tasks start until it is cancelled."""
     demand = Resources(world.random.randrange(500, 2_000), 500, 0)
-    length = world.random.randrange(8, 14)
-    steps = [Step(2, demand, 1.0, after=(n - 1,) if n else ()) for n in range(length)]
-    return _make_job(world, number, tuple(steps))
+    return _make_job(world, number, _make_chain(world.random.randrange(8, 14), 2, demand))
+
+
+def draw_short_chain_job(world: World, number: int) -> JobDefinition:
+    """Draw a job of few small steps that follow each other."""
+    length = world.random.randrange(5, 8)
+    return _make_job(world, number, _make_chain(length, 1, Resources(300, 200, 0)))
+
+
+def _make_chain(length: int, count: int, demand: Resources) -> tuple[Step, ...]:
+    """Return steps of one second each that follow each other."""
+    return tuple(Step(count, demand, 1.0, after=(n - 1,) if n else ()) for n in range(length))
 
 
 def draw_any_job(world: World, number: int) -> JobDefinition:
@@ -204,7 +214,9 @@
         10,
         async_cancel_patiently,
     ),
-    "late_write": ScheduleKind(draw_chain_job, ["keep_writes"], 3, 20, async_cancel_unconfirmed),
+    "late_write": ScheduleKind(
+        draw_short_chain_job, ["keep_writes"], 3, 60, async_cancel_unconfirmed
+    ),
     "suspension": ScheduleKind(
         draw_long_job,
         ["suspend_owner", "suspend_daemon", "pause_owner", "cut_from_others", "cut_owner_off"],
@@ -246,6 +258,7 @@
     await asyncio.gather(*callers)
     await asyncio.sleep(max(0.0, calm_from + SETTLE_S + MAX_GAP_S - world.loop.time()))
     check_lasting_tasks(world)
+    check_members(world)
     standstill_check = world.loop.create_task(async_check_standstill(world))
     for job_id, record in world.checker.jobs.items():
         if record.definition.steps[0].is_lasting and record.accepted_at is not None:
--- a/wasabiramp/model/entry/liveness.py
+++ b/wasabiramp/model/entry/liveness.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Final
 
+from wasabiramp.entry.keys import PREFIX_MEMBER
 from wasabiramp.model.entry.checker import CONTACT_S, JobRecord
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.model import FINAL_PHASES, Step
@@ -39,6 +40,15 @@
                 world.checker.report(f"LOST at {world.loop.time():.3f} {task} does not run")
 
 
+def check_members(world: World) -> None:
+    """Report daemons that the others cannot find, and a cell without an owner."""
+    for name in sorted(world.daemons):
+        if PREFIX_MEMBER + name not in world.store.items:
+            world.checker.report(f"LOST at {world.loop.time():.3f} {name} has no entry")
+    if all(daemon.owner is None for daemon in world.daemons.values()):
+        world.checker.report(f"LOST at {world.loop.time():.3f} there is no owner")
+
+
 async def async_check_standstill(world: World) -> None:
     """Report jobs that stand still though there is room, until cancelled."""
     await asyncio.sleep(
