Stand-in: paths per daemon, outages in which leases run out, reports of executors

- Each executor has paths that are cut silently, one way or refused, for all daemons or for some.
The daemon is the process at the other end of the connection, as entries in the store are shared.
- Executors report each 1.5 s; an entry leaves after 4.5 s of silence, also in an outage in which leases run out, and is back with the next report.
- Leases run out or pause in an outage; it refuses calls or leaves them unanswered, and the store may refuse some daemons.

What a process has received now ends with it, and its port is closed.

--- /dev/null
+++ b/stand_ins/listener.py
@@ -0,0 +1,66 @@
+"""An HTTP listener on one port that can be closed and opened again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import SystemRandom
+import socket
+from typing import Final
+
+from aiohttp import web
+
+HOST: Final = "127.0.0.1"
+PORTS: Final = (10_240, 32_000)
+"""Range of the ports that are chosen; outgoing connections use higher ones, so that a port that is
+closed for a time stays free."""
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free on the loopback interface."""
+    random = SystemRandom()
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        probe = socket.socket()
+        try:
+            probe.bind((HOST, random.randrange(*PORTS)))
+            sockets.append(probe)
+        except OSError:
+            probe.close()
+    ports = [int(probe.getsockname()[1]) for probe in sockets]
+    for probe in sockets:
+        probe.close()
+    return ports
+
+
+class Listener:
+    """Serves requests on one port; while it is closed, connections are refused."""
+
+    def __init__(self, handler: Handler) -> None:
+        """Choose a port; nothing is served before `async_open`."""
+        self._protocols = web.Server(handler, access_log=None)
+        self._server: asyncio.Server | None = None
+        self._port = find_free_ports(1)[0]
+        self.address = f"{HOST}:{self._port}"
+
+    async def async_open(self) -> None:
+        """Listen, unless the port is open."""
+        if self._server is None:
+            loop = asyncio.get_running_loop()
+            self._server = await loop.create_server(self._protocols, HOST, self._port)
+
+    def close(self) -> None:
+        """Stop listening and reset all connections."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.close()
+        for protocol in self._protocols.connections:
+            if protocol.transport is not None:
+                protocol.transport.abort()
+
+    async def async_stop(self) -> None:
+        """Close for good and cancel all handlers."""
+        self.close()
+        await self._protocols.shutdown(0.1)
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import base64
-from collections.abc import Awaitable, Callable
 from random import Random
 import time
 from typing import Any, Final
@@ -16,6 +15,10 @@
 from aiohttp import web
 import orjson
 
+from stand_ins.listener import Handler, Listener
+from stand_ins.paths import ONE_WAY, OPEN, REFUSED, Cut, ExecutorPaths, SenderFinder
+from stand_ins.platform_executors import PlatformExecutors
+from stand_ins.platform_store import PlatformStore
 from wasabiramp.entry.ports import (
     Change,
     HistoryLostError,
@@ -25,18 +28,23 @@
     Transaction,
 )
 from wasabiramp.model.entry.checker import HistoryChecker
-from wasabiramp.model.entry.executors import ModelExecutor, ModelExecutors
-from wasabiramp.model.entry.store import ModelStore
+from wasabiramp.model.entry.executors import ModelExecutor
 from wasabiramp.scheduling import events
 from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
 from wasabiramp.scheduling.model import ExecutorEntry, ExecutorReport, Resources
 
-HOST: Final = "127.0.0.1"
 SERVICE: Final = "service"
+COMMON_LABEL: Final = "b"
+COMMON_LABEL_COUNT: Final = 3
+"""A label that few executors have, so that many tasks of one step meet on each, and how many."""
 MAX_PAGE_ITEMS: Final = 500
 """Most items in one answer to `kv-range`; a caller asks for further pages by key."""
 HEARTBEAT_S: Final = 1.5
+"""Time between two reports of an executor to the store."""
 UNLISTED_S: Final = 3 * HEARTBEAT_S
+"""Silence of an executor after which the platform removes its entry."""
+UNANSWERED_S: Final = 60.0
+"""Time for which a handler keeps a call without an answer; every caller's timeout is shorter."""
 DEADLY_DOWNTIME_S: Final = (1.0, 3.0)
 """Range of the time for which an executor is down after a task has crashed it."""
 REASONS: Final = {
@@ -47,14 +55,25 @@
 }
 """Reasons on the wire, by the outcome of an order."""
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 def reply(body: Any, status: int = 200) -> web.Response:
     """Return a JSON response."""
     return web.Response(body=orjson.dumps(body), status=status, content_type="application/json")
 
 
+async def async_leave_unanswered() -> web.Response:
+    """Keep a call until its caller has given up."""
+    await asyncio.sleep(UNANSWERED_S)
+    return reply({}, 500)
+
+
+def reset_connection(request: web.BaseRequest) -> web.Response:
+    """Reset the connection of a request, so that the response returned is never sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return reply({}, 500)
+
+
 class PlatformStandIn:
     """The platform services of one cell.
 
@@ -71,15 +90,20 @@
         self.random = Random(seed)
         # The checker takes the Unix time at which the loop's clock shows zero.
         self.checker = HistoryChecker(time.time() - asyncio.get_running_loop().time())
-        self.store = ModelStore(self.random)
-        self.executors = ModelExecutors(self.random, self.checker)
+        self.store = PlatformStore(self.random)
+        self.executors = PlatformExecutors(self.random, self.checker)
         self.executors.on_add = self.list_executor
         self.executors.on_deadly_crash = self._crash_by_task
         self.store_address = ""
         self.adviser_address = ""
         self.good_share = 0.7
-        self._addresses: dict[str, str] = {}
-        self._runners: list[web.ServerRunner] = []
+        self.senders = SenderFinder()
+        self._paths = ExecutorPaths()
+        self._listeners: list[Listener] = []
+        self._listeners_by_executor: dict[str, Listener] = {}
+        # By executor, when it last reported to the store and when it does so next.
+        self._reported_at: dict[str, float] = {}
+        self._next_report_at: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_start(self, executors: int) -> None:
@@ -88,9 +112,10 @@
         self._tasks = [
             loop.create_task(self.store.async_run()),
             loop.create_task(self.executors.async_run()),
+            loop.create_task(self._async_report_executors()),
         ]
-        self.store_address = await self._async_listen(self._async_serve_store)
-        self.adviser_address = await self._async_listen(self._async_serve_advice)
+        self.store_address = await self.async_open_store("")
+        self.adviser_address = (await self._async_listen(self._async_serve_advice)).address
         for number in range(executors):
             await self.async_add_executor(number)
 
@@ -98,40 +123,101 @@
         """Stop the services."""
         for task in self._tasks:
             task.cancel()
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def _async_listen(self, handler: Handler) -> str:
-        """Serve requests on a free port and return its address."""
-        server = web.Server(handler, access_log=None)
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await runner.setup()
-        site = web.TCPSite(runner, HOST, 0)
-        await site.start()
-        self._runners.append(runner)
-        return f"{HOST}:{runner.addresses[0][1]}"
+        for listener in self._listeners:
+            await listener.async_stop()
+
+    async def _async_listen(self, handler: Handler) -> Listener:
+        """Serve requests on a free port."""
+        listener = Listener(handler)
+        await listener.async_open()
+        self._listeners.append(listener)
+        return listener
+
+    async def async_open_store(self, daemon: str) -> str:
+        """Open an address of the store for the calls of one daemon and return it."""
+        listener = await self._async_listen(
+            lambda request: self._async_serve_store(daemon, request)
+        )
+        return listener.address
 
     async def async_add_executor(self, number: int) -> ModelExecutor:
         """Add an executor with a port of its own."""
         name = f"i-{number}"
-        address = await self._async_listen(
+        listener = await self._async_listen(
             lambda request: self._async_serve_executor(name, request)
         )
-        self._addresses[name] = address
+        self._listeners_by_executor[name] = listener
         entry = ExecutorEntry(
             id=name,
-            address=address,
+            address=listener.address,
             service=SERVICE,
             zone="z",
             is_draining=False,
             capacity=Resources(8_000, 8_000, 0),
-            labels=("b" if number % 3 == 0 else "a", f"r{number % 2}"),
+            labels=(_choose_kind(number), f"r{number % 2}"),
             born_ms=int(time.time() * 1000),
         )
         return self.executors.add(entry)
 
+    async def async_cut(self, cut: Cut) -> None:
+        """Cut executors off from daemons; they run on."""
+        self._paths.add(cut)
+        await self._async_apply_refusals(cut)
+
+    async def async_heal(self, cut: Cut) -> None:
+        """End a cut."""
+        self._paths.remove(cut)
+        await self._async_apply_refusals(cut)
+
+    async def _async_apply_refusals(self, cut: Cut) -> None:
+        """Close or open the ports of the executors of a cut."""
+        for name in sorted(cut.executors):
+            await self._async_apply_refusal(self.executors.by_id[name])
+
+    async def _async_apply_refusal(self, executor: ModelExecutor) -> None:
+        """Close the port of an executor that is down or refuses all daemons, or open it."""
+        listener = self._listeners_by_executor[executor.entry.id]
+        if not executor.is_up or self._paths.is_refused(executor.entry.id):
+            listener.close()
+        else:
+            await listener.async_open()
+
+    async def _async_report_executors(self) -> None:
+        """Let the executors report to the store, and remove entries of those that are silent."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            for name, executor in list(self.executors.by_id.items()):
+                if executor.is_up and now >= self._next_report_at[name]:
+                    self.list_executor(executor)
+                elif now > self._reported_at[name] + UNLISTED_S and self.store.expires_entries:
+                    self._unlist_executor(name)
+            await asyncio.sleep(0.02)
+
+    def _unlist_executor(self, name: str) -> None:
+        """Remove the entry of an executor, if it is there."""
+        key = f"servers/{name}"
+        if key in self.store.items:
+            self.store.put(key, None, 0)
+
     def list_executor(self, executor: ModelExecutor) -> None:
-        """List an executor: write its entry to the store."""
+        """Let an executor report to the store, if that is up; its entry is written if it differs.
+
+        The next report follows after the usual time.
+        """
+        now = asyncio.get_running_loop().time()
+        name = executor.entry.id
+        self._next_report_at[name] = now + HEARTBEAT_S * self.random.uniform(0.9, 1.0)
+        self._reported_at.setdefault(name, now)
+        if self.store.is_down:
+            return
+        self._reported_at[name] = now
+        value = self._encode_executor(executor)
+        item = self.store.items.get(f"servers/{name}")
+        if item is None or item.value != value:
+            self.store.put(f"servers/{name}", value, 0)
+
+    def _encode_executor(self, executor: ModelExecutor) -> bytes:
+        """Return the entry of an executor in the store's format."""
         entry = executor.entry
         fields = {
             "service": entry.service,
@@ -146,7 +232,7 @@
             "born": entry.born_ms,
             "seq": 1,
         }
-        self.store.put(f"servers/{entry.id}", orjson.dumps(fields), 0)
+        return orjson.dumps(fields)
 
     def write_config(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a configuration to the store, as an operator does."""
@@ -157,8 +243,12 @@
     async def async_crash_executor(self, executor: ModelExecutor, downtime_s: float) -> None:
         """Crash an executor and start a new incarnation of it after `downtime_s`."""
         executor.crash()
+        await self._async_apply_refusal(executor)
         await asyncio.sleep(downtime_s)
+        # An overlapping crash may have restarted it; this ends the runs started since then.
+        executor.crash()
         executor.begin_incarnation(int(time.time() * 1000))
+        await self._async_apply_refusal(executor)
         self.list_executor(executor)
 
     def _crash_by_task(self, executor: ModelExecutor) -> None:
@@ -169,21 +259,24 @@
         )
         self._tasks.append(task)
 
-    async def _async_serve_store(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer a call to the store, once it is up."""
+    async def _async_serve_store(self, daemon: str, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call of a daemon to the store, once it is up."""
+        body = await request.read()
+        if self.store.refuses_all or daemon in self.store.refused_daemons:
+            return reply({"error": "the store refuses the call"}, 503)
         while self.store.is_down:
             await asyncio.sleep(0.05)
         await asyncio.sleep(self.store.answer_delay_s)
-        body = await request.read()
         raw = orjson.loads(body) if body else {}
         try:
-            return await self._async_apply_store_call(request, raw)
+            answer = await self._async_apply_store_call(request, raw)
         except StoreConflictError as err:
-            return reply({"items": [_encode_item(item) for item in err.items.values()]}, 412)
+            answer = reply({"items": [_encode_item(item) for item in err.items.values()]}, 412)
         except LeaseEndedError:
-            return reply({"error": "no such lease"}, 404)
+            answer = reply({"error": "no such lease"}, 404)
         except HistoryLostError:
-            return reply({"error": "history is gone"}, 410)
+            answer = reply({"error": "history is gone"}, 410)
+        return await async_leave_unanswered() if self.store.is_down else answer
 
     async def _async_apply_store_call(self, request: web.BaseRequest, raw: Any) -> web.Response:
         """Apply a call to the store; raises the store's errors."""
@@ -231,8 +324,7 @@
             await asyncio.sleep(self.store.draw_late_write_delay_s())
         revision = self.store.commit(transaction)
         if is_lost:
-            # The caller's timeout is shorter, so that the answer is lost.
-            await asyncio.sleep(60.0)
+            return await async_leave_unanswered()
         return reply({"rev": revision})
 
     async def _async_serve_advice(self, request: web.BaseRequest) -> web.Response:
@@ -247,29 +339,49 @@
         return reply({"good": [[name, "t"] for name in recommended], "validMs": 2500})
 
     async def _async_serve_executor(self, name: str, request: web.BaseRequest) -> web.Response:
-        """Answer a call to an executor; an order may be applied late and without an answer."""
-        executor = self.executors.by_id[name]
+        """Answer a call to an executor, unless the path of its sender is cut."""
+        mode = self._get_path_mode(name, request)
+        if mode == REFUSED:
+            return reset_connection(request)
+        if mode not in (OPEN, ONE_WAY):
+            return await async_leave_unanswered()
         raw = orjson.loads(await request.read())
-        await self._async_wait_until_up(executor)
+        answer = await self._async_apply_executor_call(self.executors.by_id[name], request, raw)
+        if self._get_path_mode(name, request) != OPEN:
+            return await async_leave_unanswered()
+        return answer
+
+    def _get_path_mode(self, name: str, request: web.BaseRequest) -> str:
+        """Return the mode of the path from the sender of a request to an executor."""
+        return self._paths.get_mode(name, lambda: self.senders.find(request))
+
+    async def _async_apply_executor_call(
+        self, executor: ModelExecutor, request: web.BaseRequest, raw: Any
+    ) -> web.Response:
+        """Apply a call to an executor; an order may be applied late and without an answer.
+
+        What a process has received ends with it: it is not applied by the next incarnation.
+        """
+        if not executor.is_up:
+            return reset_connection(request)
+        if request.headers.get("Expect-Instance", executor.entry.id) != executor.entry.id:
+            return reply({"clockMs": executor.clock_ms}, 421)
         operation, fence = request.path.removeprefix("/v1/"), raw["fencingToken"]
+        born_ms = executor.entry.born_ms
         if operation == "hold":
-            return await self._async_hold(executor, raw, fence)
+            answer = await self._async_hold(executor, raw, fence)
+            is_same = executor.is_up and executor.entry.born_ms == born_ms
+            return answer if is_same else reset_connection(request)
         if self.random.random() < executor.late_share:
             await asyncio.sleep(self.random.uniform(2.0, 12.0))
-            await self._async_wait_until_up(executor)
-            self._apply_order(executor, operation, raw, fence, True)
-            # The caller's timeout is shorter, so that the answer is lost.
-            await asyncio.sleep(60.0)
+            if executor.is_up and executor.entry.born_ms == born_ms:
+                self._apply_order(executor, operation, raw, fence, True)
+            return await async_leave_unanswered()
         outcome = self._apply_order(executor, operation, raw, fence, False)
         if outcome == events.STARTED:
             return reply({"clockMs": executor.clock_ms})
         return reply({"clockMs": executor.clock_ms, "reason": REASONS[outcome]}, 409)
 
-    async def _async_wait_until_up(self, executor: ModelExecutor) -> None:
-        """Wait until the executor is up; meanwhile its caller gets no answer."""
-        while not executor.is_up:
-            await asyncio.sleep(0.05)
-
     def _apply_order(
         self, executor: ModelExecutor, operation: str, raw: Any, fence: int, is_late: bool
     ) -> str:
@@ -311,6 +423,12 @@
         )
 
 
+def _choose_kind(number: int) -> str:
+    """Return the label of an executor that names its kind."""
+    is_common = number % 3 == 0 and number < 3 * COMMON_LABEL_COUNT
+    return COMMON_LABEL if is_common else "a"
+
+
 def _encode_item(item: Item) -> dict[str, Any]:
     """Return an item in the store's wire format."""
     value = base64.b64encode(item.value).decode()
