Soak: faults of the owner, of paths and of outages; repeated, lasting and wide jobs

Faults come in series and overlap. Lasting tasks have to be at work 14 s after the last fault, tasks of cancelled jobs gone, and each call answered while its process lives.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,31 +11,64 @@
 import orjson
 
 from soak.cell import Cell, DaemonProcess, make_routes
+from soak.jobs import JobDraft, draw_job
+from stand_ins.platform_executors import parse_end_s
 from wasabiramp.model.entry.checker import HistoryChecker, JobRecord
 from wasabiramp.platform.wire import decode_config, decode_job
 from wasabiramp.scheduling.model import FINAL_PHASES
 
-HEADERS: Final = {"Host": "soak.example", "Content-Type": "application/json"}
 CALL_TIMEOUT_S: Final = 3.0
+HEADERS: Final = {
+    "Host": "soak.example",
+    "Content-Type": "application/json",
+    "Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
+}
 MAX_CALL_ATTEMPTS: Final = 6
 """Greatest number of calls that a caller makes to submit or cancel one job."""
 
+MAX_CANCEL_ATTEMPTS: Final = 60
+"""The same for cancels at the end, without which a job goes on."""
+
+
+class OpenCall:
+    """A call that had no answer in time, on a connection that stays open."""
+
+    def __init__(
+        self,
+        name: str,
+        daemon: DaemonProcess,
+        session: aiohttp.ClientSession,
+        call: asyncio.Task[tuple[int, Any]],
+    ) -> None:
+        """Keep the connection and the process that received the call."""
+        self.name = name
+        self._daemon = daemon
+        self._process = daemon.process
+        self._session = session
+        self._call = call
+
+    @property
+    def is_forgotten(self) -> bool:
+        """Return whether the process lives and has sent neither an answer nor an end."""
+        is_alive = self._process is not None and self._process.poll() is None
+        return is_alive and not self._call.done()
+
+    async def async_close(self) -> None:
+        """Close the connection."""
+        self._call.cancel()
+        await self._session.close()
 
-def draw_job_body(random: Random) -> tuple[str, dict[str, Any]]:
-    """Draw a random queue prefix and job body."""
-    kind = random.choice(("q", "q", "g", "b"))
-    step = {
-        "cpu": random.randrange(300, 2_500),
-        "memMb": random.randrange(100, 2_000),
-        "estimateMs": random.randrange(100, 1_500),
-        "count": random.randrange(1, 5),
-    }
-    if kind == "g":
-        step = {**step, "gang": True, "count": random.randrange(2, 5)}
-    steps = [step]
-    if kind == "b":
-        steps.append({**step, "after": [0], "antiAffinity": 2})
-    return f"/{kind}/", {"spec": f"spec {random.random()}", "steps": steps}
+
+async def _async_send(
+    session: aiohttp.ClientSession, method: str, url: str, data: bytes | None
+) -> tuple[int, Any]:
+    """Send a request and return the status and body, or status 0 if the connection ends."""
+    try:
+        async with session.request(method, url, data=data, headers=HEADERS) as answer:
+            raw = await answer.read()
+            return answer.status, orjson.loads(raw) if raw else {}
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        return 0, {}
 
 
 class Caller:
@@ -60,7 +93,8 @@
     async def async_call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         """Make a call and return the status and body, or status 0 without an answer.
 
-        Calls are serialized, as a failed call closes the connection that all of them use.
+        Calls are serialized. A call without an answer keeps its connection until the daemon's
+        process is gone, and later calls use another one.
         """
         async with self._lock:
             return await self._async_call(method, path, body)
@@ -70,35 +104,46 @@
         if self._session is None or self._daemon is None:
             self._daemon = self._random.choice(self._cell.daemons)
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
+                connector=aiohttp.TCPConnector(limit=1, keepalive_timeout=60),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT_S),
             )
         url = f"http://127.0.0.1:{self._daemon.caller_port}{path}"
         data = orjson.dumps(body) if body is not None else None
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        try:
-            async with self._session.request(
-                method, url, data=data, headers=HEADERS, timeout=timeout
-            ) as answer:
-                raw = await answer.read()
-                return answer.status, orjson.loads(raw) if raw else {}
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
-            await self.async_close()
+        call = asyncio.create_task(_async_send(self._session, method, url, data))
+        done, _pending = await asyncio.wait((call,), timeout=CALL_TIMEOUT_S)
+        if not done:
+            self._cell.open_calls.add(
+                OpenCall(f"{method} {path}", self._daemon, self._session, call)
+            )
+            self._session = None
             return 0, {}
+        status, answer_body = call.result()
+        if not status:
+            await self.async_close()
+        return status, answer_body
 
-    async def async_run_job(self, number: int) -> None:
-        """Submit a job, query its phase a few times and, at random, cancel it."""
-        prefix, body = draw_job_body(self._random)
+    async def async_run_job(self, number: int, kinds: list[str]) -> None:
+        """Submit a job of one of some kinds, query its phase and, at random, cancel it."""
+        draft = draw_job(self._random, kinds)
+        prefix, body = draft.prefix, draft.body
         job_id = f"{number:016x}"
         queue = next(q for q in self._config.queues if q.prefix == prefix)
         definition = decode_job(orjson.dumps(body), job_id, queue, int(time.time() * 1000))
         record = self._checker.jobs.setdefault(job_id, JobRecord(definition))
         if not await self._async_submit(prefix + job_id, record, body):
             return
+        self._note_common_end(draft)
         for _ in range(3):
             await asyncio.sleep(self._random.uniform(0.05, 1.5))
             await self.async_show(prefix, job_id)
-        if self._random.random() < 0.15:
-            await self._async_cancel(prefix + job_id, record)
+        if self._random.random() < draft.cancel_share:
+            await self.async_cancel(prefix + job_id, record, MAX_CALL_ATTEMPTS)
+
+    def _note_common_end(self, draft: JobDraft) -> None:
+        """Note when the tasks of a job end together, for the faults that wait for it."""
+        end_s = parse_end_s(draft.body["spec"])
+        if end_s is not None:
+            self._cell.common_ends_s.append(end_s)
 
     async def _async_submit(self, path: str, record: JobRecord, body: Any) -> bool:
         """Submit a job with retries and return whether it was accepted."""
@@ -116,11 +161,11 @@
             await asyncio.sleep(0.5)
         return False
 
-    async def _async_cancel(self, path: str, record: JobRecord) -> None:
+    async def async_cancel(self, path: str, record: JobRecord, attempts: int) -> None:
         """Cancel a job, with retries until the cancel is acknowledged."""
         loop = asyncio.get_running_loop()
         record.cancel_asked_at = loop.time()
-        for _ in range(MAX_CALL_ATTEMPTS):
+        for _ in range(attempts):
             status, _answer_body = await self.async_call("DELETE", path)
             if status in (200, 410):
                 record.cancel_acked_at = loop.time()
@@ -139,6 +184,11 @@
         return str(answer_body["state"])
 
 
+def get_prefixes(checker: HistoryChecker) -> dict[str, str]:
+    """Return the prefix of each job's queue."""
+    return {job_id: record.definition.queue.prefix for job_id, record in checker.jobs.items()}
+
+
 async def async_wait_for_jobs(
     cell: Cell, checker: HistoryChecker, random: Random, limit_s: float
 ) -> None:
@@ -146,7 +196,7 @@
     loop = asyncio.get_running_loop()
     deadline = loop.time() + limit_s
     caller = Caller(cell, checker, random)
-    prefixes = {job_id: r.definition.queue.prefix for job_id, r in checker.jobs.items()}
+    prefixes = get_prefixes(checker)
     waiting = {job_id for job_id, r in checker.jobs.items() if r.accepted_at is not None}
     while waiting and loop.time() < deadline:
         for job_id in sorted(waiting):
--- a/soak/cell.py
+++ b/soak/cell.py
@@ -6,13 +6,15 @@
 import os
 from pathlib import Path
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
+import time
 from typing import Any, Final
 
 from soak.proxy import Proxy
+from stand_ins.listener import find_free_ports
+from stand_ins.paths import OPEN
 from stand_ins.platform import SERVICE, PlatformStandIn
 
 ROOT: Final = Path(__file__).resolve().parent.parent
@@ -20,30 +22,24 @@
 STOP_TIMEOUT_S: Final = 8.0
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on the loopback interface."""
-    sockets = [socket.socket() for _ in range(count)]
-    for listener in sockets:
-        listener.bind(("127.0.0.1", 0))
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
-
-
 class DaemonProcess:
     """A daemon with its settings file, process and proxy to the store."""
 
     def __init__(self, name: str, platform: PlatformStandIn, folder: Path) -> None:
         """Choose the ports without starting the process."""
         self.name = name
-        self.proxy = Proxy(platform.store_address)
+        self.proxy = Proxy("")
         self._platform = platform
         self._folder = folder
         self.caller_port, self.ready_port, self.peer_port, self.metrics_port = find_free_ports(4)
         self.process: subprocess.Popen[bytes] | None = None
         self.log_path = folder / f"{name}.log"
 
+    async def async_open_store_path(self) -> None:
+        """Open the daemon's path to the store."""
+        self.proxy.target = await self._platform.async_open_store(self.name)
+        await self.proxy.async_start()
+
     def write_settings(self) -> Path:
         """Write the settings file in the format of the platform and return its path."""
         path = self._folder / f"{self.name}.toml"
@@ -75,6 +71,7 @@
                 stdout=output,
                 stderr=output,
             )
+        self._platform.senders.processes[self.name] = self.process.pid
 
     def signal_process(self, number: signal.Signals) -> None:
         """Send a signal to this process by its id, if it is running."""
@@ -109,6 +106,10 @@
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.daemons: list[DaemonProcess] = []
         self.platform: Any = None
+        self.open_calls: set[Any] = set()
+        # Unix times at which the tasks of wide jobs end together.
+        self.common_ends_s: list[float] = []
+        self._events_path = self.folder / "events.log"
 
     async def async_start(self) -> None:
         """Start the platform stand-in, the proxies and the daemon processes."""
@@ -118,10 +119,34 @@
         self.platform.write_config(1, make_routes())
         for number in range(daemons):
             daemon = DaemonProcess(f"entry-{number}", self.platform, self.folder)
-            await daemon.proxy.async_start()
+            await daemon.async_open_store_path()
             daemon.start()
             self.daemons.append(daemon)
 
+    def note(self, text: str) -> None:
+        """Write an event to the cell's log, with the checker's time and Unix time."""
+        now = asyncio.get_running_loop().time()
+        with self._events_path.open("a", encoding="utf-8") as log:
+            log.write(f"{now:.3f} {time.time():.3f} {text}\n")
+
+    def find_next_common_end_s(self) -> float | None:
+        """Return the time until many tasks end together, or None if that is not known."""
+        now = time.time()
+        return min((end_s - now for end_s in self.common_ends_s if end_s > now), default=None)
+
+    def find_owner(self) -> DaemonProcess:
+        """Return the daemon that is the owner, or was the last one."""
+        name = self.platform.store.find_owner()
+        return next((d for d in self.daemons if d.name == name), self.daemons[0])
+
+    def heal(self) -> None:
+        """End what overlapping faults may have left behind: all daemons run with open paths."""
+        for daemon in self.daemons:
+            daemon.proxy.set_mode(OPEN)
+            daemon.signal_process(signal.SIGCONT)
+            daemon.start()
+        self.platform.store.refused_daemons.clear()
+
     async def async_stop(self) -> None:
         """Stop all processes and servers that this cell started."""
         for daemon in self.daemons:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,12 +9,15 @@
 from typing import Final
 
 from soak.cell import Cell, DaemonProcess
-from soak.proxy import ONE_WAY, OPEN, REFUSED, SILENT
+from stand_ins.paths import ONE_WAY, OPEN, REFUSED, SILENT
 from stand_ins.platform import HEARTBEAT_S
 from wasabiramp.scheduling.model import Resources
 
 Fault = Callable[[Cell, Random], Awaitable[None]]
 FAULTS: Final[dict[str, Fault]] = {}
+HAND_OVER_FAULTS: Final[dict[str, Fault]] = {}
+"""Faults in which ownership or a path to executors is lost, apart from `FAULTS` so that the seeds
+of those keep their draws; their modules are imported by `soak.plan`."""
 
 
 def fault(action: Fault) -> Fault:
@@ -23,6 +26,12 @@
     return action
 
 
+def hand_over_fault(action: Fault) -> Fault:
+    """Register a fault of ownership or of paths, like `fault`."""
+    HAND_OVER_FAULTS[action.__name__.removeprefix("async_")] = action
+    return action
+
+
 def choose_daemon(cell: Cell, random: Random) -> DaemonProcess:
     """Return a random daemon."""
     return random.choice(cell.daemons)
@@ -77,11 +86,9 @@
 async def async_path(cell: Cell, random: Random) -> None:
     """Let a daemon's proxy to the store drop all data, refuse connections or drop responses."""
     proxy = choose_daemon(cell, random).proxy
-    proxy.mode = random.choice((SILENT, REFUSED, ONE_WAY))
-    if proxy.mode == REFUSED:
-        proxy.reset_all()
+    proxy.set_mode(random.choice((SILENT, REFUSED, ONE_WAY)))
     await asyncio.sleep(random.uniform(0.5, 4.0))
-    proxy.mode = OPEN
+    proxy.set_mode(OPEN)
 
 
 @fault
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,87 @@
+"""Plans of the soak test: which kinds of jobs and faults a seed draws, and how many."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+from typing import Final
+
+from soak import cuts, outages, owner_faults  # noqa: F401 - they register their faults
+from soak.faults import FAULTS, HAND_OVER_FAULTS, Fault
+from soak.jobs import JOB_KINDS
+
+PLAIN: Final = "plain"
+FULL: Final = "full"
+MIXES: Final = (PLAIN, FULL)
+JOBS_PER_S: Final = 6.0
+FAULTS_PER_RUN: Final = 5
+SERIES_PER_RUN: Final = 4
+SERIES_SIZES: Final = (1, 3)
+"""Range of the number of faults in a series."""
+
+SERIES_SPAN_S: Final = 1.5
+"""Time within which the faults of a series begin."""
+
+ALL_FAULTS: Final[dict[str, Fault]] = {**FAULTS, **HAND_OVER_FAULTS}
+
+
+class Plan:
+    """What a seed plays: names of job kinds and faults, and how many of them.
+
+    With `is_series`, faults begin in series, and overlap.
+    """
+
+    __slots__ = ("fault_count", "faults", "is_series", "job_kinds", "jobs_per_s")
+
+    def __init__(
+        self,
+        job_kinds: list[str],
+        faults: list[str],
+        fault_count: int,
+        jobs_per_s: float,
+        is_series: bool,
+    ) -> None:
+        """Describe a plan; `fault_count` counts series, if there are any."""
+        self.job_kinds = job_kinds
+        self.faults = faults
+        self.fault_count = fault_count
+        self.jobs_per_s = jobs_per_s
+        self.is_series = is_series
+
+    def draw_faults(self, random: Random, seconds: float) -> list[tuple[float, str]]:
+        """Draw when each fault begins, and its name."""
+        drawn: list[tuple[float, str]] = []
+        for _ in range(self.fault_count if self.faults else 0):
+            begins_at = random.uniform(0, seconds)
+            size = random.randint(*SERIES_SIZES) if self.is_series else 1
+            for _ in range(size):
+                delay_s = random.uniform(0, SERIES_SPAN_S) if self.is_series else 0.0
+                drawn.append((begins_at + delay_s, random.choice(self.faults)))
+        return drawn
+
+
+def make_plan(
+    mix: str = PLAIN,
+    faults: str = "",
+    jobs: str = "",
+    fault_count: int | None = None,
+    jobs_per_s: float = JOBS_PER_S,
+) -> Plan:
+    """Return the plan of a mix; names separated by commas replace its faults and job kinds.
+
+    Raises ValueError for a name that is not known.
+    """
+    is_full = mix == FULL
+    fault_names = _parse_names(faults, ALL_FAULTS) or sorted(ALL_FAULTS if is_full else FAULTS)
+    kinds = _parse_names(jobs, JOB_KINDS) or (sorted(JOB_KINDS) if is_full else [PLAIN])
+    count = (SERIES_PER_RUN if is_full else FAULTS_PER_RUN) if fault_count is None else fault_count
+    return Plan(kinds, fault_names, count, jobs_per_s, is_full)
+
+
+def _parse_names(text: str, known: Iterable[str]) -> list[str]:
+    """Return the names in a text; raises ValueError for one that is not known."""
+    names = [name for name in text.split(",") if name]
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        raise ValueError(f"{', '.join(unknown)}: expected some of {', '.join(sorted(known))}")
+    return names
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,10 +6,8 @@
 import contextlib
 from typing import Final
 
-OPEN: Final = "open"
-SILENT: Final = "silent"
-REFUSED: Final = "refused"
-ONE_WAY: Final = "one-way"
+from stand_ins.paths import ONE_WAY, OPEN, REFUSED, SILENT
+
 READ_BYTES: Final = 65_536
 """Greatest number of bytes that are read and forwarded at once."""
 
@@ -23,7 +21,7 @@
 
     def __init__(self, target: str) -> None:
         """Create a proxy to a target address."""
-        self._target = target
+        self.target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -44,6 +42,12 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def set_mode(self, mode: str) -> None:
+        """Change the mode; REFUSED also aborts the connections that are open."""
+        self.mode = mode
+        if mode == REFUSED:
+            self.reset_all()
+
     def reset_all(self) -> None:
         """Abort all open connections."""
         for writer in list(self._writers):
@@ -57,7 +61,7 @@
         if self.mode == REFUSED:
             writer.transport.abort()
             return
-        host, _, port = self._target.rpartition(":")
+        host, _, port = self.target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,18 +8,24 @@
 
 import typer
 
+from soak.busy import BusyProcesses
 from soak.callers import Caller, async_wait_for_jobs
 from soak.cell import Cell
-from soak.faults import FAULTS
+from soak.checks import (
+    async_cancel_lasting_jobs,
+    async_check_cancelled_jobs,
+    async_check_lasting_tasks,
+    async_check_open_calls,
+)
+from soak.plan import ALL_FAULTS, FULL, JOBS_PER_S, MIXES, Plan, make_plan
 
 REGRESSION_SEEDS: Final[dict[int, str]] = {
     3: "fault of the soak test itself: a failed call closed the connection during another call",
     27: "fault of the soak test itself: a stop that overlapped another awaited the next process",
 }
-"""Seeds that failed before, each with its cause; run one again with `--first SEED --count 1`."""
+"""Seeds that failed before, each with its cause; run one again with
+`--mix plain --first SEED --count 1`."""
 
-FAULTS_PER_RUN: Final = 5
-JOBS_PER_S: Final = 6
 CALLER_COUNT: Final = 8
 FINISH_TIMEOUT_S: Final = 45.0
 """Time after the last fault within which all accepted jobs have to end."""
@@ -27,27 +33,42 @@
 WARM_UP_S: Final = 3.0
 """Time from the start of the cell until the traffic begins."""
 
+FAILURE_SHARE: Final = 0.03
+"""Share of the runs that fail by themselves."""
 
-async def async_soak(seed: int, seconds: float, daemons: int, executors: int) -> Cell:
+
+async def async_soak(
+    seed: int, seconds: float, daemons: int, executors: int, plan: Plan | None = None
+) -> Cell:
     """Run one seed to its end and return the cell, whose checker holds the breaches."""
+    plan = plan or make_plan()
     random = Random(seed)
     cell = Cell(seed, daemons, executors)
     await cell.async_start()
+    checker = cell.platform.checker
     try:
         await asyncio.sleep(WARM_UP_S)
-        cell.platform.executors.failure_share = 0.03
-        callers = [Caller(cell, cell.platform.checker, random) for _ in range(CALLER_COUNT)]
-        names = sorted(FAULTS)
+        cell.platform.executors.failure_share = FAILURE_SHARE
+        callers = [Caller(cell, checker, random) for _ in range(CALLER_COUNT)]
         jobs = [
-            _async_run_after(random.uniform(0, seconds), callers[n % CALLER_COUNT].async_run_job(n))
-            for n in range(int(seconds * JOBS_PER_S))
+            _async_run_after(
+                random.uniform(0, seconds),
+                callers[n % CALLER_COUNT].async_run_job(n, plan.job_kinds),
+            )
+            for n in range(int(seconds * plan.jobs_per_s))
         ]
         faults = [
-            _async_run_after(random.uniform(0, seconds), FAULTS[random.choice(names)](cell, random))
-            for _ in range(FAULTS_PER_RUN)
+            _async_run_after(delay_s, ALL_FAULTS[name](cell, random))
+            for delay_s, name in plan.draw_faults(random, seconds)
         ]
         await asyncio.gather(*jobs, *faults)
-        await async_wait_for_jobs(cell, cell.platform.checker, random, FINISH_TIMEOUT_S)
+        cell.heal()
+        cell.note("calm")
+        await async_check_lasting_tasks(checker)
+        await async_cancel_lasting_jobs(cell, checker, random)
+        await async_wait_for_jobs(cell, checker, random, FINISH_TIMEOUT_S)
+        await async_check_cancelled_jobs(checker)
+        await async_check_open_calls(cell)
         for caller in callers:
             await caller.async_close()
     finally:
@@ -61,23 +82,42 @@
     await coroutine  # type: ignore[misc]
 
 
+def print_result(cell: Cell) -> None:
+    """Print the figures and breaches of a seed."""
+    checker = cell.platform.checker
+    accepted = sum(record.accepted_at is not None for record in checker.jobs.values())
+    print(f"seed {cell.seed}: {accepted} jobs accepted, {checker.starts} starts, {cell.folder}")
+    codes = [text.partition(" ")[0] for text in checker.breaches]
+    if codes:
+        print("  " + ", ".join(f"{code} {codes.count(code)}" for code in sorted(set(codes))))
+    for text in checker.breaches[:10]:
+        print(f"  {text}", flush=True)
+
+
 def main(
     first: Annotated[int, typer.Option(help="First seed.")] = 1,
     count: Annotated[int, typer.Option(help="Number of seeds.")] = 3,
     seconds: Annotated[float, typer.Option(help="Seconds of traffic and faults per seed.")] = 15.0,
     daemons: Annotated[int, typer.Option(help="Daemon processes.")] = 4,
     executors: Annotated[int, typer.Option(help="Executors of the platform stand-in.")] = 8,
+    mix: Annotated[str, typer.Option(help=f"Jobs and faults: {' or '.join(MIXES)}.")] = FULL,
+    faults: Annotated[str, typer.Option(help="Only these faults, separated by commas.")] = "",
+    jobs: Annotated[str, typer.Option(help="Only these kinds of jobs.")] = "",
+    fault_count: Annotated[int | None, typer.Option(help="Faults, or series of them.")] = None,
+    jobs_per_s: Annotated[float, typer.Option(help="Jobs submitted per second.")] = JOBS_PER_S,
+    busy: Annotated[int, typer.Option(help="Processes that keep processors busy.")] = 0,
 ) -> None:
     """Run the soak test and print the breaches of each seed."""
+    try:
+        plan = make_plan(mix, faults, jobs, fault_count, jobs_per_s)
+    except ValueError as err:
+        raise typer.BadParameter(str(err)) from err
     failed_seeds = 0
     for seed in range(first, first + count):
-        cell = asyncio.run(async_soak(seed, seconds, daemons, executors))
-        checker = cell.platform.checker
-        accepted = sum(record.accepted_at is not None for record in checker.jobs.values())
-        failed_seeds += bool(checker.breaches)
-        print(f"seed {seed}: {accepted} jobs accepted, {checker.starts} starts, {cell.folder}")
-        for text in checker.breaches[:10]:
-            print(f"  {text}")
+        with BusyProcesses(busy):
+            cell = asyncio.run(async_soak(seed, seconds, daemons, executors, plan))
+        failed_seeds += bool(cell.platform.checker.breaches)
+        print_result(cell)
     print(f"{count} seeds, {failed_seeds} with breaches")
     raise typer.Exit(1 if failed_seeds else 0)
 
