Soak: write what executors do to a file beside the daemons' logs

A breach could be found, but not followed to the order that caused it, as only the daemons' logs were kept, which drop lines under load. Each cell now keeps executors.log with every start, end and acknowledged end.

--- a/soak/cell.py
+++ b/soak/cell.py
@@ -13,9 +13,10 @@
 from typing import Any, Final
 
 from soak.proxy import Proxy
+from soak.record import RecordingChecker
 from stand_ins.listener import find_free_ports
 from stand_ins.paths import OPEN
-from stand_ins.platform import SERVICE, PlatformStandIn
+from stand_ins.platform import SERVICE, PlatformStandIn, read_clock_start_s
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S: Final = 20.0
@@ -106,6 +107,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.daemons: list[DaemonProcess] = []
         self.platform: Any = None
+        self._checker: RecordingChecker | None = None
         self.open_calls: set[Any] = set()
         # Unix times at which the tasks of wide jobs end together.
         self.common_ends_s: list[float] = []
@@ -114,7 +116,9 @@
     async def async_start(self) -> None:
         """Start the platform stand-in, the proxies and the daemon processes."""
         daemons, executors = self._counts
-        self.platform = PlatformStandIn(self.seed)
+        path = self.folder / "executors.log"
+        self._checker = RecordingChecker(read_clock_start_s(), path)
+        self.platform = PlatformStandIn(self.seed, self._checker)
         await self.platform.async_start(executors)
         self.platform.write_config(1, make_routes())
         for number in range(daemons):
@@ -154,6 +158,7 @@
             await daemon.async_kill()
             await daemon.proxy.async_stop()
         await self.platform.async_stop()
+        self._checker.close()
 
 
 def make_routes() -> list[dict[str, Any]]:
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -61,6 +61,11 @@
     return web.Response(body=orjson.dumps(body), status=status, content_type="application/json")
 
 
+def read_clock_start_s() -> float:
+    """Return the Unix time at which the running loop's clock showed zero, for the checker."""
+    return time.time() - asyncio.get_running_loop().time()
+
+
 async def async_leave_unanswered() -> web.Response:
     """Keep a call until its caller has given up."""
     await asyncio.sleep(UNANSWERED_S)
@@ -82,14 +87,13 @@
     Example: `platform = PlatformStandIn(seed=1); await platform.async_start(executors=6)`.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, checker: HistoryChecker | None = None) -> None:
         """Create the services; they listen once `async_start` has run.
 
         The event loop must be running, because the history checker relates its clock to Unix time.
         """
         self.random = Random(seed)
-        # The checker takes the Unix time at which the loop's clock shows zero.
-        self.checker = HistoryChecker(time.time() - asyncio.get_running_loop().time())
+        self.checker = checker or HistoryChecker(read_clock_start_s())
         self.store = PlatformStore(self.random)
         self.executors = PlatformExecutors(self.random, self.checker)
         self.executors.on_add = self.list_executor
