--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -19,6 +19,7 @@
 from stand_ins.paths import ONE_WAY, OPEN, REFUSED, Cut, ExecutorPaths, SenderFinder
 from stand_ins.platform_executors import PlatformExecutors
 from stand_ins.platform_store import PlatformStore
+from stand_ins.reports import ExecutorReports
 from wasabiramp.entry.ports import (
     Change,
     HistoryLostError,
@@ -39,10 +40,6 @@
 """A label that few executors have, so that many tasks of one step meet on each, and how many."""
 MAX_PAGE_ITEMS: Final = 500
 """Most items in one answer to `kv-range`; a caller asks for further pages by key."""
-HEARTBEAT_S: Final = 1.5
-"""Time between two reports of an executor to the store."""
-UNLISTED_S: Final = 3 * HEARTBEAT_S
-"""Silence of an executor after which the platform removes its entry."""
 UNANSWERED_S: Final = 60.0
 """Time for which a handler keeps a call without an answer; every caller's timeout is shorter."""
 DEADLY_DOWNTIME_S: Final = (1.0, 3.0)
@@ -96,6 +93,7 @@
         self.checker = checker or HistoryChecker(read_clock_start_s())
         self.store = PlatformStore(self.random)
         self.executors = PlatformExecutors(self.random, self.checker)
+        self._reports = ExecutorReports(self.store, self.executors, self.random)
         self.executors.on_add = self.list_executor
         self.executors.on_deadly_crash = self._crash_by_task
         self.store_address = ""
@@ -105,9 +103,6 @@
         self._paths = ExecutorPaths()
         self._listeners: list[Listener] = []
         self._listeners_by_executor: dict[str, Listener] = {}
-        # By executor, when it last reported to the store and when it does so next.
-        self._reported_at: dict[str, float] = {}
-        self._next_report_at: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_start(self, executors: int) -> None:
@@ -116,7 +111,7 @@
         self._tasks = [
             loop.create_task(self.store.async_run()),
             loop.create_task(self.executors.async_run()),
-            loop.create_task(self._async_report_executors()),
+            loop.create_task(self._reports.async_run()),
         ]
         self.store_address = await self.async_open_store("")
         self.adviser_address = (await self._async_listen(self._async_serve_advice)).address
@@ -186,57 +181,9 @@
         else:
             await listener.async_open()
 
-    async def _async_report_executors(self) -> None:
-        """Let the executors report to the store, and remove entries of those that are silent."""
-        while True:
-            now = asyncio.get_running_loop().time()
-            for name, executor in list(self.executors.by_id.items()):
-                if executor.is_up and now >= self._next_report_at[name]:
-                    self.list_executor(executor)
-                elif now > self._reported_at[name] + UNLISTED_S and self.store.expires_entries:
-                    self._unlist_executor(name)
-            await asyncio.sleep(0.02)
-
-    def _unlist_executor(self, name: str) -> None:
-        """Remove the entry of an executor, if it is there."""
-        key = f"servers/{name}"
-        if key in self.store.items:
-            self.store.put(key, None, 0)
-
     def list_executor(self, executor: ModelExecutor) -> None:
-        """Let an executor report to the store, if that is up; its entry is written if it differs.
-
-        The next report follows after the usual time.
-        """
-        now = asyncio.get_running_loop().time()
-        name = executor.entry.id
-        self._next_report_at[name] = now + HEARTBEAT_S * self.random.uniform(0.9, 1.0)
-        self._reported_at.setdefault(name, now)
-        if self.store.is_down:
-            return
-        self._reported_at[name] = now
-        value = self._encode_executor(executor)
-        item = self.store.items.get(f"servers/{name}")
-        if item is None or item.value != value:
-            self.store.put(f"servers/{name}", value, 0)
-
-    def _encode_executor(self, executor: ModelExecutor) -> bytes:
-        """Return the entry of an executor in the store's format."""
-        entry = executor.entry
-        fields = {
-            "service": entry.service,
-            "address": entry.address,
-            "zone": entry.zone,
-            "version": "v1",
-            "slots": 8,
-            "state": "draining" if entry.is_draining else "ready",
-            "coldLeftMs": 0,
-            "capacity": {"cpu": entry.capacity.cpu, "memMb": entry.capacity.memory_mb, "gpu": 0},
-            "labels": list(entry.labels),
-            "born": entry.born_ms,
-            "seq": 1,
-        }
-        return orjson.dumps(fields)
+        """Let an executor report to the store now, if that is up."""
+        self._reports.report(executor)
 
     def write_config(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a configuration to the store, as an operator does."""
