Soak: several cells at a time, a start that waits for the daemons, tests

A cell of many daemons took traffic before they were up, and only one cell could run at a time. `--cells` plays seeds as processes of their own; the traffic begins when all daemons are ready, 20 s after the start at the latest. Plans, kinds of jobs and checks have tests.

--- a/soak/busy.py
+++ b/soak/busy.py
@@ -6,7 +6,7 @@
 import sys
 from typing import Final, Self
 
-LONGEST_S: Final = 300
+LONGEST_S: Final = 900
 """Time after which a busy process ends by itself."""
 
 PROGRAM: Final = (
--- a/soak/cell.py
+++ b/soak/cell.py
@@ -12,6 +12,8 @@
 import time
 from typing import Any, Final
 
+import aiohttp
+
 from soak.proxy import Proxy
 from soak.record import RecordingChecker
 from stand_ins.listener import find_free_ports
@@ -20,6 +22,9 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S: Final = 20.0
+"""Time that the daemons get to start, beside their machine's other work."""
+
+POLL_S: Final = 0.2
 STOP_TIMEOUT_S: Final = 8.0
 
 
@@ -74,6 +79,19 @@
             )
         self._platform.senders.processes[self.name] = self.process.pid
 
+    async def async_is_ready(self) -> bool:
+        """Return whether the daemon reports itself ready."""
+        url = f"http://127.0.0.1:{self.ready_port}/v1/readyz"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url) as answer,
+            ):
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     def signal_process(self, number: signal.Signals) -> None:
         """Send a signal to this process by its id, if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -127,6 +145,16 @@
             daemon.start()
             self.daemons.append(daemon)
 
+    async def async_wait_until_ready(self) -> None:
+        """Wait until all daemons are ready, for a limited time."""
+        deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
+        for daemon in self.daemons:
+            while not await daemon.async_is_ready():
+                if asyncio.get_running_loop().time() > deadline:
+                    self.note(f"{daemon.name} is not ready")
+                    return
+                await asyncio.sleep(POLL_S)
+
     def note(self, text: str) -> None:
         """Write an event to the cell's log, with the checker's time and Unix time."""
         now = asyncio.get_running_loop().time()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 from soak.cell import Cell, DaemonProcess
 from stand_ins.paths import ONE_WAY, OPEN, REFUSED, SILENT
-from stand_ins.platform import HEARTBEAT_S
+from stand_ins.reports import HEARTBEAT_S
 from wasabiramp.scheduling.model import Resources
 
 Fault = Callable[[Cell, Random], Awaitable[None]]
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
     async_check_lasting_tasks,
     async_check_open_calls,
 )
+from soak.many import async_run_cells
 from soak.plan import ALL_FAULTS, FULL, JOBS_PER_S, MIXES, Plan, make_plan
 
 REGRESSION_SEEDS: Final[dict[int, str]] = {
@@ -48,6 +49,7 @@
     checker = cell.platform.checker
     try:
         await asyncio.sleep(WARM_UP_S)
+        await cell.async_wait_until_ready()
         cell.platform.executors.failure_share = FAILURE_SHARE
         callers = [Caller(cell, checker, random) for _ in range(CALLER_COUNT)]
         jobs = [
@@ -94,7 +96,15 @@
         print(f"  {text}", flush=True)
 
 
+def run_seed(seed: int, seconds: float, daemons: int, executors: int, plan: Plan) -> bool:
+    """Play a seed, print its result and return whether it has breaches."""
+    cell = asyncio.run(async_soak(seed, seconds, daemons, executors, plan))
+    print_result(cell)
+    return bool(cell.platform.checker.breaches)
+
+
 def main(
+    context: typer.Context,
     first: Annotated[int, typer.Option(help="First seed.")] = 1,
     count: Annotated[int, typer.Option(help="Number of seeds.")] = 3,
     seconds: Annotated[float, typer.Option(help="Seconds of traffic and faults per seed.")] = 15.0,
@@ -106,18 +116,19 @@
     fault_count: Annotated[int | None, typer.Option(help="Faults, or series of them.")] = None,
     jobs_per_s: Annotated[float, typer.Option(help="Jobs submitted per second.")] = JOBS_PER_S,
     busy: Annotated[int, typer.Option(help="Processes that keep processors busy.")] = 0,
+    cells: Annotated[int, typer.Option(help="Seeds at the same time, as processes.")] = 1,
 ) -> None:
     """Run the soak test and print the breaches of each seed."""
     try:
         plan = make_plan(mix, faults, jobs, fault_count, jobs_per_s)
     except ValueError as err:
         raise typer.BadParameter(str(err)) from err
-    failed_seeds = 0
-    for seed in range(first, first + count):
-        with BusyProcesses(busy):
-            cell = asyncio.run(async_soak(seed, seconds, daemons, executors, plan))
-        failed_seeds += bool(cell.platform.checker.breaches)
-        print_result(cell)
+    seeds = range(first, first + count)
+    with BusyProcesses(busy):
+        if cells > 1:
+            failed_seeds = asyncio.run(async_run_cells(context.params, seeds, cells))
+        else:
+            failed_seeds = sum(run_seed(seed, seconds, daemons, executors, plan) for seed in seeds)
     print(f"{count} seeds, {failed_seeds} with breaches")
     raise typer.Exit(1 if failed_seeds else 0)
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak test."""
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,59 @@
+"""Tests of the checks after the last fault."""
+
+from __future__ import annotations
+
+from soak.checks import async_check_cancelled_jobs, async_check_lasting_tasks
+from tests.platform_stand_ins.helpers import run_virtual
+from wasabiramp.model.entry.checker import HistoryChecker, JobRecord
+from wasabiramp.scheduling.model import JobDefinition, Queue, Resources, Step
+
+JOB = "0" * 16
+TASK = f"{JOB}.0.0.0"
+
+
+def make_checker(is_lasting: bool) -> HistoryChecker:
+    """Return the history of one accepted job with one task."""
+    queue = Queue("batch", "h", "/b/", "service", 2, 4, 4.0, 3.0)
+    step = Step(1, Resources(100, 100, 0), 1.0, is_lasting=is_lasting)
+    checker = HistoryChecker(0.0)
+    checker.jobs[JOB] = JobRecord(JobDefinition(JOB, queue, "spec", (step,), 0))
+    checker.jobs[JOB].accepted_at = 0.0
+    return checker
+
+
+class TestLastingTasks:
+    """Lasting tasks are at work again after the last fault."""
+
+    def test_task_without_a_run_is_reported(self) -> None:
+        checker = make_checker(is_lasting=True)
+        run_virtual(async_check_lasting_tasks(checker))
+        assert [text.partition(" ")[0] for text in checker.breaches] == ["LOST"]
+
+    def test_task_at_work_is_not_reported(self) -> None:
+        checker = make_checker(is_lasting=True)
+        checker.running[TASK] = {("i-0", 1)}
+        run_virtual(async_check_lasting_tasks(checker))
+        assert checker.breaches == []
+
+    def test_task_of_a_cancelled_job_is_not_awaited(self) -> None:
+        checker = make_checker(is_lasting=True)
+        checker.jobs[JOB].cancel_asked_at = 1.0
+        run_virtual(async_check_lasting_tasks(checker))
+        assert checker.breaches == []
+
+
+class TestCancelledJobs:
+    """Tasks of cancelled jobs don't run on."""
+
+    def test_run_of_a_cancelled_job_is_reported(self) -> None:
+        checker = make_checker(is_lasting=False)
+        checker.running[TASK] = {("i-0", 1)}
+        checker.jobs[JOB].cancel_acked_at = 1.0
+        run_virtual(async_check_cancelled_jobs(checker))
+        assert [text.partition(" ")[0] for text in checker.breaches] == ["UNASKED"]
+
+    def test_run_of_another_job_may_go_on(self) -> None:
+        checker = make_checker(is_lasting=False)
+        checker.running[TASK] = {("i-0", 1)}
+        run_virtual(async_check_cancelled_jobs(checker))
+        assert checker.breaches == []
--- /dev/null
+++ b/tests/soak/test_plan.py
@@ -0,0 +1,69 @@
+"""Tests of what a seed of the soak test draws."""
+
+from __future__ import annotations
+
+from random import Random
+import time
+
+import orjson
+import pytest
+
+from soak.cell import make_routes
+from soak.faults import FAULTS
+from soak.jobs import JOB_KINDS
+from soak.plan import ALL_FAULTS, FULL, PLAIN, SERIES_SPAN_S, make_plan
+from stand_ins.platform import COMMON_LABEL_COUNT
+from wasabiramp.model.entry.executors import MAX_REPORTED_ENDS
+from wasabiramp.platform.wire import decode_config, decode_job
+
+SEEDS = range(50)
+
+
+class TestPlan:
+    """Mixes, and the names that replace what they draw."""
+
+    def test_plain_mix_draws_as_its_regression_seeds_need(self) -> None:
+        plan = make_plan(PLAIN)
+        names, random, expected = sorted(FAULTS), Random(3), Random(3)
+        drawn = [(expected.uniform(0, 15.0), expected.choice(names)) for _ in range(5)]
+        assert plan.draw_faults(random, 15.0) == drawn
+        assert plan.job_kinds == ["plain"]
+
+    def test_full_mix_plays_all_kinds_and_faults(self) -> None:
+        plan = make_plan(FULL)
+        assert set(plan.faults) == set(ALL_FAULTS)
+        assert set(plan.job_kinds) == set(JOB_KINDS)
+
+    def test_faults_of_a_series_begin_close_together(self) -> None:
+        plan = make_plan(FULL, fault_count=1)
+        for seed in SEEDS:
+            begins = [begins_at for begins_at, _name in plan.draw_faults(Random(seed), 15.0)]
+            assert max(begins) - min(begins) <= SERIES_SPAN_S
+
+    def test_names_replace_the_faults_of_a_mix(self) -> None:
+        plan = make_plan(FULL, "kill_owner,revoke", "wide", fault_count=4)
+        names = {name for _at, name in plan.draw_faults(Random(1), 15.0)}
+        assert names <= {"kill_owner", "revoke"}
+        assert plan.job_kinds == ["wide"]
+
+    def test_unknown_name_is_refused(self) -> None:
+        with pytest.raises(ValueError, match="no_such_fault"):
+            make_plan(FULL, "no_such_fault")
+
+
+class TestJobKinds:
+    """Every kind draws jobs that daemons accept."""
+
+    @pytest.mark.parametrize("kind", sorted(JOB_KINDS))
+    def test_drawn_jobs_are_valid(self, kind: str) -> None:
+        config = decode_config(orjson.dumps({"version": 1, "routes": make_routes()}))
+        for seed in SEEDS:
+            draft = JOB_KINDS[kind](Random(seed))
+            queue = next(queue for queue in config.queues if queue.prefix == draft.prefix)
+            decode_job(orjson.dumps(draft.body), "0" * 16, queue, int(time.time() * 1000))
+
+    def test_wide_job_leaves_more_ends_on_an_executor_than_a_page_holds(self) -> None:
+        # Guards against a soak in which no new owner meets a second page of ends.
+        for seed in SEEDS:
+            step = JOB_KINDS["wide"](Random(seed)).body["steps"][0]
+            assert step["count"] / COMMON_LABEL_COUNT > MAX_REPORTED_ENDS
