--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -86,8 +86,8 @@
 def draw_long(random: Random) -> JobDraft:
     """Draw a job of a few large tasks that work for many seconds."""
     step = {
-        "cpu": random.randrange(500, 3_000),
-        "memMb": random.randrange(200, 1_500),
+        "cpu": random.randrange(300, 1_500),
+        "memMb": random.randrange(200, 1_000),
         "estimateMs": random.randrange(5_000, 12_000),
         "count": random.randrange(1, 4),
     }
