Soak: cancel lasting jobs again whose cancel was not confirmed

Those at the end now take in every lasting job without a confirmed cancel.

Evidence: pytest tests/soak/test_checks.py before: 1 failed, 5 passed (the list was empty); tests/soak after: 18 passed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,12 +20,12 @@
 
 
 def list_lasting_jobs(checker: HistoryChecker) -> dict[str, JobRecord]:
-    """Return the accepted jobs with lasting tasks that nobody has cancelled."""
+    """Return the accepted jobs with lasting tasks whose cancel nobody has confirmed."""
     return {
         job_id: record
         for job_id, record in checker.jobs.items()
         if record.accepted_at is not None
-        and record.cancel_asked_at is None
+        and record.cancel_acked_at is None
         and any(step.is_lasting for step in record.definition.steps)
     }
 
@@ -37,7 +37,9 @@
         for job_id, record in list_lasting_jobs(checker).items()
         for number, step in enumerate(record.definition.steps)
         for index in range(step.count)
-        if step.is_lasting and not checker.running.get(f"{job_id}.0.{number}.{index}")
+        if step.is_lasting
+        and record.cancel_asked_at is None
+        and not checker.running.get(f"{job_id}.0.{number}.{index}")
     ]
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from soak.checks import async_check_cancelled_jobs, async_check_lasting_tasks
+from soak.checks import (
+    async_check_cancelled_jobs,
+    async_check_lasting_tasks,
+    list_lasting_jobs,
+)
 from tests.platform_stand_ins.helpers import run_virtual
 from wasabiramp.model.entry.checker import HistoryChecker, JobRecord
 from wasabiramp.scheduling.model import JobDefinition, Queue, Resources, Step
@@ -41,6 +45,14 @@
         run_virtual(async_check_lasting_tasks(checker))
         assert checker.breaches == []
 
+    def test_job_whose_cancel_was_not_confirmed_is_cancelled_again(self) -> None:
+        # Guards against LOST by a caller that gave up its cancel: the job goes on for good.
+        checker = make_checker(is_lasting=True)
+        checker.jobs[JOB].cancel_asked_at = 1.0
+        assert list(list_lasting_jobs(checker)) == [JOB]
+        checker.jobs[JOB].cancel_acked_at = 2.0
+        assert not list_lasting_jobs(checker)
+
 
 class TestCancelledJobs:
     """Tasks of cancelled jobs don't run on."""
