Refuse messages between daemons that are nested too deeply

Seen: a message of about 1.2 kB with 200 records within each other ended the daemon that received it with a segmentation fault. A record whose body is a map raised KeyError, and JSON nested 1,000 deep raised RecursionError; neither is an error that the receivers handle.

Cause: each record in a message calls the msgpack decoder anew from its extension hook, so the C stack was exhausted; bodies were indexed before their type was known.

Conclusion: records nest at most 16 levels, JSON at most 64, and `unpack` is the one place that turns all errors of msgpack into DecodeError.

--- a/wasabiramp/core/records.py
+++ b/wasabiramp/core/records.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass, fields
+from functools import partial
 from typing import Any, Final, TypeVar, dataclass_transform
 
 import msgpack
@@ -13,6 +15,18 @@
 KEY_BASE64: Final = "base64"
 _EXT_RECORD: Final = 1
 
+MAX_RECORD_DEPTH: Final = 16
+"""Levels of records within records in a message.
+
+Each level calls the msgpack decoder anew, so that deep nesting would exhaust the C stack.
+"""
+
+MAX_SHOWN_CHARS: Final = 80
+"""Characters of an unknown name that an error shows."""
+
+MAX_JSON_DEPTH: Final = 64
+"""Levels of lists and objects in a JSON text that is decoded into records."""
+
 _class_by_name: dict[str, type] = {}
 _fields_by_class: dict[type, tuple[str, ...]] = {}
 
@@ -46,12 +60,22 @@
     return msgpack.ExtType(_EXT_RECORD, msgpack.packb(body, default=_pack_record))
 
 
-def _unpack_record(code: int, data: bytes) -> Any:
-    """Build the record that a msgpack extension value contains."""
-    body = msgpack.unpackb(data, ext_hook=_unpack_record, strict_map_key=False)
-    cls = _class_by_name.get(body[0]) if code == _EXT_RECORD and body else None
+def _refuse_extension(code: int, data: bytes) -> Any:
+    """Refuse a msgpack extension value."""
+    raise DecodeError(f"unexpected extension {code}")
+
+
+def _unpack_record(code: int, data: bytes, depth: int = 1) -> Any:
+    """Build the record that a msgpack extension value contains, at a level of nesting."""
+    if code != _EXT_RECORD or depth > MAX_RECORD_DEPTH:
+        raise DecodeError(f"unexpected extension {code} in a message at level {depth}")
+    unpack_nested = partial(_unpack_record, depth=depth + 1)
+    body = msgpack.unpackb(data, ext_hook=unpack_nested, strict_map_key=False)
+    if not isinstance(body, list) or not body or not isinstance(body[0], str):
+        raise DecodeError("expected a list with the name of a record in a message")
+    cls = _class_by_name.get(body[0])
     if cls is None:
-        raise DecodeError(f"unknown record in a message: {body[:1]}")
+        raise DecodeError(f"unknown record {body[0][:MAX_SHOWN_CHARS]} in a message")
     return cls(*body[1:])
 
 
@@ -63,12 +87,17 @@
 def decode_message(data: bytes) -> Any:
     """Decode the output of `encode_message`.
 
-    Raises DecodeError when the bytes are truncated or name an unknown record.
+    Raises DecodeError when the bytes are truncated, too deeply nested or name an unknown record.
     """
+    return unpack(data, _unpack_record)
+
+
+def unpack(data: bytes, ext_hook: Callable[[int, bytes], Any] = _refuse_extension) -> Any:
+    """Decode msgpack data that another process wrote; raises DecodeError for anything invalid."""
     try:
-        return msgpack.unpackb(data, ext_hook=_unpack_record, strict_map_key=False)
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as err:
-        raise DecodeError(f"message cannot be decoded: {err}") from err
+        return msgpack.unpackb(data, ext_hook=ext_hook, strict_map_key=False)
+    except (ValueError, TypeError, OverflowError, msgpack.UnpackException) as err:
+        raise DecodeError(f"the data is not msgpack: {type(err).__name__} {err}") from err
 
 
 def _encode_json_value(value: Any) -> dict[str, Any]:
@@ -90,21 +119,23 @@
 def decode_json(text: str | bytes) -> Any:
     """Decode the output of `encode_json`.
 
-    Raises DecodeError when the text is not JSON or names an unknown record.
+    Raises DecodeError when the text is not JSON, too deeply nested or names an unknown record.
     """
     try:
-        return _decode_json_value(orjson.loads(text))
+        return _decode_json_value(orjson.loads(text), MAX_JSON_DEPTH)
     except (ValueError, TypeError) as err:
         raise DecodeError(f"record cannot be decoded: {err}") from err
 
 
-def _decode_json_value(value: Any) -> Any:
+def _decode_json_value(value: Any, levels_left: int) -> Any:
     """Convert JSON objects into the records or bytes that they were encoded from."""
-    if isinstance(value, list):
-        return [_decode_json_value(item) for item in value]
-    if not isinstance(value, dict):
+    if not isinstance(value, list | dict):
         return value
-    decoded_fields = {key: _decode_json_value(item) for key, item in value.items()}
+    if not levels_left:
+        raise DecodeError(f"record is nested deeper than {MAX_JSON_DEPTH} levels")
+    if isinstance(value, list):
+        return [_decode_json_value(item, levels_left - 1) for item in value]
+    decoded_fields = {key: _decode_json_value(item, levels_left - 1) for key, item in value.items()}
     if len(value) == 1 and KEY_BASE64 in value:
         return base64.b64decode(value[KEY_BASE64])
     name = decoded_fields.pop(KEY_RECORD_NAME, None)
