Leave out entries of executors that no call or record can hold

Seen: an entry of another writer with a port of 70000, a host that is no IP number, a capacity of 1e308 or an id with a line end counted as an executor: it got holds that always failed, stood in the roster, and each takeover waited for its answer. An entry that could not be read was logged with each heartbeat. An executor whose good entry turned odd got new work by its old entry.

Cause: the entry was decoded without bounds (`str.isdigit` for ports, `int` of any float), and the owner only logged an entry that was refused.

Conclusion: decoding names the invalid field by DecodeError; bounds are constants. The two tests that expected None expect the error with the name of the field now, which is stricter.

--- /dev/null
+++ b/tests/entry/test_invalid_inputs.py
@@ -0,0 +1,153 @@
+"""Tests of invalid inputs of other writers: entries of executors, and the log of such inputs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.entry.test_owner import make_job
+from wasabiramp.core.records import DecodeError
+from wasabiramp.entry import invalid_inputs
+from wasabiramp.entry.invalid_inputs import (
+    LOG_INTERVAL_S,
+    MAX_LINES_PER_INTERVAL,
+    InvalidInputs,
+)
+from wasabiramp.model.entry.clock import VirtualLoop
+from wasabiramp.model.entry.schedule import find_owner
+from wasabiramp.model.entry.world import ModelCodec, World
+
+Lines = list[dict[str, Any]]
+
+
+@pytest.fixture(name="lines")
+def collect_lines(monkeypatch: pytest.MonkeyPatch) -> Lines:
+    """Return the fields of the lines that are logged about invalid inputs."""
+    lines: Lines = []
+    monkeypatch.setattr(
+        invalid_inputs, "log_event", lambda event, **fields: lines.append({"event": event} | fields)
+    )
+    return lines
+
+
+class TestInvalidInputs:
+    """One line for each key and reason, within a limit."""
+
+    def run(self, scenario: Any) -> None:
+        """Run a scenario with a log, in virtual time."""
+        loop = VirtualLoop()
+        loop.run_until_complete(scenario(InvalidInputs("input_invalid")))
+        loop.close()
+
+    def test_line_names_key_and_reason_once(self, lines: Lines) -> None:
+        async def scenario(inputs: InvalidInputs) -> None:
+            assert inputs.add("k", DecodeError("born: expected a number"))
+            for _ in range(5):
+                assert not inputs.add("k", DecodeError("born: expected a number"))
+            assert not inputs.add("k", DecodeError("state: expected a text"))
+            inputs.remove("k")
+            assert inputs.add("k", DecodeError("state: expected a text"))
+
+        self.run(scenario)
+        assert [(line["key"], line["error"]) for line in lines] == [
+            ("k", "born: expected a number"),
+            ("k", "state: expected a text"),
+            ("k", "state: expected a text"),
+        ]
+
+    def test_lines_are_limited_and_the_others_counted(self, lines: Lines) -> None:
+        async def scenario(inputs: InvalidInputs) -> None:
+            for number in range(3 * MAX_LINES_PER_INTERVAL):
+                inputs.add(f"k{number}", DecodeError("born: expected a number"))
+            assert len(lines) == MAX_LINES_PER_INTERVAL
+            await asyncio.sleep(LOG_INTERVAL_S)
+            inputs.add("last", DecodeError("born: expected a number"))
+            assert len(inputs) == 3 * MAX_LINES_PER_INTERVAL + 1
+
+        self.run(scenario)
+        assert lines[-1]["omitted"] == 2 * MAX_LINES_PER_INTERVAL
+        assert lines[-1]["invalid"] == 3 * MAX_LINES_PER_INTERVAL + 1
+
+
+class TestEntriesOfOtherWriters:
+    """Invalid entries beside good ones: the jobs run, and the owner and its watch go on."""
+
+    def put_entry(self, world: World, key: str, value: bytes) -> None:
+        """Write an entry under the prefix of the executors."""
+        world.store.put(ModelCodec.executors_prefix + key, value, 0)
+
+    async def async_run_jobs(self, world: World, first: int) -> None:
+        """Run some jobs to their end."""
+        for number in range(first, first + 8):
+            assert await world.async_submit(make_job(world, number))
+        await world.async_wait_for_jobs(20.0)
+
+    # Guards against a log line for each heartbeat of an invalid entry, and for hundreds of them.
+    def test_hundreds_of_entries_in_list_and_watch(self, lines: Lines) -> None:
+        world = World(11)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            for number in range(300):
+                self.put_entry(world, f"odd-{number}", b"odd")
+            for beat in range(10):
+                for number in range(300):
+                    self.put_entry(world, f"odd-{number}", b"odd" + bytes([beat]))
+                await asyncio.sleep(0.5)
+            await self.async_run_jobs(world, 0)
+            owner = find_owner(world)
+            assert owner is not None
+            assert len(lines) == MAX_LINES_PER_INTERVAL
+            world.kill_daemon(owner)
+            await self.async_run_jobs(world, 100)
+            successor = find_owner(world)
+            assert successor is not None
+            executors = world.daemons[successor].owner.scheduler.state.executors
+            assert sorted(executors) == [f"i-{number}" for number in range(8)]
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+        assert len(lines) <= 2 * MAX_LINES_PER_INTERVAL
+        assert {line["event"] for line in lines} == {"executor_entry_invalid"}
+
+    def test_good_entry_that_turns_invalid_and_good_again(self, lines: Lines) -> None:
+        world = World(12)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            for number in range(8):
+                self.put_entry(world, f"i-{number}", b"odd")
+            for number in range(4):
+                assert await world.async_submit(make_job(world, number))
+            await asyncio.sleep(5.0)
+            assert world.checker.starts == 0
+            for executor in world.executors.by_id.values():
+                world.list_executor(executor)
+            await world.async_wait_for_jobs(20.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+        assert [line["key"] for line in lines] == [f"servers/i-{number}" for number in range(8)]
+
+    def test_entries_that_turn_invalid_under_runs_and_a_change_of_owner(self) -> None:
+        world = World(13)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            for number in range(16):
+                assert await world.async_submit(make_job(world, number, estimate_s=4.0))
+            await asyncio.sleep(1.0)
+            for number in range(8):
+                self.put_entry(world, f"i-{number}", b"odd")
+            owner = find_owner(world)
+            assert owner is not None
+            world.kill_daemon(owner)
+            await asyncio.sleep(3.0)
+            for executor in world.executors.by_id.values():
+                world.list_executor(executor)
+            await world.async_wait_for_jobs(30.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -32,6 +32,16 @@
     "seq": 4,
 }
 
+ENTRY_START = orjson.dumps({k: v for k, v in EXECUTOR_ENTRY.items() if k != "born"})[:-1] + b","
+NESTED_LIST: list[Any] = []
+for _ in range(100):
+    NESTED_LIST = [NESTED_LIST]
+
+
+def repr_shortly(value: Any) -> str:
+    """Return a short name of a parameter."""
+    return ascii(value)[:40]
+
 
 def decode_body(body: Any) -> Any:
     """Decode a request body as a job."""
@@ -73,32 +83,138 @@
 
 
 class TestExecutor:
-    """An executor's entry is decoded; malformed entries are ignored."""
+    """An executor's entry is decoded; the error of an invalid one names the field."""
 
     def test_entry(self) -> None:
         entry = decode_executor("servers/i-1", orjson.dumps(EXECUTOR_ENTRY))
-        assert entry is not None
         assert (entry.id, entry.rack, entry.kind) == ("i-1", "r1-3", "a")
         assert entry.capacity == Resources(16000, 32768, 0)
 
+    def test_draining_entry(self) -> None:
+        changed = {**EXECUTOR_ENTRY, "state": "draining", "remainingMs": 1_500}
+        entry = decode_executor("servers/i-1", orjson.dumps(changed))
+        assert (entry.is_draining, entry.remaining_s) == (True, 1.5)
+
+    # Guards against entries of other writers that were taken for executors, and whose numbers and
+    # addresses later calls and records could not hold.
+    @pytest.mark.parametrize(
+        ("change", "field"),
+        [
+            ({"state": "odd"}, "state"),
+            ({"state": ["ready"]}, "state"),
+            ({"state": None}, "state"),
+            ({"service": 5}, "service"),
+            ({"service": ""}, "service"),
+            ({"service": "s" * 5_000}, "service"),
+            ({"address": None}, "address"),
+            ({"address": "nowhere"}, "address"),
+            ({"address": ":80"}, "address"),
+            ({"address": "10.0.0.1"}, "address"),
+            ({"address": "10.0.0.1:"}, "address"),
+            ({"address": "10.0.0.1:0"}, "address"),
+            ({"address": "10.0.0.1:65536"}, "address"),
+            ({"address": "10.0.0.1:70000"}, "address"),
+            ({"address": "10.0.0.1:-80"}, "address"),
+            ({"address": "10.0.0.1:+80"}, "address"),
+            ({"address": "10.0.0.1: 80"}, "address"),
+            ({"address": "10.0.0.1:8_0"}, "address"),
+            ({"address": "10.0.0.1:8²"}, "address"),
+            ({"address": "10.0.0.1:٨٠"}, "address"),
+            ({"address": "10.0.0.1:" + "8" * 5_000}, "address"),
+            ({"address": "10.0.0.1:80\n"}, "address"),
+            ({"address": "executor.example:80"}, "address"),
+            ({"address": "localhost:80"}, "address"),
+            ({"address": "10.0.0.256:80"}, "address"),
+            ({"address": "10.0.1:80"}, "address"),
+            ({"address": "10.0.0.1/x:80"}, "address"),
+            ({"address": "u@10.0.0.1:80"}, "address"),
+            ({"address": "10.0.0.1\r\nA: b:80"}, "address"),
+            ({"address": "::1:80"}, "address"),
+            ({"address": "[fe80::1%eth0]:80"}, "address"),
+            ({"address": "[10.0.0.1]:80"}, "address"),
+            ({"zone": 5}, "zone"),
+            ({"zone": "z" * 5_000}, "zone"),
+            ({"capacity": None}, "capacity"),
+            ({"capacity": [16_000]}, "capacity"),
+            ({"capacity": {"cpu": "much"}}, "capacity.cpu"),
+            ({"capacity": {"cpu": True}}, "capacity.cpu"),
+            ({"capacity": {"cpu": -1}}, "capacity.cpu"),
+            ({"capacity": {"cpu": 1e308}}, "capacity.cpu"),
+            ({"capacity": {"cpu": 2**64 - 1}}, "capacity.cpu"),
+            ({"capacity": {"memMb": 1e308}}, "capacity.memMb"),
+            ({"capacity": {"memMb": [1]}}, "capacity.memMb"),
+            ({"capacity": {"gpu": 2**53}}, "capacity.gpu"),
+            ({"labels": [1]}, "labels"),
+            ({"labels": "ab"}, "labels"),
+            ({"labels": {"a": 1}}, "labels"),
+            ({"labels": ["a"] * 5_000}, "labels"),
+            ({"labels": ["a" * 5_000]}, "labels"),
+            ({"born": "yesterday"}, "born"),
+            ({"born": None}, "born"),
+            ({"born": True}, "born"),
+            ({"born": -1}, "born"),
+            ({"born": 1.5}, "born"),
+            ({"born": 1e308}, "born"),
+            ({"born": 2**63}, "born"),
+            ({"born": 9_000_000_000_000_000}, "born"),
+            ({"remainingMs": 1e308}, "remainingMs"),
+            ({"remainingMs": -5}, "remainingMs"),
+            ({"remainingMs": "soon"}, "remainingMs"),
+            ({"other": NESTED_LIST}, "entry"),
+            ({"other": "x" * 100_000}, "entry"),
+        ],
+        ids=repr_shortly,
+    )
+    def test_invalid_field_is_named(self, change: dict[str, Any], field: str) -> None:
+        with pytest.raises(DecodeError) as caught:
+            decode_executor("servers/i-1", orjson.dumps({**EXECUTOR_ENTRY, **change}))
+        assert str(caught.value).startswith(f"{field}: ")
+        assert len(str(caught.value)) < 120
+
+    @pytest.mark.parametrize("field", ["service", "address", "state", "capacity", "born"])
+    def test_missing_field_is_named(self, field: str) -> None:
+        raw = {name: value for name, value in EXECUTOR_ENTRY.items() if name != field}
+        with pytest.raises(DecodeError, match=f"^{field}: "):
+            decode_executor("servers/i-1", orjson.dumps(raw))
+
     @pytest.mark.parametrize(
-        "change",
+        "raw",
         [
-            {"state": "odd"},
-            {"service": 5},
-            {"address": "nowhere"},
-            {"capacity": None},
-            {"capacity": {"cpu": "much"}},
-            {"labels": [1]},
-            {"born": "yesterday"},
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            b"null",
+            b"5",
+            b"[" * 100_000,
+            b'{"a":' * 100_000,
+            b"1" * 5_000,
+            ENTRY_START + b'"born":1e400}',
+            ENTRY_START + b'"born":NaN}',
+            ENTRY_START + b'"born":Infinity}',
+            ENTRY_START + b'"born":' + b"1" * 5_000 + b"}",
+            ENTRY_START + b'"zone":"\\ud800"}',
+            ENTRY_START + b'"zone":"\xed\xa0\x80"}',
+            ENTRY_START + b'"other":' + b"[" * 1_000 + b"]" * 1_000 + b"}",
+            ENTRY_START + b'"other":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
         ],
+        ids=range(16),
+    )
+    def test_undecodable_entry_is_refused(self, raw: bytes) -> None:
+        with pytest.raises(DecodeError):
+            decode_executor("servers/i-1", raw)
+
+    # Guards against a ValueError of the HTTP library, which was logged for each call.
+    @pytest.mark.parametrize(
+        "executor_id", ["", "a b", "a\r\nb: c", "a\x00", "ä", "\ud800", "a/b", "a?b", "a" * 193]
     )
-    def test_malformed_entry_is_ignored(self, change: dict[str, Any]) -> None:
-        assert decode_executor("servers/i-1", orjson.dumps({**EXECUTOR_ENTRY, **change})) is None
+    def test_id_that_no_header_can_hold_is_refused(self, executor_id: str) -> None:
+        with pytest.raises(DecodeError, match="^id: "):
+            decode_executor(f"servers/{executor_id}", orjson.dumps(EXECUTOR_ENTRY))
 
-    @pytest.mark.parametrize("raw", [b"", b"\xff\xfe", b"[]", b"null"])
-    def test_undecodable_entry_is_ignored(self, raw: bytes) -> None:
-        assert decode_executor("servers/i-1", raw) is None
+    @pytest.mark.parametrize("address", ["10.0.0.1:1", "127.0.0.1:65535", "[::1]:80"])
+    def test_valid_address(self, address: str) -> None:
+        raw = orjson.dumps({**EXECUTOR_ENTRY, "address": address})
+        assert decode_executor("servers/i-1", raw).address == address
 
 
 class TestReport:
--- /dev/null
+++ b/tests/scheduling/test_invalid_entries.py
@@ -0,0 +1,97 @@
+"""Tests of executors whose platform entry turns invalid, and is valid again later."""
+
+from __future__ import annotations
+
+from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, make_step
+from wasabiramp.scheduling.events import (
+    NOT_SENT,
+    ExecutorEntryInvalid,
+    ExecutorUnlisted,
+    HoldFailed,
+    JobsRecovered,
+)
+from wasabiramp.scheduling.executors import RELIST_GRACE_S
+from wasabiramp.scheduling.model import RunReport
+
+
+class TestExecutorWithInvalidEntry:
+    """Nothing is concluded from an invalid entry, and its executor gets no new work."""
+
+    # Guards against new work for an executor whose room and address are not known any more.
+    def test_no_new_work_until_the_entry_is_valid(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.apply(ExecutorEntryInvalid("e0"))
+        harness.submit("a" * 16, "batch", make_step(1))
+        assert harness.place() == []
+        harness.tick(60.0)
+        assert harness.place() == []
+        harness.list_executor("e0")
+        assert len(harness.place()) == 1
+
+    # Guards against a second run of a task whose executor is listed with an invalid entry.
+    def test_runs_stay_tracked_and_their_ends_count(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        job = harness.submit("a" * 16, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        harness.apply(ExecutorEntryInvalid(start.executor))
+        for _ in range(20):
+            harness.tick(1.0)
+            harness.answer_hold(start.executor)
+            assert harness.place() == []
+        harness.finish_run(start)
+        assert job.is_ended
+
+    def test_lease_is_renewed(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.submit("a" * 16, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        harness.apply(ExecutorEntryInvalid(start.executor))
+        harness.take_effects(HoldExecutor)
+        harness.tick(0.5)
+        harness.answer_hold(start.executor)
+        harness.tick(0.5)
+        holds = harness.take_effects(HoldExecutor)
+        assert [hold.until_ms is not None for hold in holds] == [True] * len(holds)
+        assert holds
+
+    def test_removed_entry_is_handled_as_usual(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.apply(ExecutorEntryInvalid("e0"))
+        harness.apply(ExecutorUnlisted("e0"))
+        harness.apply(HoldFailed("e0", harness.now, NOT_SENT))
+        harness.tick(RELIST_GRACE_S + 1.0)
+        assert harness.scheduler.state.executors == {}
+
+    def test_stale_entry_of_an_earlier_incarnation_is_valid_too(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.list_executor("e0", born_ms=5)
+        harness.incarnations["e0"] = 5
+        harness.answer_hold("e0")
+        harness.apply(ExecutorEntryInvalid("e0"))
+        harness.list_executor("e0", born_ms=4)
+        harness.submit("a" * 16, "batch", make_step(1))
+        assert len(harness.place()) == 1
+
+    # Guards against a roster, holds and suspects that include the keys of other writers.
+    def test_key_that_was_never_valid_is_no_executor(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        for number in range(300):
+            harness.apply(ExecutorEntryInvalid(f"odd-{number}"))
+        harness.tick(1.0)
+        assert list(harness.scheduler.state.executors) == ["e0"]
+        assert not harness.commit()
+        assert harness.take_effects(HoldExecutor) == []
+
+    # Guards against a second run: the owner took an executor with an invalid entry for one that has
+    # drained and left.
+    def test_executor_of_the_roster_has_not_left(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.apply(JobsRecovered([], [("e9", "e9")], 3.0, 50))
+        harness.incarnations["e9"] = 1
+        harness.submit("a" * 16, "batch", make_step(1))
+        harness.apply(ExecutorEntryInvalid("e9"))
+        harness.running["e9"] = [RunReport("a" * 16 + ".0.0.0", 100_001, "", 5.0, 0.0)]
+        harness.answer_hold("e9")
+        harness.apply(HoldFailed("e9", harness.now, NOT_SENT))
+        assert list(harness.scheduler.state.executors["e9"].runs) != []
+        assert harness.place() == []
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -10,6 +10,7 @@
 from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.advisers import AdviserPool
 from wasabiramp.entry.dispatcher import Dispatcher
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import (
     KEY_TERM,
@@ -39,6 +40,7 @@
 from wasabiramp.scheduling.events import (
     Committed,
     ConfigChanged,
+    ExecutorEntryInvalid,
     ExecutorListed,
     ExecutorUnlisted,
     JobAccepted,
@@ -172,6 +174,7 @@
         self._removal_due_at: dict[str, float] = {}
         offset_s = read_wall() - self._loop.time()
         self.scheduler = Scheduler(tenure.term, self._lease_s, lease_limit_s, offset_s)
+        self._invalid_entries = InvalidInputs("executor_entry_invalid")
         self._executors_watcher = PrefixWatcher(
             store, codec.executors_prefix, 1.0, self._handle_executor_entry
         )
@@ -325,13 +328,19 @@
 
     def _handle_executor_entry(self, key: str, item: Item | None) -> None:
         """Handle a change of an executor's entry."""
-        entry = self._codec.decode_executor(key, item.value) if item is not None else None
-        if entry is not None:
-            self._reduce(ExecutorListed(entry))
-        elif item is None:
-            self._reduce(ExecutorUnlisted(self._codec.parse_executor_id(key)))
-        else:
-            log_event("executor_entry_unreadable", key=key, revision=item.revision)
+        executor_id = self._codec.parse_executor_id(key)
+        if item is None:
+            self._invalid_entries.remove(key)
+            self._reduce(ExecutorUnlisted(executor_id))
+            return
+        try:
+            entry = self._codec.decode_executor(key, item.value)
+        except DecodeError as err:
+            if self._invalid_entries.add(key, err):
+                self._reduce(ExecutorEntryInvalid(executor_id))
+            return
+        self._invalid_entries.remove(key)
+        self._reduce(ExecutorListed(entry))
 
     async def _async_run_or_give_up(self) -> None:
         """Run the owner; give up ownership if an unexpected error prevents recovery."""
--- a/wasabiramp/entry/ports.py
+++ b/wasabiramp/entry/ports.py
@@ -190,10 +190,14 @@
     executors_prefix: str
 
     def decode_config(self, value: bytes) -> CellConfig:
-        """Return the decoded configuration."""
+        """Return the decoded configuration; raise DecodeError if it is invalid."""
 
-    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry | None:
-        """Return an executor's entry, or None if the key or value describes no usable executor."""
+    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry:
+        """Return an executor's entry.
+
+        Raise DecodeError, which names the invalid field, if the key or value describes no usable
+        executor.
+        """
 
     def parse_executor_id(self, key: str) -> str:
         """Return the id of the executor under a key."""
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any, Final, TypeVar
 
+from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.answers import (
     ACCEPTED,
     CANCELLED,
@@ -77,9 +78,13 @@
         """Return a configuration."""
         return self._objects[int(value)]
 
-    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry | None:
-        """Return an executor's entry."""
-        return self._objects[int(value)]
+    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry:
+        """Return an executor's entry; raises DecodeError if the value is no index of one."""
+        index = int(value) if value.isdigit() else len(self._objects)
+        entry = self._objects[index] if index < len(self._objects) else None
+        if not isinstance(entry, ExecutorEntry):
+            raise DecodeError("entry: expected the index of an executor's entry")
+        return entry
 
     def parse_executor_id(self, key: str) -> str:
         """Return the id of the executor under a key."""
--- a/wasabiramp/platform/wire.py
+++ b/wasabiramp/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, Final
 
 import orjson
@@ -20,6 +21,7 @@
     RunReport,
     Step,
 )
+from wasabiramp.settings.address import parse_address
 
 CONFIG_KEY: Final = "op/config"
 EXECUTORS_PREFIX: Final = "servers/"
@@ -32,6 +34,33 @@
 """Our limits of one job, which keep its record well below the store's limit of a value."""
 
 
+MAX_WHOLE_NUMBER: Final = 2**53 - 1
+"""Greatest whole number that all JSON libraries and floating point numbers hold exactly."""
+
+MAX_UNIX_MS: Final = 4_102_444_800_000
+"""Latest time that is accepted, in Unix milliseconds: the start of the year 2100."""
+
+MAX_DURATION_MS: Final = 366 * 86_400_000
+"""Longest duration that is accepted, in milliseconds: a year."""
+
+MAX_CPU_MILLICORES: Final = 10**9
+MAX_MEMORY_MB: Final = 10**9
+MAX_GPUS: Final = 10**6
+"""Greatest resources of one executor or task: far above those of any machine."""
+
+MAX_ENTRY_BYTES: Final = 65_536
+MAX_ENTRY_DEPTH: Final = 16
+MAX_ENTRY_TEXT_CHARS: Final = 1_000
+MAX_LABELS: Final = 100
+"""Limits of an executor's entry: its length, its levels of lists and objects, each of its texts and
+the number of its labels."""
+
+EXECUTOR_ID_PATTERN: Final = re.compile(r"[A-Za-z0-9._~:@!$&'()*+,;=-]{1,192}")
+"""Ids that may be sent in a header and in a URL; the store limits keys to 200 bytes."""
+
+EXECUTOR_STATES: Final = ("ready", "draining")
+
+
 class InputError(ValueError):
     """A request body that is no valid job; the message names the field."""
 
@@ -81,47 +110,98 @@
     )
 
 
-def decode_executor(key: str, data: bytes) -> ExecutorEntry | None:
-    """Decode an executor's entry; None if it is malformed, as others may write under the prefix.
+def decode_executor(key: str, data: bytes) -> ExecutorEntry:
+    """Decode an executor's entry; raises DecodeError, which names the invalid field.
 
-    The platform calls executors `servers`.
+    The platform calls executors `servers`. Others may write under the prefix too.
     """
     executor_id = key.removeprefix(EXECUTORS_PREFIX)
-    try:
-        raw = parse_json(data)
-        service, address, state = raw["service"], raw["address"], raw["state"]
-        labels = raw.get("labels") or []
-        texts = [service, address, state, raw.get("zone", ""), *labels]
-        if not all(isinstance(text, str) for text in texts) or not executor_id:
-            return None
-        host, _, port = address.rpartition(":")
-        if state not in ("ready", "draining") or not host or not port.isdigit():
-            return None
-        remaining = raw.get("remainingMs")
-        return ExecutorEntry(
-            id=executor_id,
-            address=address,
-            service=service,
-            zone=raw.get("zone", ""),
-            is_draining=state == "draining",
-            capacity=_decode_resources(raw["capacity"]),
-            labels=tuple(labels),
-            born_ms=_parse_number(raw.get("born", 0)),
-            remaining_s=None if remaining is None else _parse_number(remaining) / 1000,
-        )
-    except (DecodeError, KeyError, TypeError, ValueError, AttributeError):
-        return None
+    if not EXECUTOR_ID_PATTERN.fullmatch(executor_id):
+        raise DecodeError("id: expected the characters of a URL path segment")
+    if len(data) > MAX_ENTRY_BYTES:
+        raise DecodeError(f"entry: expected at most {MAX_ENTRY_BYTES} bytes")
+    raw = parse_json(data)
+    if not isinstance(raw, dict):
+        raise DecodeError("entry: expected an object")
+    _check_depth(raw)
+    address = raw.get("address")
+    if parse_address(address) is None:
+        raise DecodeError("address: expected an IP address and a port from 1 to 65535")
+    state = raw.get("state")
+    if state not in EXECUTOR_STATES:
+        raise DecodeError(f"state: expected one of {', '.join(EXECUTOR_STATES)}")
+    remaining_ms = raw.get("remainingMs")
+    if remaining_ms is not None:
+        remaining_ms = _check_number(remaining_ms, "remainingMs", MAX_DURATION_MS)
+    return ExecutorEntry(
+        id=executor_id,
+        address=address,
+        service=_check_text(raw.get("service"), "service", min_chars=1),
+        zone=_check_text(raw.get("zone", ""), "zone"),
+        is_draining=state == "draining",
+        capacity=_decode_capacity(raw.get("capacity")),
+        labels=_decode_labels(raw.get("labels") or []),
+        born_ms=_check_whole_number(raw.get("born"), "born", MAX_UNIX_MS),
+        remaining_s=None if remaining_ms is None else int(remaining_ms) / 1000,
+    )
+
 
+def _check_depth(raw: Any) -> None:
+    """Refuse an entry with too many levels of lists and objects; raises DecodeError."""
+    level = [raw]
+    for _ in range(MAX_ENTRY_DEPTH):
+        level = [
+            value
+            for container in level
+            for value in (container.values() if isinstance(container, dict) else container)
+            if isinstance(value, dict | list)
+        ]
+        if not level:
+            return
+    raise DecodeError(f"entry: expected at most {MAX_ENTRY_DEPTH} levels")
 
-def _decode_resources(raw: dict[str, Any]) -> Resources:
-    """Decode an amount of resources; `cpu` is in thousandths of a core."""
+
+def _decode_capacity(raw: Any) -> Resources:
+    """Decode the resources of an executor; `cpu` is in thousandths of a core."""
+    if not isinstance(raw, dict):
+        raise DecodeError("capacity: expected an object")
     return Resources(
-        _parse_number(raw.get("cpu", 0)),
-        _parse_number(raw.get("memMb", 0)),
-        _parse_number(raw.get("gpu", 0)),
+        int(_check_number(raw.get("cpu", 0), "capacity.cpu", MAX_CPU_MILLICORES)),
+        int(_check_number(raw.get("memMb", 0), "capacity.memMb", MAX_MEMORY_MB)),
+        int(_check_number(raw.get("gpu", 0), "capacity.gpu", MAX_GPUS)),
     )
 
 
+def _decode_labels(raw: Any) -> tuple[str, ...]:
+    """Decode the labels of an executor."""
+    if not isinstance(raw, list) or len(raw) > MAX_LABELS:
+        raise DecodeError(f"labels: expected a list of at most {MAX_LABELS} texts")
+    return tuple(_check_text(label, "labels") for label in raw)
+
+
+def _check_text(
+    value: Any, field_path: str, max_chars: int = MAX_ENTRY_TEXT_CHARS, min_chars: int = 0
+) -> str:
+    """Return a text; raises DecodeError, which names the field, for anything else."""
+    if not isinstance(value, str) or not min_chars <= len(value) <= max_chars:
+        raise DecodeError(f"{field_path}: expected a text of {min_chars} to {max_chars} characters")
+    return value
+
+
+def _check_number(value: Any, field_path: str, maximum: float = MAX_WHOLE_NUMBER) -> float:
+    """Return a number from 0 to a maximum; raises DecodeError, which names the field."""
+    if type(value) not in (int, float) or not 0 <= value <= maximum:
+        raise DecodeError(f"{field_path}: expected a number from 0 to {maximum}")
+    return value
+
+
+def _check_whole_number(value: Any, field_path: str, maximum: int = MAX_WHOLE_NUMBER) -> int:
+    """Return a whole number from 0 to a maximum; raises DecodeError, which names the field."""
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise DecodeError(f"{field_path}: expected a whole number from 0 to {maximum}")
+    return value
+
+
 def _parse_number(value: Any) -> int:
     """Return a non-negative number as an integer; raises ValueError for anything else."""
     if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
@@ -247,8 +327,8 @@
         """Decode the cell's configuration; raises DecodeError."""
         return decode_config(value)
 
-    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry | None:
-        """Decode an executor's entry, or return None if it is malformed."""
+    def decode_executor(self, key: str, value: bytes) -> ExecutorEntry:
+        """Decode an executor's entry; raises DecodeError, which names the invalid field."""
         return decode_executor(key, value)
 
     def parse_executor_id(self, key: str) -> str:
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -90,6 +90,13 @@
     entry: ExecutorEntry
 
 
+@dataclass(slots=True)
+class ExecutorEntryInvalid:
+    """The platform lists an entry under an executor's id that cannot be used."""
+
+    id: str
+
+
 @dataclass(slots=True)
 class ExecutorUnlisted:
     """The platform removed an executor's entry."""
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -19,6 +19,7 @@
     OTHER_INCARNATION,
     REFUSED_FENCE,
     UNKNOWN,
+    ExecutorEntryInvalid,
     ExecutorListed,
     ExecutorUnlisted,
     HoldAnswered,
@@ -83,6 +84,7 @@
             "executor_listed", executor=entry.id, service=entry.service, rack=entry.rack
         )
         return
+    executor.has_invalid_entry = False
     if entry.born_ms < executor.born_ms:
         return
     if entry.born_ms > executor.born_ms and executor.born_ms:
@@ -95,6 +97,20 @@
     record_capacity(state, executor)
 
 
+@handles(ExecutorEntryInvalid)
+def handle_invalid_entry(state: SchedulerState, event: ExecutorEntryInvalid) -> None:
+    """Give an executor no new work while its entry is invalid; its runs stay tracked.
+
+    An invalid entry of an unknown executor is that of another writer.
+    """
+    executor = state.executors.get(event.id)
+    if executor is None or executor.has_invalid_entry:
+        return
+    state.executor_list_version += 1
+    executor.has_invalid_entry = True
+    state.log_decision("executor_entry_unusable", executor=event.id, runs=len(executor.runs))
+
+
 @handles(ExecutorUnlisted)
 def handle_executor_unlisted(state: SchedulerState, event: ExecutorUnlisted) -> None:
     """Mark an executor as unlisted; the resources of its runs stay occupied."""
@@ -247,7 +263,8 @@
         executor.silent_since = state.now
         state.log_decision("executor_silent", executor=executor.id, why=event.outcome)
         note_silence(state, executor)
-    has_left = not executor.is_listed and executor.entry.is_draining
+    is_absent = not executor.is_listed and not executor.has_invalid_entry
+    has_left = is_absent and executor.entry.is_draining
     if event.outcome == OTHER_INCARNATION or (has_left and event.outcome == NOT_SENT):
         expire_runs(state, executor, "executor process was replaced or has ended")
         confirm_crash(state, executor)
@@ -377,6 +394,7 @@
     """Return whether an executor may get new work now."""
     if (
         executor.entry.is_draining
+        or executor.has_invalid_entry
         or not executor.has_accepted_fence
         or not executor.is_in_stored_roster
     ):
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -269,8 +269,9 @@
     that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `slowness` is 1 at the estimated speed and higher if slower.
-    `is_gone` is set once its process is certainly gone, and `tasks_at_silence` holds what ran on it
-    when it stopped answering.
+    `has_invalid_entry` is set while the platform lists an entry that cannot be used. `is_gone` is
+    set once its process is certainly gone, and `tasks_at_silence` holds what ran on it when it
+    stopped answering.
     """
 
     __slots__ = (
@@ -286,6 +287,7 @@
         "next_hold_at",
         "id",
         "has_accepted_fence",
+        "has_invalid_entry",
         "has_open_hold",
         "is_gone",
         "is_listed",
@@ -314,6 +316,7 @@
         self.id = entry.id
         self.entry = entry
         self.is_listed = True
+        self.has_invalid_entry = False
         self.is_in_stored_roster = False
         self.unlisted_at = 0.0
         self.must_answer = False
