Let a failed handler of one item leave the other items and the watch alone

Seen: where the handler of one item raised an unexpected error, the watch of the prefix ended and was started again 0.2 s later; a list was read again for each such item, and the other changes of the same answer came late.

Cause: errors of handlers went through the loop of the watch.

Evidence: TestFailedChange on the code before: the list of 200 odd items was not applied within 2 s (10 restarts), and of 11 changes beside an odd one none was reported; after: both pass, with one list.

Conclusion: the watch reports each item for itself, and logs a failed one once for each key and error.

--- a/tests/entry/test_invalid_inputs.py
+++ b/tests/entry/test_invalid_inputs.py
@@ -15,6 +15,9 @@
     MAX_LINES_PER_INTERVAL,
     InvalidInputs,
 )
+from wasabiramp.entry.ports import Change, Item
+from wasabiramp.entry.supervision import async_keep_running
+from wasabiramp.entry.watcher import PrefixWatcher
 from wasabiramp.model.entry.clock import VirtualLoop
 from wasabiramp.model.entry.schedule import find_owner
 from wasabiramp.model.entry.world import ModelCodec, World
@@ -71,6 +74,73 @@
         assert lines[-1]["invalid"] == 3 * MAX_LINES_PER_INTERVAL + 1
 
 
+class ItemStore:
+    """A store with one list, and watches that return scripted changes."""
+
+    def __init__(self, items: list[Item], watches: list[list[Change]]) -> None:
+        """Return the items from each list, and the changes from successive watches."""
+        self._items = items
+        self._watches = watches
+        self.lists = 0
+
+    async def async_list(self, prefix: str) -> tuple[list[Item], int]:
+        """Return the items."""
+        self.lists += 1
+        return self._items, 10
+
+    async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[Any, int]:
+        """Return the next changes, or wait for an hour once there are none."""
+        if not self._watches:
+            await asyncio.sleep(3600)
+        changes = self._watches.pop(0)
+        return changes, changes[-1].revision
+
+
+class TestFailedChange:
+    """A change whose handler fails affects neither other items nor the watch."""
+
+    def watch(self, store: ItemStore) -> list[str]:
+        """Watch with a handler that fails for keys with `odd`; return the other keys in order."""
+        seen = []
+
+        def handle(key: str, item: Item | None) -> None:
+            if "odd" in key:
+                raise RecursionError("too deep")
+            seen.append(key)
+
+        async def run_scenario() -> None:
+            watcher = PrefixWatcher(store, "p/", 1.0, handle)  # type: ignore[arg-type]
+            work = async_keep_running("watch", watcher.async_run)
+            task = asyncio.get_running_loop().create_task(work)
+            await asyncio.sleep(2.0)
+            assert watcher.synced.is_set()
+            task.cancel()
+
+        loop = VirtualLoop()
+        loop.run_until_complete(run_scenario())
+        loop.close()
+        return seen
+
+    # Guards against lists that are read again and again: one for each item whose handler fails.
+    def test_list(self, lines: Lines) -> None:
+        items = [Item(f"p/odd-{n}", b"", 5) for n in range(200)] + [Item("p/z", b"", 5)]
+        store = ItemStore(items, [])
+        assert self.watch(store) == ["p/z"]
+        assert store.lists == 1
+        assert len(lines) == MAX_LINES_PER_INTERVAL
+
+    def test_watch(self, lines: Lines) -> None:
+        def change(key: str, revision: int) -> Change:
+            return Change(key, revision, Item(key, b"", revision))
+
+        odd_beats = [[change("p/odd", n), change(f"p/{n}", n)] for n in range(11, 21)]
+        removal = [Change("p/odd", 30, None), Change("p/12", 31, None)]
+        store = ItemStore([], [*odd_beats, removal])
+        assert self.watch(store) == [f"p/{n}" for n in range(11, 21)] + ["p/12"]
+        assert store.lists == 1
+        assert [line["key"] for line in lines] == ["p/odd"]
+
+
 class TestEntriesOfOtherWriters:
     """Invalid entries beside good ones: the jobs run, and the owner and its watch go on."""
 
--- a/wasabiramp/entry/watcher.py
+++ b/wasabiramp/entry/watcher.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.ports import (
     Change,
     HistoryLostError,
@@ -14,7 +15,7 @@
     StoreRefusedError,
     StoreUnknownError,
 )
-from wasabiramp.logs import log_event
+from wasabiramp.logs import log_event, log_failure
 
 RETRY_DELAY_S: Final = 0.15
 """Delay after a first failed call; it doubles, so that an outage costs few calls."""
@@ -52,6 +53,7 @@
         self._batch_delay_s = batch_delay_s
         self._revision = 0
         self._watch_after: int | None = None
+        self._failed_changes = InvalidInputs("store_change_failed")
         self.items: dict[str, Item] = {}
         self.confirmed_at: float | None = None
         self.synced = asyncio.Event()
@@ -99,7 +101,7 @@
         listed = {item.key for item in items}
         for key in [key for key in self.items if key not in listed]:
             del self.items[key]
-            self._on_change(key, None)
+            self._report_change(key, None)
         for item in items:
             self._apply_item(item)
         self._watch_after = self._revision = as_of
@@ -111,7 +113,7 @@
                 self._apply_item(change.item)
             elif change.key in self.items and self.items[change.key].revision < change.revision:
                 del self.items[change.key]
-                self._on_change(change.key, None)
+                self._report_change(change.key, None)
         self._watch_after = max(self._watch_after or 0, as_of)
         self._revision = max(self._revision, self._watch_after)
 
@@ -120,4 +122,14 @@
         known = self.items.get(item.key)
         if known is None or known.revision < item.revision:
             self.items[item.key] = item
-            self._on_change(item.key, item)
+            self._report_change(item.key, item)
+
+    def _report_change(self, key: str, item: Item | None) -> None:
+        """Call `on_change`; an unexpected error affects neither other items nor the watch."""
+        try:
+            self._on_change(key, item)
+        except Exception as err:
+            if self._failed_changes.add(key, err) and len(self._failed_changes) == 1:
+                log_failure("store_change_failed")
+        else:
+            self._failed_changes.remove(key)
