Keep the good rows of a store's answer beside an odd one

Seen: one row that could not be read (its value no base64 text, its key with a single surrogate, its revision no whole number) made the whole list or watch count as lost. The watch asked again and again and followed nothing, for the executors as well as for members, jobs and configuration.

Cause: an answer was decoded as a whole, by `int` of anything.

Conclusion: an item with an unreadable value or revision is an invalid record, not a removed one; a key that cannot be encoded is left out, as it is none of ours. Where a row has no key, the answer is partial: its good rows count, no item is taken for removed, and partial changes are followed by one list.

--- a/tests/entry/test_invalid_inputs.py
+++ b/tests/entry/test_invalid_inputs.py
@@ -15,7 +15,7 @@
     MAX_LINES_PER_INTERVAL,
     InvalidInputs,
 )
-from wasabiramp.entry.ports import Change, Item
+from wasabiramp.entry.ports import Change, Item, PartialList
 from wasabiramp.entry.supervision import async_keep_running
 from wasabiramp.entry.watcher import PrefixWatcher
 from wasabiramp.model.entry.clock import VirtualLoop
@@ -141,6 +141,54 @@
         assert [line["key"] for line in lines] == ["p/odd"]
 
 
+class TestPartialAnswers:
+    """Nothing is concluded from what a partial list or partial changes lack."""
+
+    def watch(self, store: Any) -> list[tuple[str, int | None]]:
+        """Watch for two seconds; return the reported keys and revisions."""
+        seen: list[tuple[str, int | None]] = []
+
+        async def run_scenario() -> None:
+            watcher = PrefixWatcher(
+                store, "p/", 1.0, lambda key, item: seen.append((key, item and item.revision))
+            )
+            task = asyncio.get_running_loop().create_task(watcher.async_run())
+            await asyncio.sleep(2.0)
+            task.cancel()
+
+        loop = VirtualLoop()
+        loop.run_until_complete(run_scenario())
+        loop.close()
+        return seen
+
+    # Guards against the removal of items that an answer of the store could not show.
+    def test_item_that_a_partial_list_lacks_is_not_removed(self) -> None:
+        store = ItemStore([Item("p/a", b"", 5), Item("p/b", b"", 5)], [])
+        change = Change("p/a", 11, Item("p/a", b"", 11))
+        store._watches.append(PartialList([change]))
+        first_list = store._items
+
+        async def async_list(prefix: str) -> tuple[list[Item], int]:
+            store.lists += 1
+            return first_list if store.lists == 1 else PartialList([Item("p/b", b"", 12)]), 12
+
+        store.async_list = async_list  # type: ignore[method-assign]
+        assert self.watch(store) == [("p/a", 5), ("p/b", 5), ("p/a", 11), ("p/b", 12)]
+        assert store.lists == 2
+
+    def test_item_without_revision_keeps_the_known_one(self) -> None:
+        store = ItemStore([Item("p/a", b"good", 5)], [])
+        store._watches.append(PartialList([Change("p/c", 11, Item("p/c", b"", 11))]))
+        first_list = store._items
+
+        async def async_list(prefix: str) -> tuple[list[Item], int]:
+            store.lists += 1
+            return first_list if store.lists == 1 else [Item("p/a", b"", 0)], 12
+
+        store.async_list = async_list  # type: ignore[method-assign]
+        assert self.watch(store) == [("p/a", 5), ("p/c", 11), ("p/c", None)]
+
+
 class TestEntriesOfOtherWriters:
     """Invalid entries beside good ones: the jobs run, and the owner and its watch go on."""
 
--- a/wasabiramp/entry/ports.py
+++ b/wasabiramp/entry/ports.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from wasabiramp.scheduling.model import CellConfig, ExecutorEntry, ExecutorReport
 
+T = TypeVar("T")
+
 
 class WasabirampError(Exception):
     """Base class of the errors that callers of this package handle."""
@@ -64,6 +66,13 @@
     item: Item | None
 
 
+class PartialList(list[T]):
+    """Items or changes of the store without those that could not be read.
+
+    An item that is missing from it may exist.
+    """
+
+
 @dataclass(slots=True)
 class Transaction:
     """An atomic change of several keys.
@@ -127,12 +136,16 @@
         """Return an item, or None."""
 
     async def async_list(self, prefix: str) -> tuple[list[Item], int]:
-        """Return all items under a prefix, and the revision after which to watch for changes."""
+        """Return all items under a prefix, and the revision after which to watch for changes.
+
+        The items are a PartialList if some could not be read.
+        """
 
     async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
         """Wait for changes; return them and the revision to continue from.
 
-        Raise HistoryLostError if the store no longer has the changes after that revision.
+        The changes are a PartialList if some could not be read. Raise HistoryLostError if the
+        store no longer has the changes after that revision.
         """
 
     async def async_commit(self, transaction: Transaction) -> int:
--- a/wasabiramp/entry/watcher.py
+++ b/wasabiramp/entry/watcher.py
@@ -11,6 +11,7 @@
     Change,
     HistoryLostError,
     Item,
+    PartialList,
     Store,
     StoreRefusedError,
     StoreUnknownError,
@@ -94,12 +95,16 @@
             await asyncio.sleep(self._batch_delay_s)
 
     def _apply_list(self, items: list[Item], as_of: int) -> None:
-        """Apply a complete list; items missing from it were removed."""
+        """Apply a list; items missing from it were removed, unless the list is partial."""
         if as_of < self._revision:
             log_event("store_list_stale", prefix=self._prefix, revision=as_of, known=self._revision)
             return
         listed = {item.key for item in items}
-        for key in [key for key in self.items if key not in listed]:
+        removed = [key for key in self.items if key not in listed]
+        if isinstance(items, PartialList):
+            log_event("store_list_partial", prefix=self._prefix, missing=len(removed))
+            removed.clear()
+        for key in removed:
             del self.items[key]
             self._report_change(key, None)
         for item in items:
@@ -107,7 +112,7 @@
         self._watch_after = self._revision = as_of
 
     def _apply_changes(self, changes: list[Change], as_of: int) -> None:
-        """Apply changes in the order of their revisions."""
+        """Apply changes in the order of their revisions; list again if some could not be read."""
         for change in changes:
             if change.item is not None:
                 self._apply_item(change.item)
@@ -116,6 +121,9 @@
                 self._report_change(change.key, None)
         self._watch_after = max(self._watch_after or 0, as_of)
         self._revision = max(self._revision, self._watch_after)
+        if isinstance(changes, PartialList):
+            log_event("store_changes_partial", prefix=self._prefix, revision=as_of)
+            self._watch_after = None
 
     def _apply_item(self, item: Item) -> None:
         """Apply an item, unless the copy has the same revision or a newer one."""
--- a/wasabiramp/platform/clients.py
+++ b/wasabiramp/platform/clients.py
@@ -20,6 +20,7 @@
     LeaseEndedError,
     NoAnswerError,
     OrderAnswer,
+    PartialList,
     StoreConflictError,
     StoreRefusedError,
     StoreUnknownError,
@@ -27,6 +28,14 @@
 )
 from wasabiramp.entry.timeouts import AdaptiveTimeouts
 from wasabiramp.logs import log_event
+from wasabiramp.platform.items import (
+    check_revision,
+    decode_changes,
+    decode_existing_items,
+    decode_item,
+    decode_page,
+    parse_lenient_json,
+)
 from wasabiramp.platform.wire import decode_report
 from wasabiramp.scheduling import events
 from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask, StopTask
@@ -160,32 +169,40 @@
         status, raw = await self._async_call(
             "GET", f"kv-key?{query}", total_timeout_s=LONG_ANSWER_TIMEOUT_S
         )
-        return None if status == 404 else _parse_answer(lambda: _parse_item(raw))
+        return None if status == 404 else _parse_answer(lambda: decode_item(raw))
 
     async def async_list(self, prefix: str) -> tuple[list[Item], int]:
         """Return all items under a prefix, and the revision from which to watch for changes.
 
-        The revision is that of the first page, so a watch from it misses no change.
+        The revision is that of the first page, so a watch from it misses no change. The items are
+        a PartialList if some could not be read.
         """
         items: list[Item] = []
+        is_partial = False
         as_of = 0
+        last_key = ""
         while True:
             query = {"prefix": prefix}
-            if items:
-                query["after"] = items[-1].key
+            if last_key:
+                query["after"] = last_key
             _status, raw = await self._async_call(
                 "GET", f"kv-range?{urlencode(query)}", total_timeout_s=LONG_ANSWER_TIMEOUT_S
             )
-            page, page_as_of, has_more = _parse_answer(lambda raw=raw: _parse_page(raw))
+            page, page_as_of, has_more = _parse_answer(lambda raw=raw: decode_page(raw))
             items += page
+            is_partial |= isinstance(page, PartialList)
             as_of = as_of or page_as_of
-            if not has_more or not page:
-                return items, as_of
+            if not has_more:
+                return PartialList(items) if is_partial else items, as_of
+            if not page or page[-1].key <= last_key:
+                raise StoreUnknownError("a page of a list has no further key that can be read")
+            last_key = page[-1].key
 
     async def async_watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Change], int]:
         """Wait for changes; return them and the revision from which to continue.
 
-        Raises HistoryLostError if the store no longer has the changes after `after`.
+        The changes are a PartialList if some could not be read. Raises HistoryLostError if the
+        store no longer has the changes after `after`.
         """
         query = urlencode({"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)})
         status, raw = await self._async_call(
@@ -196,9 +213,7 @@
         )
         if status == 410:
             raise HistoryLostError(prefix)
-        return _parse_answer(
-            lambda: ([_parse_change(entry) for entry in raw["events"]], int(raw["asOf"]))
-        )
+        return _parse_answer(lambda: decode_changes(raw))
 
     async def async_commit(self, transaction: Transaction) -> int:
         """Commit a transaction and return its revision.
@@ -216,15 +231,15 @@
         }
         status, raw = await self._async_call("POST", "kv-txn", body)
         if status == 412:
-            raise StoreConflictError(_parse_answer(lambda: _parse_existing_items(raw)))
+            raise StoreConflictError(_parse_answer(lambda: decode_existing_items(raw)))
         if status == 404:
             raise LeaseEndedError("the transaction names a lease that has ended")
-        return _parse_answer(lambda: int(raw["rev"]))
+        return _parse_answer(lambda: check_revision(raw["rev"], "rev"))
 
     async def async_grant(self, ttl_s: float) -> int:
         """Grant a lease and return its id."""
         _status, raw = await self._async_call("POST", "kv-lease", {"ttlMs": int(ttl_s * 1000)})
-        return _parse_answer(lambda: int(raw["lease"]))
+        return _parse_answer(lambda: check_revision(raw["lease"], "lease"))
 
     async def async_renew(self, lease: int) -> None:
         """Renew a lease; raises LeaseEndedError if it has ended."""
@@ -265,10 +280,7 @@
             raise StoreUnknownError(str(err)) from err
         self._timeouts.record_response_time(kind, loop.time() - sent_at)
         if status in (200, 404, 410, 412):
-            try:
-                return status, orjson.loads(data) if data else {}
-            except ValueError as err:
-                raise StoreUnknownError("the answer is not JSON") from err
+            return status, _parse_answer(lambda: parse_lenient_json(data)) if data else {}
         if status in (400, 403, 429, 503):
             raise StoreRefusedError(f"status {status}")
         raise StoreUnknownError(f"status {status}")
@@ -286,37 +298,10 @@
     """Parse an answer; raises StoreUnknownError if it is malformed, as if it were lost."""
     try:
         return parse()
-    except (KeyError, TypeError, ValueError, AttributeError) as err:
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as err:
         raise StoreUnknownError(f"the answer cannot be read: {err!r}") from err
 
 
-def _parse_page(raw: dict[str, Any]) -> tuple[list[Item], int, bool]:
-    """Return the items of a page, its revision, and whether more pages follow."""
-    return (
-        [_parse_item(entry) for entry in raw["items"]],
-        int(raw["asOf"]),
-        bool(raw.get("hasMore")),
-    )
-
-
-def _parse_existing_items(raw: dict[str, Any]) -> dict[str, Item]:
-    """Return by key the items that exist among the keys whose expected revision did not match."""
-    entries = [entry for entry in raw.get("items") or [] if entry and entry.get("rev")]
-    return {entry["key"]: _parse_item(entry) for entry in entries}
-
-
-def _parse_item(entry: dict[str, Any]) -> Item:
-    """Return an item of the store."""
-    value = base64.b64decode(entry.get("value") or "")
-    return Item(entry["key"], value, int(entry["rev"]), int(entry.get("created", 0)))
-
-
-def _parse_change(entry: dict[str, Any]) -> Change:
-    """Return a change from a watch."""
-    item = None if entry.get("removed") else _parse_item(entry)
-    return Change(entry["key"], int(entry["rev"]), item)
-
-
 class ExecutorClient:
     """Client of the executors, which take one order per call."""
 
