Elect owners beside odd records of members, owner and term

Seen: an odd record under the owner's key, which no lease removes, left the cell without an owner once the owner ended; work stood still. An odd record of the term let terms begin with 1 again, or with 2^63, so that executors refuse runs as old or starts cannot be encoded. A record that is a map ended the watch of the members again and again (KeyError), and an odd address of a member ended the requests that used it (ValueError).

Cause: the records were read without a check of their form; an invalid name was the name of an owner, an invalid term was 0, and each key under the prefix was a member.

Conclusion: an invalid member is none, one that turns invalid keeps its known address; behind an invalid owner record the holder of the last term counts while it is a member; an invalid term counts as the revision of its record, which no term exceeds.

--- a/wasabiramp/entry/election.py
+++ b/wasabiramp/entry/election.py
@@ -6,9 +6,11 @@
 
 import msgpack
 
+from wasabiramp.core.records import DecodeError, unpack
 from wasabiramp.entry.keys import PREFIX_MEMBER
 from wasabiramp.entry.ports import EntrySettings, Item
 from wasabiramp.policy.switches import switchable
+from wasabiramp.settings.address import parse_address
 
 CLAIM_STAGGER_S: Final = 0.03
 """Delay between the claims of successive candidates, to avoid conflicts."""
@@ -32,8 +34,15 @@
 member claims again first."""
 
 
+MAX_NAME_CHARS: Final = 200
+MAX_ADDRESS_CHARS: Final = 200
+MAX_POWER_CORES: Final = 100_000
+"""Limits of the records of daemons, to which others may write."""
+
+
 def compute_claim_delay_s(
     settings: EntrySettings,
+    members: dict[str, Member],
     items: dict[str, Item],
     is_last_owner: bool,
     is_deferred: bool,
@@ -47,10 +56,11 @@
     """
     if is_last_owner and not is_deferred:
         return 0.0
-    members = [key for key in items if key.startswith(PREFIX_MEMBER)]
-    members.sort(key=lambda key: (-_get_strength(items[key]), -items[key].created))
-    own_key = PREFIX_MEMBER + settings.name
-    rank = members.index(own_key) if own_key in members else len(members)
+    names = sorted(
+        members,
+        key=lambda name: (-_get_strength(members[name]), -items[PREFIX_MEMBER + name].created),
+    )
+    rank = names.index(settings.name) if settings.name in members else len(names)
     delay_s = min(rank, MAX_CLAIM_RANK) * CLAIM_STAGGER_S
     delay_s += _get_weakness_delay_s(settings)
     if is_deferred:
@@ -58,10 +68,10 @@
     return delay_s + _get_head_start_s(is_incumbent_alive)
 
 
-@switchable("owner-strength", "prefer strong daemons as the owner", plain=lambda item: 0.0)
-def _get_strength(item: Item) -> float:
+@switchable("owner-strength", "prefer strong daemons as the owner", plain=lambda member: 0.0)
+def _get_strength(member: Member) -> float:
     """Return the rank of a member among the candidates for ownership; the highest claims first."""
-    return parse_power(item)
+    return member.power
 
 
 @switchable(
@@ -83,33 +93,71 @@
     return INCUMBENT_HEAD_START_S if is_alive else 0.0
 
 
-def parse_name(item: Item) -> str:
-    """Return the daemon's name in a member's, owner's or term's entry."""
-    try:
-        return str(msgpack.unpackb(item.value)[0])
-    except (ValueError, TypeError, IndexError):
-        return ""
+class Member:
+    """The record of a member: its address for calls between daemons, and its processor time."""
 
+    __slots__ = ("address", "name", "power")
+
+    def __init__(self, name: str, address: str, power: float) -> None:
+        """Create the record of a daemon with a processor time in cores."""
+        self.name = name
+        self.address = address
+        self.power = power
 
-def parse_address(item: Item) -> str:
-    """Return the address in a member's entry."""
-    try:
-        return str(msgpack.unpackb(item.value)[1])
-    except (ValueError, TypeError, IndexError):
-        return ""
 
+def encode_member(member: Member) -> bytes:
+    """Encode the record of a member."""
+    return msgpack.packb((member.name, member.address, member.power))
 
-def parse_power(item: Item) -> float:
-    """Return the processor time of a member, in cores."""
+
+def decode_member(item: Item, own_address: str) -> Member:
+    """Decode the record of a member; raises DecodeError, which names the invalid field.
+
+    If this daemon's own address is an IP address and a port, the member's has to be one too.
+    """
+    row = unpack(item.value)
+    if not isinstance(row, list) or len(row) < 3:
+        raise DecodeError("record: expected a name, an address and a processor time")
+    name, address, power = row[:3]
+    if name != item.key.removeprefix(PREFIX_MEMBER):
+        raise DecodeError("name: expected that of the key")
+    if not isinstance(address, str) or not 1 <= len(address) <= MAX_ADDRESS_CHARS:
+        raise DecodeError("address: expected a text")
+    if parse_address(own_address) is not None and parse_address(address) is None:
+        raise DecodeError("address: expected an IP address and a port")
+    if type(power) not in (int, float) or not 0 <= power <= MAX_POWER_CORES:
+        raise DecodeError(f"power: expected a number from 0 to {MAX_POWER_CORES}")
+    return Member(name, address, float(power))
+
+
+def decode_claim(item: Item) -> tuple[str, int]:
+    """Decode the owner's or the term's record: the name of the daemon and the number of the term.
+
+    A term is never greater than the revision of its record, as each claim increases both. Raises
+    DecodeError, which names the invalid field.
+    """
+    row = unpack(item.value)
+    if not isinstance(row, list) or len(row) != 2:
+        raise DecodeError("record: expected a name and a term")
+    name, term = row
+    if not isinstance(name, str) or not 1 <= len(name) <= MAX_NAME_CHARS:
+        raise DecodeError("name: expected a text")
+    if type(term) is not int or not 1 <= term <= item.revision:
+        raise DecodeError("term: expected a number up to the revision")
+    return name, term
+
+
+def parse_name(item: Item | None) -> str:
+    """Return the daemon's name in the owner's or the term's record, empty if that is invalid."""
     try:
-        return float(msgpack.unpackb(item.value)[2])
-    except (ValueError, TypeError, IndexError):
-        return 0.0
+        return decode_claim(item)[0] if item is not None else ""
+    except DecodeError:
+        return ""
 
 
 def parse_term(item: Item) -> int:
-    """Return the number of a term."""
+    """Return the number of a term; one that is invalid counts as the greatest possible one."""
     try:
-        return int(msgpack.unpackb(item.value)[1])
-    except (ValueError, TypeError, IndexError):
-        return 0
+        return decode_claim(item)[1]
+    except DecodeError:
+        return item.revision
--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -9,13 +9,17 @@
 
 import msgpack
 
+from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.election import (
+    Member,
     compute_claim_delay_s,
-    parse_address,
+    decode_claim,
+    decode_member,
+    encode_member,
     parse_name,
-    parse_power,
     parse_term,
 )
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.keys import KEY_OWNER, KEY_TERM, PREFIX_LIVE, PREFIX_MEMBER
 from wasabiramp.entry.ports import (
     EntrySettings,
@@ -109,6 +113,8 @@
         self._last_replacement_at = -REPLACE_INTERVAL_S
         self.tenure: Tenure | None = None
         self.renewed_at: float | None = None
+        self._invalid_records = InvalidInputs("member_record_invalid")
+        self._members: dict[str, Member] = {}
         self.addresses: dict[str, str] = {}
 
     @property
@@ -129,8 +135,8 @@
     @property
     def owner_name(self) -> str:
         """Return the name of the current owner, or of the last known one."""
-        item = self._watcher.items.get(KEY_OWNER) or self._watcher.items.get(KEY_TERM)
-        return parse_name(item) if item is not None else ""
+        items = self._watcher.items
+        return parse_name(items.get(KEY_OWNER)) or parse_name(items.get(KEY_TERM))
 
     @property
     def owner_address(self) -> str:
@@ -195,22 +201,45 @@
     def _handle_change(self, key: str, item: Item | None) -> None:
         """Handle a change of a member's, the owner's or the term's key."""
         if key.startswith(PREFIX_MEMBER):
-            name = key.removeprefix(PREFIX_MEMBER)
-            if item is not None:
-                self.addresses[name] = parse_address(item)
-                log_event("member_joined", member=name)
-            else:
-                self.addresses.pop(name, None)
-                log_event("member_left", member=name)
+            self._handle_member(key, item)
+        elif key in (KEY_OWNER, KEY_TERM) and item is not None:
+            self._handle_claim(key, item)
         elif key == KEY_OWNER and item is None:
             log_event("owner_gone", last=self.owner_name)
             self._schedule_claim()
-        elif key == KEY_OWNER and item is not None:
-            if item.revision != self._replaced_revision:
-                self._replaced_revision = 0
-            log_event("owner_seen", owner=parse_name(item))
-        elif key == KEY_TERM and item is not None:
+
+    def _handle_member(self, key: str, item: Item | None) -> None:
+        """Handle a change of a member's record; an invalid one changes nothing."""
+        name = key.removeprefix(PREFIX_MEMBER)
+        if item is None:
+            self._invalid_records.remove(key)
+            self.addresses.pop(name, None)
+            if self._members.pop(name, None) is not None:
+                log_event("member_left", member=name)
+            return
+        try:
+            member = decode_member(item, self._settings.peer_address)
+        except DecodeError as err:
+            self._invalid_records.add(key, err)
+            return
+        self._invalid_records.remove(key)
+        self._members[name] = member
+        self.addresses[name] = member.address
+        log_event("member_joined", member=name)
+
+    def _handle_claim(self, key: str, item: Item) -> None:
+        """Handle a change of the owner's or the term's record."""
+        try:
+            decode_claim(item)
+            self._invalid_records.remove(key)
+        except DecodeError as err:
+            self._invalid_records.add(key, err)
+        if key == KEY_TERM:
             self._handle_term(item)
+            return
+        if item.revision != self._replaced_revision:
+            self._replaced_revision = 0
+        log_event("owner_seen", owner=parse_name(item))
 
     def _handle_term(self, item: Item) -> None:
         """End the tenure if another daemon claimed a term; adopt a claim whose answer was lost."""
@@ -271,7 +300,7 @@
         """Request a lease and write the daemon's entry under it."""
         lease = await self._store.async_grant(self._ttl_s)
         settings = self._settings
-        value = msgpack.packb((settings.name, settings.peer_address, settings.power))
+        value = encode_member(Member(settings.name, settings.peer_address, settings.power))
         await self._store.async_commit(Transaction(writes={self._member_key: (value, lease)}))
         self._lease = lease
         log_event("joined", lease=lease)
@@ -318,28 +347,31 @@
 
     def list_peers_by_strength(self) -> list[str]:
         """Return the addresses of the other daemons, strongest first."""
-        items = self._watcher.items
-        names = [name for name in sorted(self.addresses) if name != self.name]
-        names.sort(key=lambda name: -parse_power(items[PREFIX_MEMBER + name]))
-        return [self.addresses[name] for name in names]
+        others = [self._members[name] for name in sorted(self._members) if name != self.name]
+        return [member.address for member in sorted(others, key=lambda other: -other.power)]
 
     def _is_owned(self) -> bool:
         """Return whether there is an owner that this daemon need not replace.
 
         An owner that `replace_owner` replaces does not count, nor does an earlier process of this
-        daemon.
+        daemon. Behind an invalid record, the daemon with the last term is the owner while it is a
+        member.
         """
         item = self._watcher.items.get(KEY_OWNER)
         if item is None or item.revision == self._replaced_revision:
             return False
-        return self.tenure is not None or parse_name(item) != self._settings.name
+        if self.tenure is not None:
+            return True
+        if not parse_name(item) and self.owner_name not in self._members:
+            return False
+        return self.owner_name != self._settings.name
 
     def _compute_claim_delay_s(self) -> float:
         """Return this daemon's delay before a claim."""
-        term = self._watcher.items.get(KEY_TERM)
-        last_owner = parse_name(term) if term is not None else ""
+        last_owner = parse_name(self._watcher.items.get(KEY_TERM))
         return compute_claim_delay_s(
             self._settings,
+            self._members,
             self._watcher.items,
             is_last_owner=last_owner == self._settings.name,
             is_deferred=asyncio.get_running_loop().time() < self._deferred_until,
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -17,6 +17,7 @@
 from wasabiramp.entry.ports import NoAnswerError, PeerGoneError
 from wasabiramp.logs import log_event
 from wasabiramp.peer.streams import BytesCodec
+from wasabiramp.settings.address import parse_address
 
 METHOD_PATH: Final = "/wasabiramp.Entry/Call"
 
@@ -200,8 +201,10 @@
         key = (address, isinstance(message, AskAdviser))
         channel = self._channels.get(key)
         if channel is None:
-            host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port), codec=BytesCodec())
+            host_and_port = parse_address(address)
+            if host_and_port is None:
+                raise NoAnswerError(f"{ascii(address)} is no address")
+            channel = Channel(*host_and_port, codec=BytesCodec())
             self._channels[key] = channel
         method = UnaryUnaryMethod(channel, METHOD_PATH, bytes, bytes)
         sent = encode_message(message)
@@ -209,7 +212,10 @@
         try:
             data = await asyncio.wait_for(method(sent), self._lag.extend(timeout_s))
             self._peer_traffic.record_call(kind, len(sent) + len(data), is_answered=True)
-            return decode_message(data)
+            answer = decode_message(data)
+            if not isinstance(answer, PeerAnswer):
+                raise DecodeError(f"unexpected answer {type(answer).__name__}")
+            return answer
         except (
             TimeoutError,
             OSError,
