Recover an owner beside odd records of roster, jobs and progress

Seen: an odd record under the roster's key let the recovery of each owner fail (recovery_failed, the next daemon claimed and failed alike): nothing ran any more, accepted jobs were lost. The same came of a progress record whose parts were of another type (KeyError, AttributeError). A job with an odd progress record counted as ended, so that the record was removed after the retention and the job would have started anew.

Cause: the roster was decoded without a check, records with checks of some errors only, and counts without bounds.

Conclusion: records are checked field by field. An incomplete roster says nothing on executors that are not in it, so that tasks of the earlier owner wait until its leases have expired. Unreadable records stay in the store and conclude nothing: their jobs are neither started nor shown as unknown.

--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 import msgpack
 
-from wasabiramp.core.records import DecodeError
+from wasabiramp.core.records import DecodeError, unpack
 from wasabiramp.entry.keys import (
     KEY_COMMITS,
     KEY_ROSTER,
@@ -32,6 +32,7 @@
 from wasabiramp.logs import log_event
 from wasabiramp.scheduling.model import FINAL_PHASES, JobDefinition, JobProgress
 from wasabiramp.scheduling.records import (
+    check_progress,
     decode_definition,
     decode_progress,
     encode_progress,
@@ -56,12 +57,14 @@
 class Kept:
     """Stored state as of a revision of the store.
 
-    `roster` holds the ids and addresses of executors, `jobs` the jobs that have not ended, with
+    `roster` holds the ids and addresses of executors; `is_roster_complete` is False if some of it
+    could not be read. `jobs` are the jobs that have not ended, with
     the revisions of their definitions and their progress, and `ended` the ids of ended jobs.
     """
 
     as_of: int
     roster: list[tuple[str, str]]
+    is_roster_complete: bool = True
     jobs: list[tuple[JobDefinition, int, JobProgress | None]] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
 
@@ -107,13 +110,15 @@
             log_event("recovery_read_failed", error=err)
             return None
         self._commits_revision = commits.revision if commits is not None else 0
-        roster_rows = msgpack.unpackb(roster.value) if roster is not None else []
-        stored_state = Kept(as_of, [(row[0], row[1]) for row in roster_rows])
+        stored_state = Kept(as_of, *_decode_roster(roster))
         progress_items = {item.key.removeprefix(PREFIX_PROGRESS): item for item in progress}
-        for item in jobs:
-            _add_job(stored_state, item, progress_items)
-        unended_ids = {job.id for job, _revision, _progress in stored_state.jobs}
-        stored_state.ended = [job_id for job_id in progress_items if job_id not in unended_ids]
+        unreadable_ids = {
+            item.key.removeprefix(PREFIX_JOB)
+            for item in jobs
+            if not _add_job(stored_state, item, progress_items)
+        }
+        open_ids = {job.id for job, _revision, _progress in stored_state.jobs} | unreadable_ids
+        stored_state.ended = [job_id for job_id in progress_items if job_id not in open_ids]
         return stored_state
 
     async def async_store(self, changes: Changes) -> bool:
@@ -186,17 +191,47 @@
         return removed_ids
 
 
-def _add_job(stored_state: Kept, item: Item, progress_items: dict[str, Item]) -> None:
-    """Add a job that has not ended; an unreadable one is logged and left in the store."""
+def _decode_roster(item: Item | None) -> tuple[list[tuple[str, str]], bool]:
+    """Return the ids and addresses of the executors, and whether all of them could be read."""
+    if item is None:
+        return [], True
+    try:
+        rows = unpack(item.value)
+    except DecodeError as err:
+        log_event("roster_unreadable", revision=item.revision, error=err)
+        return [], False
+    rows = rows if isinstance(rows, list) else [None]
+    roster = [(row[0], row[1]) for row in rows if _is_roster_row(row)]
+    if len(roster) < len(rows):
+        log_event("roster_incomplete", revision=item.revision, rows=len(rows), read=len(roster))
+    return roster, len(roster) == len(rows)
+
+
+def _is_roster_row(row: Any) -> bool:
+    """Return whether a row of the roster is the id and the address of an executor."""
+    is_pair = isinstance(row, list) and len(row) == 2
+    return is_pair and all(isinstance(text, str) and text for text in row)
+
+
+def _add_job(stored_state: Kept, item: Item, progress_items: dict[str, Item]) -> bool:
+    """Add a job that has not ended; return whether its records could be read.
+
+    Unreadable ones are logged and left in the store.
+    """
     try:
         definition = decode_definition(item.value)
         progress_item = progress_items.get(definition.id)
         progress = decode_progress(progress_item.value) if progress_item is not None else None
+        if definition.id != item.key.removeprefix(PREFIX_JOB):
+            raise DecodeError("id: expected that of the key")
+        if progress is not None:
+            check_progress(definition, progress)
     except DecodeError as err:
         log_event("job_unreadable", key=item.key, error=err)
-        return
+        return False
     if progress is None or progress.phase not in FINAL_PHASES:
         stored_state.jobs.append((definition, item.revision, progress))
+    return True
 
 
 def _build_transactions(changes: Changes) -> list[Transaction]:
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -249,6 +249,8 @@
         """Add a stored job from its record; return whether the record could be decoded."""
         try:
             definition = decode_definition(data)
+            if type(revision) is not int:
+                raise DecodeError("revision: expected a whole number")
         except DecodeError as err:
             log_event("job_unreadable", revision=revision, error=err)
             return False
@@ -376,7 +378,15 @@
             for job, revision, progress in stored_state.jobs
         ]
         lease_left_s = self._lease_s * LEASE_TOLERANCE_FACTOR + LEASE_EXPIRY_MARGIN_S
-        self._reduce(JobsRecovered(stored, stored_state.roster, lease_left_s, stored_state.as_of))
+        self._reduce(
+            JobsRecovered(
+                stored,
+                stored_state.roster,
+                lease_left_s,
+                stored_state.as_of,
+                stored_state.is_roster_complete,
+            )
+        )
         self._jobs_watcher.start_after(stored_state.as_of)
         return True
 
--- a/wasabiramp/entry/request_handler.py
+++ b/wasabiramp/entry/request_handler.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from wasabiramp.core.records import DecodeError
 from wasabiramp.entry import admission as admission_outcomes
 from wasabiramp.entry.admission import Admission
 from wasabiramp.entry.answers import (
@@ -321,8 +322,12 @@
         outcome = admission_outcomes.REFUSED
         if self._store.is_unavailable():
             return PeerAnswer(OK, outcome)
-        for data in message.definitions:
-            job = decode_definition(data)
+        try:
+            jobs = [decode_definition(data) for data in message.definitions]
+        except DecodeError as err:
+            log_event("peer_jobs_unreadable", error=err)
+            return PeerAnswer(FAILED, str(err))
+        for job in jobs:
             outcome, revision = await self.admission.async_store(job)
             if outcome == admission_outcomes.STORED:
                 self._announce(job, revision)
@@ -352,7 +357,11 @@
             log_event("job_not_shown", job=job_id, error=err)
             return Answer(NOT_READY, reason="the store is away", retry_after_s=RETRY_AFTER_S)
         if record is not None:
-            phase = decode_progress(record.value).phase
+            try:
+                phase = decode_progress(record.value).phase
+            except DecodeError as err:
+                log_event("job_not_shown", job=job_id, error=err)
+                return Answer(NOT_READY, reason="the job's record is invalid")
             if phase in FINAL_PHASES:
                 return Answer(SHOWN, phase)
         if item is None and record is None:
--- a/wasabiramp/platform/wire.py
+++ b/wasabiramp/platform/wire.py
@@ -8,7 +8,7 @@
 import orjson
 
 from wasabiramp.core.records import DecodeError
-from wasabiramp.scheduling.jobs import validate_steps
+from wasabiramp.scheduling.jobs import MAX_STEPS, MAX_TASKS, validate_steps
 from wasabiramp.scheduling.model import (
     AdvicePolicy,
     CellConfig,
@@ -29,10 +29,6 @@
 MAX_SPEC_BYTES: Final = 4_000
 """The platform's limit of a job's `spec`."""
 
-MAX_STEPS: Final = 200
-MAX_TASKS: Final = 20_000
-"""Our limits of one job, which keep its record well below the store's limit of a value."""
-
 
 MAX_WHOLE_NUMBER: Final = 2**53 - 1
 """Greatest whole number that all JSON libraries and floating point numbers hold exactly."""
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -59,14 +59,16 @@
 class JobsRecovered:
     """Jobs and executor roster of an earlier owner, as of a store revision.
 
-    The roster holds the id and address of each executor. The earlier owner's leases on executors
-    have expired `lease_left_s` from now.
+    The roster holds the id and address of each executor; `is_roster_complete` is False if some of
+    it could not be read. The earlier owner's leases on executors have expired `lease_left_s` from
+    now.
     """
 
     jobs: list[StoredJob]
     roster: list[tuple[str, str]]
     lease_left_s: float
     as_of: int
+    is_roster_complete: bool = True
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -387,6 +387,8 @@
         for executor in state.executors.values():
             executor.must_answer = False
         return False
+    if state.has_unknown_executors:
+        return True
     return any(executor.must_answer for executor in state.executors.values())
 
 
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -27,6 +27,10 @@
 OCCURRENCES_AHEAD: Final = 4
 """Maximum number of unfinished occurrences of a repeated job that are prepared."""
 
+MAX_STEPS: Final = 200
+MAX_TASKS: Final = 20_000
+"""Limits of one job, which keep its record well below the store's limit of a value."""
+
 
 @handles(ConfigChanged)
 def handle_config_changed(state: SchedulerState, event: ConfigChanged) -> None:
@@ -70,6 +74,7 @@
     """
     state.recovery_deadline = state.now + event.lease_left_s
     state.recovered_revision = event.as_of
+    state.has_unknown_executors = not event.is_roster_complete
     for executor_id, address in event.roster:
         executor = state.executors.get(executor_id)
         if executor is None:
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -7,8 +7,12 @@
 
 import msgpack
 
-from wasabiramp.core.records import DecodeError
+from wasabiramp.core.records import DecodeError, unpack
+from wasabiramp.scheduling.jobs import MAX_STEPS, MAX_TASKS, validate_steps
 from wasabiramp.scheduling.model import (
+    FINAL_PHASES,
+    PENDING,
+    RUNNING,
     AdvicePolicy,
     Crash,
     JobDefinition,
@@ -22,6 +26,14 @@
 FORMAT: Final = 1
 """Format version, the first field of each record; decoding rejects any other version."""
 
+MAX_NUMBER: Final = 2**53 - 1
+"""Greatest number in a record."""
+
+MAX_ROWS: Final = 1_000_000
+"""Greatest length of a list in the progress of a job."""
+
+PHASES: Final = FINAL_PHASES | {PENDING, RUNNING}
+
 
 def encode_definition(job: JobDefinition) -> bytes:
     """Encode a job definition."""
@@ -71,18 +83,122 @@
 def decode_definition(data: bytes) -> JobDefinition:
     """Decode a job definition; raise DecodeError if the data is invalid."""
     try:
-        version, job_id, queue_row, spec, steps, times = msgpack.unpackb(data)
-        if version != FORMAT:
-            raise DecodeError(f"unsupported job record format {version}")
-        advice_row = queue_row[9]
-        advice = AdvicePolicy(*advice_row) if advice_row is not None else None
-        queue = Queue(*queue_row[:9], advice)
-        decoded_steps = tuple(
-            Step(row[0], Resources(*row[1]), row[2], tuple(row[3]), *row[4:]) for row in steps
+        version, job_id, queue_row, spec, steps, times = unpack(data)
+        _check_version(version)
+        definition = JobDefinition(
+            _check_text(job_id, "id"),
+            _decode_queue(queue_row),
+            _check_text(spec, "spec"),
+            tuple(_decode_step(row) for row in _check_list(steps, "steps", MAX_STEPS)),
+            *(_check_whole_number(value, "times") for value in _check_list(times, "times", 4)),
         )
-        return JobDefinition(job_id, queue, spec, decoded_steps, *times)
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as err:
+    except (ValueError, TypeError, IndexError) as err:
         raise DecodeError(f"job record cannot be decoded: {err}") from err
+    problem = validate_steps(definition.steps)
+    if problem or sum(step.count for step in definition.steps) > MAX_TASKS:
+        raise DecodeError(problem or f"steps: expected at most {MAX_TASKS} tasks")
+    return definition
+
+
+def _decode_queue(row: Any) -> Queue:
+    """Decode the copy of a job's queue."""
+    row = _check_list(row, "queue", QUEUE_FIELDS, QUEUE_FIELDS)
+    advice_row = row[9]
+    advice = None
+    if advice_row is not None:
+        advice_row = _check_list(advice_row, "advice", 3, 3)
+        advice = AdvicePolicy(*(_check_number(value, "advice") for value in advice_row))
+    return Queue(
+        *(_check_text(value, "queue") for value in row[:4]),
+        *(_check_whole_number(value, "queue") for value in row[4:6]),
+        *(_check_number(value, "queue") for value in row[6:9]),
+        advice,
+    )
+
+
+def _decode_step(row: Any) -> Step:
+    """Decode a step; fields that the record of an earlier version lacks have their defaults."""
+    row = _check_list(row, "step", STEP_FIELDS, 4)
+    demand = _check_list(row[1], "demand", 3, 3)
+    after = _check_list(row[3], "after", MAX_STEPS)
+    checked = [check(value, "step") for check, value in zip(STEP_CHECKS, row[4:], strict=False)]
+    return Step(
+        _check_whole_number(row[0], "count"),
+        Resources(*(_check_whole_number(value, "demand") for value in demand)),
+        _check_number(row[2], "estimate"),
+        tuple(_check_whole_number(value, "after") for value in after),
+        *checked,
+    )
+
+
+def _check_version(version: Any) -> None:
+    """Refuse a record of another format."""
+    if version != FORMAT:
+        raise DecodeError(f"unsupported record format {ascii(version)[:20]}")
+
+
+def _check_list(value: Any, field: str, most: int, least: int = 0) -> list[Any]:
+    """Return a list of a limited length; raises DecodeError, which names the field."""
+    if not isinstance(value, list) or not least <= len(value) <= most:
+        raise DecodeError(f"{field}: expected a list of {least} to {most} values")
+    return value
+
+
+def _check_map(value: Any, field: str) -> dict[int, Any]:
+    """Return a map from whole numbers; raises DecodeError, which names the field."""
+    if not isinstance(value, dict):
+        raise DecodeError(f"{field}: expected a map")
+    for key in value:
+        _check_whole_number(key, field)
+    return value
+
+
+def _check_text(value: Any, field: str) -> str:
+    """Return a text; raises DecodeError, which names the field."""
+    if not isinstance(value, str):
+        raise DecodeError(f"{field}: expected a text")
+    return value
+
+
+def _check_flag(value: Any, field: str) -> bool:
+    """Return a truth value; raises DecodeError, which names the field."""
+    if not isinstance(value, bool):
+        raise DecodeError(f"{field}: expected true or false")
+    return value
+
+
+def _check_number(value: Any, field: str) -> float:
+    """Return a number that is not negative; raises DecodeError, which names the field."""
+    if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
+        raise DecodeError(f"{field}: expected a number from 0 to {MAX_NUMBER}")
+    return value
+
+
+def _check_whole_number(value: Any, field: str) -> int:
+    """Return a whole number that is not negative; raises DecodeError, which names the field."""
+    if type(value) is not int or not 0 <= value <= MAX_NUMBER:
+        raise DecodeError(f"{field}: expected a whole number from 0 to {MAX_NUMBER}")
+    return value
+
+
+STEP_CHECKS: Final = (
+    _check_flag,
+    _check_flag,
+    _check_text,
+    _check_text,
+    _check_whole_number,
+    _check_flag,
+    _check_flag,
+    _check_flag,
+    _check_whole_number,
+    _check_text,
+    _check_number,
+    _check_flag,
+)
+"""Checks of the fields of a step after the first four, in the order of their encoding."""
+
+STEP_FIELDS: Final = 4 + len(STEP_CHECKS)
+QUEUE_FIELDS: Final = 10
 
 
 def encode_progress(progress: JobProgress) -> bytes:
@@ -110,15 +226,65 @@
 def decode_progress(data: bytes) -> JobProgress:
     """Decode the progress of a job; raise DecodeError if the data is invalid."""
     try:
-        version, phase, steps = msgpack.unpackb(data, strict_map_key=False)
-        if version != FORMAT:
-            raise DecodeError(f"unsupported progress record format {version}")
+        version, phase, steps = unpack(data)
+        _check_version(version)
+        if phase not in PHASES:
+            raise DecodeError("phase: expected a phase of a job")
         progress = JobProgress(phase)
         for occurrence, index, done, failed, saved, *rest in steps:
-            runs = {number: set(numbers) for number, numbers in failed.items()}
-            rows_by_task = rest[0] if rest else {}
-            crashes = {n: [Crash(*row) for row in rows] for n, rows in rows_by_task.items()}
-            progress.steps[(occurrence, index)] = StepProgress(set(done), runs, saved, crashes)
+            key = (
+                _check_whole_number(occurrence, "occurrence"),
+                _check_whole_number(index, "step"),
+            )
+            progress.steps[key] = _decode_step_progress(
+                done, failed, saved, rest[0] if rest else {}
+            )
         return progress
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as err:
+    except (ValueError, TypeError) as err:
         raise DecodeError(f"progress record cannot be decoded: {err}") from err
+
+
+def _decode_step_progress(done: Any, failed: Any, saved: Any, crashes: Any) -> StepProgress:
+    """Decode the progress of one step."""
+    return StepProgress(
+        _decode_numbers(done, "done"),
+        {
+            number: _decode_numbers(runs, "failed")
+            for number, runs in _check_map(failed, "failed").items()
+        },
+        {number: _check_text(text, "saved") for number, text in _check_map(saved, "saved").items()},
+        {
+            number: [_decode_crash(row) for row in _check_list(rows, "crashes", MAX_ROWS)]
+            for number, rows in _check_map(crashes, "crashes").items()
+        },
+    )
+
+
+def _decode_numbers(value: Any, field: str) -> set[int]:
+    """Decode a set of whole numbers."""
+    return {_check_whole_number(number, field) for number in _check_list(value, field, MAX_ROWS)}
+
+
+def _decode_crash(row: Any) -> Crash:
+    """Decode a crash of an executor under a task."""
+    executor, born_ms, age_s, blame, *flags = _check_list(row, "crash", 6, 4)
+    return Crash(
+        _check_text(executor, "crash"),
+        _check_whole_number(born_ms, "crash"),
+        _check_number(age_s, "crash"),
+        _check_number(blame, "crash"),
+        *(_check_flag(flag, "crash") for flag in flags),
+    )
+
+
+def check_progress(definition: JobDefinition, progress: JobProgress) -> None:
+    """Raise DecodeError if the progress names steps or tasks that the job does not have."""
+    occurrences = max(1, definition.repeat_count)
+    for (occurrence, index), step in progress.steps.items():
+        if occurrence >= occurrences or index >= len(definition.steps):
+            raise DecodeError("progress: unexpected step")
+        count = definition.steps[index].count
+        if any(
+            number >= count for number in (*step.done, *step.failed, *step.saved, *step.crashes)
+        ):
+            raise DecodeError("progress: unexpected task")
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -367,8 +367,9 @@
     """State of the scheduler of one domain.
 
     After a takeover, `recovery_deadline` is the time at which the earlier owner's leases have
-    expired; it is 0 once the recovery is complete. `recovered_revision` is the store revision as of
-    which jobs were recovered. `suspect_steps` are the open steps with suspects, by name.
+    expired; it is 0 once the recovery is complete. `has_unknown_executors` is set if the earlier
+    owner may have runs on executors that are not known. `recovered_revision` is the store revision
+    as of which jobs were recovered. `suspect_steps` are the open steps with suspects, by name.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -381,6 +382,7 @@
         "effects",
         "executors",
         "has_given_up_ownership",
+        "has_unknown_executors",
         "is_roster_dirty",
         "jobs",
         "lease_limit_s",
@@ -422,6 +424,7 @@
         self.recovery_deadline = 0.0
         self.recovered_revision = 0
         self.has_given_up_ownership = False
+        self.has_unknown_executors = False
         self.is_roster_dirty = False
         self.executor_list_version = 0
         self.list_age_s = 0.0
