Check numbers and texts of answers, configuration and jobs by bounds

Seen: a configuration with a version of 1e308 was applied, and all later versions were ignored. A report whose clock was 2^64 - 1 made each later start fail unsent (TypeError of the encoder); texts and numbers of other types in its rows went into the state and the records. A job with a cpu of 1e308 passed the check and failed in the encoder of its record, and with it all jobs of the same batch were answered as perhaps stored. One odd row of the adviser hid its other rows. A report that could not be read was logged with each hold.

Cause: `int` and `float` of whatever came, texts not checked, errors of encoders not handled.

Conclusion: all bounds are constants of wire.py, errors name the field. A report with an odd row is refused as a whole, as a run that the row hides must not count as gone; its executor counts as silent. An odd row of the adviser recommends nobody. A call that cannot be encoded was not sent.

--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -8,6 +8,8 @@
 import orjson
 import pytest
 
+from wasabiramp.entry import invalid_inputs
+from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.timeouts import AdaptiveTimeouts
 from wasabiramp.platform.clients import (
     CONNECT_TIMEOUT_S,
@@ -15,11 +17,13 @@
     ORDER_TIMEOUT_RANGE_S,
     STORE_TIMEOUT_RANGE_S,
     ExecutorClient,
+    HttpClient,
     NoAnswerError,
     NotSentError,
 )
 from wasabiramp.scheduling import events
-from wasabiramp.scheduling.effects import PaceTask, StartTask
+from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask
+from wasabiramp.scheduling.model import ExecutorReport
 
 
 class FakeHttpClient:
@@ -150,3 +154,75 @@
         for _ in range(20):
             timeouts.record_response_time("kv-txn", 5.0)
         assert timeouts.get_timeout("kv-txn") == STORE_TIMEOUT_RANGE_S[1]
+
+
+class TestCallsThatCannotBeSent:
+    """An order that cannot be encoded or addressed has an outcome, not an unexpected error."""
+
+    def send(self, effect: StartTask) -> str:
+        """Send a start with a real client and return its outcome."""
+
+        async def async_run() -> str:
+            http = HttpClient(LoopLag())
+            try:
+                return (await ExecutorClient(http).async_start(effect, 7)).outcome
+            finally:
+                await http.async_close()
+
+        return asyncio.run(async_run())
+
+    # Guards against a traceback for each call to an executor of another writer's entry.
+    @pytest.mark.parametrize(
+        ("executor", "address"),
+        [
+            ("i\r\nA: b", "127.0.0.1:9"),
+            ("i\n1", "127.0.0.1:9"),
+            ("i\x00", "127.0.0.1:9"),
+            ("i\ud800", "127.0.0.1:9"),
+            ("i-1", "127.0.0.1:70000"),
+            ("i-1", "127.0.0.1:8²"),
+            ("i-1", "10.0.0.1\r\nA: b:80"),
+            ("i-1", "[::1:80"),
+            ("i-1", "a" * 300 + ":80"),
+            ("i-1", "\ud800:80"),
+        ],
+        ids=ascii,
+    )
+    def test_odd_address_or_id(self, executor: str, address: str) -> None:
+        effect = StartTask(executor, address, "a.0.0.0", 2, "x", 9_000, "", "t")
+        assert self.send(effect) in (events.UNKNOWN, events.NOT_SENT)
+
+    @pytest.mark.parametrize("until_ms", [2**64, float("nan"), 10**400])
+    def test_number_that_json_cannot_hold(self, until_ms: Any) -> None:
+        effect = StartTask("i-1", "127.0.0.1:9", "a.0.0.0", 2, "x", until_ms, "", "t")
+        assert self.send(effect) == events.NOT_SENT
+
+    def test_text_that_cannot_be_encoded(self) -> None:
+        effect = StartTask("i-1", "127.0.0.1:9", "a.0.0.0", 2, "\ud800", 9_000, "", "t")
+        assert self.send(effect) == events.NOT_SENT
+
+
+class TestHold:
+    """A report that cannot be read counts as lost, and is logged once."""
+
+    def test_odd_reports_are_logged_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        lines: list[Any] = []
+        monkeypatch.setattr(
+            invalid_inputs, "log_event", lambda event, **fields: lines.append(fields["error"])
+        )
+        good = {"clockMs": 5, "born": 9, "running": [], "ended": []}
+        http = FakeHttpClient((200, good))
+        client: Any = ExecutorClient(http)  # type: ignore[arg-type]
+        outcomes = []
+
+        async def run_scenario() -> None:
+            for clock_ms in (5, -1, -1, -1, 5, -1):
+                http.answer = (200, {**good, "clockMs": clock_ms})
+                effect = HoldExecutor("i-1", "10.0.0.1:80", None, 0, 0.0)
+                outcomes.append(await client.async_hold(effect, 7))
+
+        asyncio.run(run_scenario())
+        is_report = [isinstance(outcome, ExecutorReport) for outcome in outcomes]
+        assert is_report == [True, False, False, False, True, False]
+        assert outcomes[1] == events.UNKNOWN
+        assert [line.partition(":")[0] for line in lines] == ["clockMs", "clockMs"]
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,15 +9,21 @@
 
 from wasabiramp.core.records import DecodeError
 from wasabiramp.platform.wire import (
+    MAX_CPU_MILLICORES,
+    MAX_WHOLE_NUMBER,
     InputError,
+    decode_advice_answer,
     decode_config,
     decode_executor,
     decode_job,
+    decode_order_answer,
     decode_report,
 )
 from wasabiramp.scheduling.model import AdvicePolicy, Queue, Resources
+from wasabiramp.scheduling.records import decode_definition, encode_definition
 
 QUEUE = Queue("q", "h", "/q/", "s")
+ROUTE = {"name": "r", "host": "h", "prefix": "/p/"}
 EXECUTOR_ENTRY = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -81,6 +87,66 @@
         with pytest.raises(DecodeError):
             decode_config(raw)
 
+    # Guards against a version so great that all later ones are ignored, and against numbers that
+    # the records of jobs cannot hold.
+    @pytest.mark.parametrize(
+        ("change", "field"),
+        [
+            ({"version": 1e308}, "version"),
+            ({"version": 2**63}, "version"),
+            ({"version": 1.5}, "version"),
+            ({"version": "7"}, "version"),
+            ({"version": True}, "version"),
+            ({"version": -1}, "version"),
+            ({"version": None}, "version"),
+            ({"limits": 5}, "limits"),
+            ({"limits": {"maxBodyBytes": 1e308}}, "limits.maxBodyBytes"),
+            ({"limits": {"maxBodyBytes": -1}}, "limits.maxBodyBytes"),
+            ({"routes": {"a": 1}}, "routes"),
+            ({"routes": [[]]}, r"routes\[0\]"),
+            ({"routes": [{**ROUTE, "name": [1]}]}, r"routes\[0\].name"),
+            ({"routes": [ROUTE, {**ROUTE, "host": {}}]}, r"routes\[1\].host"),
+            ({"routes": [{**ROUTE, "prefix": 5}]}, r"routes\[0\].prefix"),
+            ({"routes": [{**ROUTE, "service": 5}]}, r"routes\[0\].service"),
+            ({"routes": [{**ROUTE, "priority": 1e308}]}, r"routes\[0\].priority"),
+            ({"routes": [{**ROUTE, "priority": -1}]}, r"routes\[0\].priority"),
+            ({"routes": [{**ROUTE, "maxAttempts": "2"}]}, r"routes\[0\].maxAttempts"),
+            ({"routes": [{**ROUTE, "maxAttempts": -1}]}, r"routes\[0\].maxAttempts"),
+            ({"routes": [{**ROUTE, "stretch": -1.5}]}, r"routes\[0\].stretch"),
+            ({"routes": [{**ROUTE, "timeoutMs": 1e308}]}, r"routes\[0\].timeoutMs"),
+            ({"routes": [{**ROUTE, "targetLatencyMs": True}]}, r"routes\[0\].targetLatencyMs"),
+            ({"routes": [{**ROUTE, "advice": 5}]}, r"routes\[0\].advice"),
+            (
+                {"routes": [{**ROUTE, "advice": {"validMs": 1e308}}]},
+                r"routes\[0\].advice.validMs",
+            ),
+        ],
+        ids=repr_shortly,
+    )
+    def test_invalid_field_is_named(self, change: dict[str, Any], field: str) -> None:
+        raw = {"version": 1, "routes": [ROUTE], "limits": {}, **change}
+        with pytest.raises(DecodeError, match=f"^{field}: "):
+            decode_config(orjson.dumps(raw))
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b'{"version":1e400}',
+            b'{"version":NaN}',
+            b'{"version":' + b"1" * 5_000 + b"}",
+            b'{"version":"' + b"1" * 5_000 + b'"}',
+            b"[" * 100_000,
+            b'{"a":' * 100_000,
+            b'{"version":1,"routes":[{"name":"\\ud800"}]}',
+            b"\xff",
+            b"5",
+        ],
+        ids=range(9),
+    )
+    def test_undecodable(self, raw: bytes) -> None:
+        with pytest.raises(DecodeError):
+            decode_config(raw)
+
 
 class TestExecutor:
     """An executor's entry is decoded; the error of an invalid one names the field."""
@@ -232,6 +298,119 @@
         with pytest.raises(DecodeError):
             decode_report(b'{"running":[[1]]}')
 
+    # Guards against clocks and numbers that no order can hold, and against texts that are none.
+    @pytest.mark.parametrize(
+        ("change", "field"),
+        [
+            ({"clockMs": 1e308}, "clockMs"),
+            ({"clockMs": 2**64 - 1}, "clockMs"),
+            ({"clockMs": -5}, "clockMs"),
+            ({"clockMs": True}, "clockMs"),
+            ({"clockMs": "5"}, "clockMs"),
+            ({"clockMs": None}, "clockMs"),
+            ({"born": 1e308}, "born"),
+            ({"born": 2**63}, "born"),
+            ({"born": 1.5}, "born"),
+            ({"born": None}, "born"),
+            ({"running": {"a": 1}}, "running"),
+            ({"running": 5}, "running"),
+            ({"running": [5]}, "running"),
+            ({"running": [[]]}, "running"),
+            ({"running": [[5, 1, "", 1]]}, "running.task"),
+            ({"running": [[["a"], 1, "", 1]]}, "running.task"),
+            ({"running": [["a" * 5_000, 1, "", 1]]}, "running.task"),
+            ({"running": [["a", "1", "", 1]]}, "running.run"),
+            ({"running": [["a", 2**64 - 1, "", 1]]}, "running.run"),
+            ({"running": [["a", 1.5, "", 1]]}, "running.run"),
+            ({"running": [["a", 1, ["x"], 1]]}, "running.saved"),
+            ({"running": [["a", 1, "x" * 70_000, 1]]}, "running.saved"),
+            ({"running": [["a", 1, "", "1"]]}, "running.percent"),
+            ({"running": [["a", 1, "", 1e308]]}, "running.percent"),
+            ({"running": [["a", 1, "", -1]]}, "running.percent"),
+            ({"running": [["a", 1, "", 1, {}, 2]]}, None),
+            ({"running": [["a", 1, "", 1, [1]]]}, "running.figure"),
+            ({"running": [["a", 1, "", 1, 1e308]]}, "running.figure"),
+            ({"ended": "abc"}, "running"),
+            ({"ended": [["a", "t", 1, "done"]]}, "ended.number"),
+            ({"ended": [[2**63, "t", 1, "done"]]}, "ended.number"),
+            ({"ended": [[1, None, 1, "done"]]}, "ended.task"),
+            ({"ended": [[1, "t", -1, "done"]]}, "ended.run"),
+            ({"ended": [[1, "t", 1, 5]]}, "ended.how"),
+            ({"ended": [[1, "t", 1, "done", 5]]}, "ended.saved"),
+            ({"ended": [[1, "t", 1]]}, "ended"),
+        ],
+        ids=repr_shortly,
+    )
+    def test_invalid_field_is_named(self, change: dict[str, Any], field: str | None) -> None:
+        raw = {"clockMs": 5, "born": 9, "running": [["t.0.0.0", 2, "", 41]], "ended": [], **change}
+        if field is None:
+            assert decode_report(orjson.dumps(raw)).running[0].figure == 0
+            return
+        with pytest.raises(DecodeError, match=f"^{field}[:,]") as caught:
+            decode_report(orjson.dumps(raw))
+        assert len(str(caught.value)) < 120
+
+    @pytest.mark.parametrize(
+        "raw", [b"", b"[]", b"5", b"[" * 100_000, b'{"clockMs":1e400}', b'{"a":"\\ud800"}', b"\xff"]
+    )
+    def test_undecodable(self, raw: bytes) -> None:
+        with pytest.raises(DecodeError):
+            decode_report(raw)
+
+
+class TestOrderAnswer:
+    """The body of an answer to an order may be odd, as its status decides."""
+
+    @pytest.mark.parametrize(
+        ("raw", "answer"),
+        [
+            (b'{"clockMs":5,"reason":"fence"}', ("fence", 5)),
+            (b'{"clockMs":true,"reason":"fence"}', ("fence", None)),
+            (b'{"clockMs":18446744073709551615,"reason":["fence"]}', ("", None)),
+            (b'{"clockMs":1e308}', ("", None)),
+            (b'{"clockMs":-1}', ("", None)),
+            (b'{"clockMs":1e400}', ("", None)),
+            (b"[" * 100_000, ("", None)),
+            (b"[5]", ("", None)),
+            (b"", ("", None)),
+            (b"\xff", ("", None)),
+        ],
+        ids=range(10),
+    )
+    def test_answer(self, raw: bytes, answer: tuple[str, int | None]) -> None:
+        assert decode_order_answer(raw) == answer
+
+
+class TestAdvice:
+    """The adviser's answer is decoded; an odd row does not hide the others."""
+
+    @pytest.mark.parametrize(
+        "row", [5, None, [], ["e2"], [["e2"], "t"], [{}, "t"], ["e2", 5], ["e2", None], {}, "e2"]
+    )
+    def test_odd_row_recommends_no_executor(self, row: Any) -> None:
+        raw = {"good": [["e1", "t1"], row, ["e3", "t3"]], "validMs": 2_500}
+        assert decode_advice_answer(orjson.dumps(raw)) == ({"e1": "t1", "e3": "t3"}, 2.5)
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"",
+            b"[]",
+            b"[" * 100_000,
+            b'{"good":{},"validMs":5}',
+            b'{"good":[]}',
+            b'{"good":[],"validMs":1e308}',
+            b'{"good":[],"validMs":1e400}',
+            b'{"good":[],"validMs":-1}',
+            b'{"good":[],"validMs":true}',
+            b'{"good":[],"validMs":"5"}',
+        ],
+        ids=range(10),
+    )
+    def test_odd_answer_is_refused(self, raw: bytes) -> None:
+        with pytest.raises(DecodeError):
+            decode_advice_answer(raw)
+
 
 class TestJob:
     """A job is decoded; the error of an invalid one names the field."""
@@ -267,6 +446,20 @@
             ({"steps": [{"count": 1, "requires": 4}]}, "steps[0].requires"),
             ({"steps": [{"count": 30_000}]}, "steps"),
             ({"steps": [{"count": 1}], "repeatCount": -1}, "body.repeatCount"),
+            ({"steps": [{"count": 1}], "repeatCount": 1e308}, "body.repeatCount"),
+            ({"steps": [{"count": 1}], "firstMs": 2**64 - 1}, "body.firstMs"),
+            ({"steps": [{"count": 1}], "intervalMs": True}, "body.intervalMs"),
+            ({"steps": [{"count": 1e308}]}, "steps[0].count"),
+            ({"steps": [{"count": 1, "cpu": 1e308}]}, "steps[0].cpu"),
+            ({"steps": [{"count": 1, "cpu": MAX_CPU_MILLICORES + 1}]}, "steps[0].cpu"),
+            ({"steps": [{"count": 1, "memMb": 2**63}]}, "steps[0].memMb"),
+            ({"steps": [{"count": 1, "gpu": MAX_WHOLE_NUMBER}]}, "steps[0].gpu"),
+            ({"steps": [{"count": 1, "estimateMs": 1e308}]}, "steps[0].estimateMs"),
+            ({"steps": [{"count": 1, "antiAffinity": 1e308}]}, "steps[0].antiAffinity"),
+            ({"steps": [{"count": 1, "mayMiss": [1]}]}, "steps[0].mayMiss"),
+            ({"steps": [{"count": 1, "targetMs": 2**64 - 1}]}, "steps[0].targetMs"),
+            ({"steps": [{"count": 1, "after": [2**63]}]}, "steps[0].after"),
+            ({"steps": [{"count": 1, "after": [True]}]}, "steps[0].after"),
         ],
     )
     def test_invalid_field_is_named(self, body: Any, field: str) -> None:
@@ -274,6 +467,32 @@
             decode_body(body)
         assert str(caught.value).startswith(field)
 
+    # Guards against a job that can be decoded but not stored, which failed those beside it.
+    def test_greatest_numbers_can_be_stored(self) -> None:
+        step = dict.fromkeys(
+            ("estimateMs", "antiAffinity", "mayMiss", "targetMs"), MAX_WHOLE_NUMBER
+        )
+        times = dict.fromkeys(("repeatCount", "firstMs", "intervalMs"), MAX_WHOLE_NUMBER)
+        job = decode_body({"steps": [{"count": 1, "cpu": MAX_CPU_MILLICORES, **step}], **times})
+        assert decode_definition(encode_definition(job)) == job
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"[" * 100_000,
+            b'{"a":' * 100_000,
+            b'{"steps":[{"count":1e400}]}',
+            b'{"steps":[{"count":NaN}]}',
+            b'{"steps":[{"count":' + b"1" * 5_000 + b"}]}",
+            b'{"spec":"\\ud800","steps":[{"count":1}]}',
+            b"\xff",
+        ],
+        ids=range(7),
+    )
+    def test_undecodable_body(self, body: bytes) -> None:
+        with pytest.raises(InputError):
+            decode_job(body, "a" * 16, QUEUE, 5)
+
     def test_truncated_body(self) -> None:
         with pytest.raises(InputError):
             decode_job(b'{"spec":"x","ste', "a" * 16, QUEUE, 5)
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -12,6 +12,7 @@
 from wasabiramp.entry.advisers import AdviserPool
 from wasabiramp.entry.answers import NOT_READY, Answer
 from wasabiramp.entry.health import MonitoredStore
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Membership, Tenure
 from wasabiramp.entry.owner import Owner
@@ -121,6 +122,7 @@
             store, self._membership, peers, self._get_owner, self.metrics, read_wall
         )
         self.config = CellConfig(0, ())
+        self._invalid_config = InvalidInputs("config_unreadable")
         self._config_watcher = PrefixWatcher(
             store, codec.config_key, CONFIG_WATCH_TIMEOUT_S, self._apply_config
         )
@@ -224,8 +226,9 @@
         try:
             config = self._codec.decode_config(item.value)
         except DecodeError as err:
-            log_event("config_unreadable", revision=item.revision, error=err)
+            self._invalid_config.add(key, err)
             return
+        self._invalid_config.remove(key)
         if config.version <= self.config.version:
             return
         self.config = config
--- a/wasabiramp/platform/clients.py
+++ b/wasabiramp/platform/clients.py
@@ -12,6 +12,7 @@
 import orjson
 
 from wasabiramp.core.records import DecodeError
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.ports import (
     Change,
@@ -27,7 +28,6 @@
     Transaction,
 )
 from wasabiramp.entry.timeouts import AdaptiveTimeouts
-from wasabiramp.logs import log_event
 from wasabiramp.platform.items import (
     check_revision,
     decode_changes,
@@ -36,7 +36,7 @@
     decode_page,
     parse_lenient_json,
 )
-from wasabiramp.platform.wire import decode_report
+from wasabiramp.platform.wire import decode_advice_answer, decode_order_answer, decode_report
 from wasabiramp.scheduling import events
 from wasabiramp.scheduling.effects import HoldExecutor, PaceTask, StartTask, StopTask
 from wasabiramp.scheduling.model import ExecutorReport
@@ -126,7 +126,10 @@
         Raises NotSentError if no connection was made, and NoAnswerError if the answer is missing
         or incomplete.
         """
-        data = orjson.dumps(body) if body is not None else None
+        try:
+            data = orjson.dumps(body) if body is not None else None
+        except TypeError as err:
+            raise NotSentError(f"the body cannot be encoded: {err}") from err
         connect_timeout_s = min(CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_SHARE * timeout_s)
         read_timeout_s = self._lag.extend(timeout_s)
         timeout = aiohttp.ClientTimeout(
@@ -141,7 +144,8 @@
                 return answer.status, await answer.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as err:
             raise NotSentError(f"no connection: {err}") from err
-        except (TimeoutError, aiohttp.ClientError, OSError) as err:
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as err:
+            # An address or a header that cannot be sent raises ValueError.
             raise NoAnswerError(f"no answer: {type(err).__name__}") from err
 
     async def async_close(self) -> None:
@@ -309,6 +313,7 @@
         """Share the HTTP client."""
         self._http = http
         self._timeouts = AdaptiveTimeouts(*ORDER_TIMEOUT_RANGE_S)
+        self._invalid_reports = InvalidInputs("report_invalid")
 
     async def async_start(self, effect: StartTask, fence: int) -> OrderAnswer:
         """Send the order to start a run."""
@@ -356,10 +361,12 @@
         if status != 200:
             return _parse_order_answer(status, data).outcome
         try:
-            return decode_report(data)
+            report = decode_report(data)
         except DecodeError as err:
-            log_event("report_unreadable", executor=effect.executor, error=err)
+            self._invalid_reports.add(effect.executor, err)
             return events.UNKNOWN
+        self._invalid_reports.remove(effect.executor)
+        return report
 
     async def _async_post(
         self,
@@ -404,19 +411,11 @@
 
     It is UNKNOWN only for an unexpected status.
     """
-    try:
-        raw = orjson.loads(data) if data else {}
-    except ValueError:
-        raw = {}
-    raw = raw if isinstance(raw, dict) else {}
-    clock_ms = raw.get("clockMs")
-    clock_ms = clock_ms if isinstance(clock_ms, int) else None
+    reason, clock_ms = decode_order_answer(data)
     if status == 200:
         return OrderAnswer(events.STARTED, clock_ms)
     if status == 409:
-        return OrderAnswer(
-            OUTCOME_BY_REASON.get(str(raw.get("reason")), events.REFUSED_BUSY), clock_ms
-        )
+        return OrderAnswer(OUTCOME_BY_REASON.get(reason, events.REFUSED_BUSY), clock_ms)
     return OrderAnswer(OUTCOME_BY_STATUS.get(status, events.UNKNOWN), clock_ms)
 
 
@@ -448,8 +447,6 @@
         if status != 200:
             raise NoAnswerError(f"status {status}")
         try:
-            raw = orjson.loads(data)
-            tickets = {entry[0]: entry[1] for entry in raw["good"]}
-            return tickets, float(raw["validMs"]) / 1000
-        except (ValueError, KeyError, TypeError, IndexError) as err:
+            return decode_advice_answer(data)
+        except DecodeError as err:
             raise NoAnswerError(f"advice cannot be read: {err}") from err
--- a/wasabiramp/platform/wire.py
+++ b/wasabiramp/platform/wire.py
@@ -51,6 +51,9 @@
 """Limits of an executor's entry: its length, its levels of lists and objects, each of its texts and
 the number of its labels."""
 
+MAX_SAVED_CHARS: Final = 65_536
+"""Longest saved state of a task, and longest ticket, as they are stored and sent again."""
+
 EXECUTOR_ID_PATTERN: Final = re.compile(r"[A-Za-z0-9._~:@!$&'()*+,;=-]{1,192}")
 """Ids that may be sent in a header and in a URL; the store limits keys to 200 bytes."""
 
@@ -70,40 +73,47 @@
 
 
 def decode_config(data: bytes) -> CellConfig:
-    """Decode the cell's configuration; raises DecodeError."""
-    raw = parse_json(data)
-    try:
-        limits = raw.get("limits") or {}
-        queues = tuple(_decode_queue(row) for row in raw.get("routes") or [])
-        return CellConfig(int(raw["version"]), queues, int(limits.get("maxBodyBytes", 262_144)))
-    except (KeyError, TypeError, ValueError, AttributeError) as err:
-        raise DecodeError(f"configuration cannot be read: {err}") from err
+    """Decode the cell's configuration; raises DecodeError, which names the invalid field."""
+    raw = _check_object(parse_json(data), "configuration")
+    limits = _check_object(raw.get("limits") or {}, "limits")
+    routes = raw.get("routes") or []
+    if not isinstance(routes, list):
+        raise DecodeError("routes: expected a list")
+    return CellConfig(
+        _check_whole_number(raw.get("version"), "version"),
+        tuple(_decode_queue(row, f"routes[{index}]") for index, row in enumerate(routes)),
+        int(_check_number(limits.get("maxBodyBytes", 262_144), "limits.maxBodyBytes")),
+    )
 
 
-def _decode_queue(raw: dict[str, Any]) -> Queue:
+def _decode_queue(raw: Any, path: str) -> Queue:
     """Decode a queue, which the platform calls a route."""
+    _check_object(raw, path)
+
+    def read_number(name: str, maximum: float = MAX_WHOLE_NUMBER) -> float:
+        return _check_number(raw.get(name, 0), f"{path}.{name}", maximum)
+
     advice = raw.get("advice")
     return Queue(
-        name=raw["name"],
-        host=raw["host"],
-        prefix=raw["prefix"],
-        service=raw.get("service", ""),
-        priority=int(raw.get("priority", 0)),
-        max_attempts=int(raw.get("maxAttempts", 0)) or 1,
-        stretch=float(raw.get("stretch", 0)) or 1.0,
-        target_s=float(raw.get("targetLatencyMs", 0)) / 1000,
-        timeout_s=float(raw.get("timeoutMs", 0)) / 1000 or 3.0,
-        advice=_decode_advice(advice) if advice else None,
+        name=_check_text(raw.get("name"), f"{path}.name"),
+        host=_check_text(raw.get("host"), f"{path}.host"),
+        prefix=_check_text(raw.get("prefix"), f"{path}.prefix"),
+        service=_check_text(raw.get("service", ""), f"{path}.service"),
+        priority=int(read_number("priority")),
+        max_attempts=int(read_number("maxAttempts")) or 1,
+        stretch=float(read_number("stretch")) or 1.0,
+        target_s=read_number("targetLatencyMs", MAX_DURATION_MS) / 1000,
+        timeout_s=read_number("timeoutMs", MAX_DURATION_MS) / 1000 or 3.0,
+        advice=_decode_advice(advice, f"{path}.advice") if advice else None,
     )
 
 
-def _decode_advice(raw: dict[str, Any]) -> AdvicePolicy:
+def _decode_advice(raw: Any, path: str) -> AdvicePolicy:
     """Decode how long the adviser's decisions take and how long they are valid."""
-    return AdvicePolicy(
-        float(raw.get("decideMs", 0)) / 1000,
-        float(raw.get("eachMs", 0)) / 1000,
-        float(raw.get("validMs", 0)) / 1000,
-    )
+    _check_object(raw, path)
+    names = ("decideMs", "eachMs", "validMs")
+    durations = [_check_number(raw.get(n, 0), f"{path}.{n}", MAX_DURATION_MS) for n in names]
+    return AdvicePolicy(*(duration_ms / 1000 for duration_ms in durations))
 
 
 def decode_executor(key: str, data: bytes) -> ExecutorEntry:
@@ -116,9 +126,7 @@
         raise DecodeError("id: expected the characters of a URL path segment")
     if len(data) > MAX_ENTRY_BYTES:
         raise DecodeError(f"entry: expected at most {MAX_ENTRY_BYTES} bytes")
-    raw = parse_json(data)
-    if not isinstance(raw, dict):
-        raise DecodeError("entry: expected an object")
+    raw = _check_object(parse_json(data), "entry")
     _check_depth(raw)
     address = raw.get("address")
     if parse_address(address) is None:
@@ -159,8 +167,7 @@
 
 def _decode_capacity(raw: Any) -> Resources:
     """Decode the resources of an executor; `cpu` is in thousandths of a core."""
-    if not isinstance(raw, dict):
-        raise DecodeError("capacity: expected an object")
+    raw = _check_object(raw, "capacity")
     return Resources(
         int(_check_number(raw.get("cpu", 0), "capacity.cpu", MAX_CPU_MILLICORES)),
         int(_check_number(raw.get("memMb", 0), "capacity.memMb", MAX_MEMORY_MB)),
@@ -175,6 +182,13 @@
     return tuple(_check_text(label, "labels") for label in raw)
 
 
+def _check_object(value: Any, field_path: str) -> dict[str, Any]:
+    """Return an object; raises DecodeError, which names the field, for anything else."""
+    if not isinstance(value, dict):
+        raise DecodeError(f"{field_path}: expected an object")
+    return value
+
+
 def _check_text(
     value: Any, field_path: str, max_chars: int = MAX_ENTRY_TEXT_CHARS, min_chars: int = 0
 ) -> str:
@@ -198,37 +212,92 @@
     return value
 
 
-def _parse_number(value: Any) -> int:
-    """Return a non-negative number as an integer; raises ValueError for anything else."""
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise ValueError(f"expected a non-negative number, got {type(value).__name__}")
-    return int(value)
+def decode_report(data: bytes) -> ExecutorReport:
+    """Decode an executor's answer to a hold; raises DecodeError, which names the invalid field.
 
+    A report with an invalid row is refused as a whole: a run that it hides must not count as gone.
+    """
+    raw = _check_object(parse_json(data), "report")
+    running, ended = raw.get("running") or [], raw.get("ended") or []
+    if not isinstance(running, list) or not isinstance(ended, list):
+        raise DecodeError("running, ended: expected lists")
+    return ExecutorReport(
+        _check_whole_number(raw.get("clockMs"), "clockMs"),
+        _check_whole_number(raw.get("born"), "born", MAX_UNIX_MS),
+        tuple(map(_decode_run, running)),
+        tuple(map(_decode_end, ended)),
+    )
 
-def decode_report(data: bytes) -> ExecutorReport:
-    """Decode an executor's answer to a hold; raises DecodeError."""
-    raw = parse_json(data)
-    try:
-        running = tuple(_decode_run(row) for row in raw.get("running") or [])
-        # Each row starts with the number of the ended run within the incarnation of the executor;
-        # the next hold sends the last one received as `lastSeen`. `how` says what ended the run.
-        ended = tuple(
-            EndReport(int(row[0]), row[1], int(row[2]), row[3], row[4] if len(row) > 4 else "")
-            for row in raw.get("ended") or []
-        )
-        return ExecutorReport(int(raw["clockMs"]), int(raw.get("born", 0)), running, ended)
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as err:
-        raise DecodeError(f"report cannot be read: {err}") from err
-
-
-def _decode_run(row: list[Any]) -> RunReport:
+
+def _decode_run(row: Any) -> RunReport:
     """Decode a running task.
 
     The fifth entry is the response time in ms if the task has a target, else the processors in use.
     """
-    percent = float(row[3]) if len(row) > 3 else 100.0
-    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return RunReport(row[0], int(row[1]), row[2] or "", percent, figure)
+    if not isinstance(row, list) or len(row) < 3:
+        raise DecodeError("running: expected rows of three values at least")
+    return RunReport(
+        _check_text(row[0], "running.task"),
+        _check_whole_number(row[1], "running.run"),
+        _check_text(row[2] or "", "running.saved", MAX_SAVED_CHARS),
+        float(_check_number(row[3], "running.percent")) if len(row) > 3 else 100.0,
+        float(_check_number(row[4] or 0, "running.figure")) if len(row) > 4 else 0.0,
+    )
+
+
+def _decode_end(row: Any) -> EndReport:
+    """Decode the end of a run.
+
+    Each row starts with the number of the ended run within the incarnation of the executor; the
+    next hold sends the last one received as `lastSeen`. `how` says what ended the run.
+    """
+    if not isinstance(row, list) or len(row) < 4:
+        raise DecodeError("ended: expected rows of four values at least")
+    return EndReport(
+        _check_whole_number(row[0], "ended.number"),
+        _check_text(row[1], "ended.task"),
+        _check_whole_number(row[2], "ended.run"),
+        _check_text(row[3], "ended.how"),
+        _check_text(row[4] or "", "ended.saved", MAX_SAVED_CHARS) if len(row) > 4 else "",
+    )
+
+
+def decode_order_answer(data: bytes) -> tuple[str, int | None]:
+    """Return the reason in an answer to an order, if any, and the executor's clock if it is valid.
+
+    The status says whether the order was carried out, so that no body is required.
+    """
+    try:
+        raw = _check_object(parse_json(data), "answer") if data else {}
+    except DecodeError:
+        return "", None
+    reason = raw.get("reason")
+    try:
+        clock_ms = _check_whole_number(raw.get("clockMs"), "clockMs")
+    except DecodeError:
+        clock_ms = None
+    return reason if isinstance(reason, str) else "", clock_ms
+
+
+def decode_advice_answer(data: bytes) -> tuple[dict[str, str], float]:
+    """Return the tickets in the adviser's answer by executor, and how long they are valid.
+
+    Rows that cannot be read recommend no executor. Raises DecodeError, which names the invalid
+    field.
+    """
+    raw = _check_object(parse_json(data), "answer")
+    rows = raw.get("good")
+    if not isinstance(rows, list):
+        raise DecodeError("good: expected a list")
+    valid_s = _check_number(raw.get("validMs"), "validMs", MAX_DURATION_MS) / 1000
+    return dict(row[:2] for row in rows if _is_recommendation(row)), valid_s
+
+
+def _is_recommendation(row: Any) -> bool:
+    """Return whether a row of the adviser's answer is the id of an executor and a ticket."""
+    if not isinstance(row, list) or len(row) < 2:
+        return False
+    return all(isinstance(text, str) and len(text) <= MAX_SAVED_CHARS for text in row[:2])
 
 
 def decode_job(data: bytes, job_id: str, queue: Queue, accepted_ms: int) -> JobDefinition:
@@ -263,12 +332,14 @@
     )
 
 
-def _parse_number_field(raw: dict[str, Any], name: str, field_path: str) -> int:
+def _parse_number_field(
+    raw: dict[str, Any], name: str, field_path: str, maximum: int = MAX_WHOLE_NUMBER
+) -> int:
     """Return a number field of a request body, 0 if it is missing; raises InputError."""
     try:
-        return _parse_number(raw.get(name, 0) or 0)
-    except ValueError as err:
-        raise InputError(f"{field_path}.{name}: expected a number that is not negative") from err
+        return int(_check_number(raw.get(name, 0) or 0, f"{field_path}.{name}", maximum))
+    except DecodeError as err:
+        raise InputError(str(err)) from err
 
 
 def _parse_text_field(raw: dict[str, Any], name: str, field_path: str) -> str:
@@ -288,13 +359,13 @@
     if not isinstance(after, list) or not all(type(number) is int for number in after):
         raise InputError(f"{field_path}.after: expected a list of numbers")
     # `fills` marks a step that uses only idle processors, so it reserves none.
-    cpu = 0 if raw.get("fills") else _parse_number_field(raw, "cpu", field_path)
+    cpu = 0 if raw.get("fills") else _parse_number_field(raw, "cpu", field_path, MAX_CPU_MILLICORES)
     return Step(
         count=_parse_number_field(raw, "count", field_path),
         demand=Resources(
             cpu,
-            _parse_number_field(raw, "memMb", field_path),
-            _parse_number_field(raw, "gpu", field_path),
+            _parse_number_field(raw, "memMb", field_path, MAX_MEMORY_MB),
+            _parse_number_field(raw, "gpu", field_path, MAX_GPUS),
         ),
         estimate_s=_parse_number_field(raw, "estimateMs", field_path) / 1000,
         after=tuple(after),
@@ -320,7 +391,7 @@
     executors_prefix = EXECUTORS_PREFIX
 
     def decode_config(self, value: bytes) -> CellConfig:
-        """Decode the cell's configuration; raises DecodeError."""
+        """Decode the cell's configuration; raises DecodeError, which names the invalid field."""
         return decode_config(value)
 
     def decode_executor(self, key: str, value: bytes) -> ExecutorEntry:
