Answer requests whose deadline is an odd number, and log odd texts

Seen: a request with a Deadline-Ms of a superscript digit, or of more than 308 digits, was answered 504 (may have run). A log line with a single surrogate raised UnicodeEncodeError where it was written.

Cause: `str.isdigit` is true for digits that `int` refuses, and for any length.

Conclusion: a deadline is one to nine ASCII digits, anything else counts as missing.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -90,3 +90,15 @@
         assert format_value("a b") == '"a b"'
         assert format_value('a"b') == '"a\\"b"'
         assert format_value(0.25) == "0.25"
+
+
+class TestOddText:
+    """A text of another process that cannot be encoded is written in another form."""
+
+    # Guards against a UnicodeEncodeError in the code that logs.
+    def test_single_surrogate(self) -> None:
+        reader, writer = os.pipe()
+        RateLimitedOutput(writer, 10).write("key=a\ud800b\n")
+        assert os.read(reader, 100) == b"key=a\\ud800b\n"
+        os.close(reader)
+        os.close(writer)
--- a/wasabiramp/logs.py
+++ b/wasabiramp/logs.py
@@ -79,7 +79,7 @@
             return
         if self._dropped:
             text = f"level=warning event=log_lines_dropped count={self._dropped}\n{text}"
-        data = text.encode()
+        data = text.encode(errors="backslashreplace")
         self._lines_this_second += 1
         self._bytes_this_second += len(data)
         try:
--- a/wasabiramp/platform/callers.py
+++ b/wasabiramp/platform/callers.py
@@ -28,6 +28,7 @@
 
 JOB_ID_PATTERN: Final = re.compile(r"[0-9a-f]{16}")
 HEADER_CALLER_TIMEOUT: Final = "Deadline-Ms"
+CALLER_TIMEOUT_PATTERN: Final = re.compile(r"[0-9]{1,9}")
 DEFAULT_CALLER_TIMEOUT_S: Final = 3.0
 """Timeout of a caller that sends no `Deadline-Ms`; equals the time budget of the present queues."""
 
@@ -168,7 +169,8 @@
     A missing or invalid header gives DEFAULT_CALLER_TIMEOUT_S.
     """
     raw = request.headers.get(HEADER_CALLER_TIMEOUT, "")
-    return int(raw) / 1000 if raw.isdigit() and int(raw) > 0 else DEFAULT_CALLER_TIMEOUT_S
+    timeout_ms = int(raw) if CALLER_TIMEOUT_PATTERN.fullmatch(raw) else 0
+    return timeout_ms / 1000 if timeout_ms else DEFAULT_CALLER_TIMEOUT_S
 
 
 def _build_response(answer: Answer) -> web.Response:
