Let an executor's own report correct the start time of its entry

Seen: after an entry of another writer under an executor's id, with a later `born`, each report and each good entry of the executor counted as that of an earlier incarnation and was dropped. The executor was lost to this owner for good, the ends of its runs too.

Cause: the greatest start time ever listed won, whether the executor had confirmed it or not.

Conclusion: a hold that is sent once a process is known cannot reach an earlier one, so that the answer to it names the true start time, and an entry that the executor has not confirmed yields to an earlier one. Runs stay tracked, late starts are stopped as in any incarnation. An executor that restarts with its clock set back is taken up by the same rule.

--- a/tests/scheduling/test_invalid_entries.py
+++ b/tests/scheduling/test_invalid_entries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, make_step
+from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, StartTask, make_step
 from wasabiramp.scheduling.events import (
     NOT_SENT,
     ExecutorEntryInvalid,
@@ -95,3 +95,62 @@
         harness.apply(HoldFailed("e9", harness.now, NOT_SENT))
         assert list(harness.scheduler.state.executors["e9"].runs) != []
         assert harness.place() == []
+
+
+class TestFalseStartTime:
+    """The executor itself says which incarnation it is; an entry may be that of another writer."""
+
+    # Guards against an executor that is lost to the owner, with its runs, as each of its reports
+    # seemed to be that of an earlier incarnation.
+    def test_report_corrects_the_start_time_of_an_entry(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        job = harness.submit("a" * 16, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        harness.list_executor("e0", born_ms=9)
+        harness.tick(0.1)
+        harness.answer_hold("e0")
+        harness.tick(0.1)
+        harness.finish_run(start)
+        assert job.is_ended
+        harness.list_executor("e0", born_ms=1)
+        harness.commit()
+        harness.tick(0.1)
+        harness.submit("b" * 16, "batch", make_step(1))
+        assert len(harness.place()) == 1
+
+    def test_report_of_an_earlier_hold_is_ignored(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        hold_sent_at = harness.now
+        harness.tick(0.1)
+        harness.list_executor("e0", born_ms=9)
+        harness.answer_hold("e0", sent_at=hold_sent_at)
+        state = harness.scheduler.state.executors["e0"]
+        assert (state.born_ms, state.has_accepted_fence) == (9, False)
+
+    # Guards against holds that are sent to the address of another writer for good.
+    def test_good_entry_replaces_one_that_the_executor_did_not_confirm(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        (start,) = self.run_task(harness)
+        harness.list_executor("e0", born_ms=9)
+        harness.apply(HoldFailed("e0", harness.now, NOT_SENT))
+        harness.list_executor("e0", born_ms=1)
+        harness.tick(0.1)
+        harness.answer_hold("e0")
+        assert harness.place() == []
+        harness.finish_run(start)
+        harness.commit()
+        assert len(self.run_task(harness, "b")) == 1
+
+    def test_entry_of_an_earlier_incarnation_does_not_replace_a_confirmed_one(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.list_executor("e0", born_ms=9)
+        harness.incarnations["e0"] = 9
+        harness.tick(0.1)
+        harness.answer_hold("e0")
+        harness.list_executor("e0", born_ms=1)
+        assert harness.scheduler.state.executors["e0"].born_ms == 9
+
+    def run_task(self, harness: SchedulerHarness, letter: str = "a") -> list[StartTask]:
+        """Submit a job of one task and return its start."""
+        harness.submit(letter * 16, "batch", make_step(1))
+        return harness.place_and_start()
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -86,7 +86,9 @@
         return
     executor.has_invalid_entry = False
     if entry.born_ms < executor.born_ms:
-        return
+        if executor.has_accepted_fence:
+            return
+        correct_incarnation(state, executor, entry.born_ms)
     if entry.born_ms > executor.born_ms and executor.born_ms:
         record_new_incarnation(state, executor, entry.born_ms)
     if entry.is_draining and not executor.entry.is_draining:
@@ -132,7 +134,24 @@
     note_silence(state, executor)
     confirm_crash(state, executor)
     forget_verdicts(state, executor)
+    _begin_incarnation(state, executor, born_ms)
+
+
+def correct_incarnation(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
+    """Return to an earlier start time: the later one came from the entry of another writer.
+
+    Nothing is concluded on a crash, and the runs stay tracked. No hold that is sent once a process
+    is known reaches an earlier one, so the answer names the true start time. That of a process may
+    also be earlier because a clock was set back.
+    """
+    state.log_decision("executor_start_corrected", executor=executor.id, runs=len(executor.runs))
+    _begin_incarnation(state, executor, born_ms)
+
+
+def _begin_incarnation(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
+    """Reset what is known of the process of an executor, and stop starts that may come late."""
     executor.reset(born_ms)
+    executor.born_known_at = state.now
     executor.lease_expiry_floor = state.now + state.lease_limit_s
     for run in executor.runs.values():
         run.stop_sent_at = run.stop_confirmed_at = None
@@ -165,11 +184,14 @@
     executor.answered_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
     if report.born_ms < executor.born_ms:
-        return
+        if event.sent_at <= executor.born_known_at:
+            return
+        correct_incarnation(state, executor, report.born_ms)
     if report.born_ms > executor.born_ms:
         if executor.born_ms:
             record_new_incarnation(state, executor, report.born_ms)
         executor.born_ms = report.born_ms
+        executor.born_known_at = state.now
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.has_accepted_fence = True
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -269,12 +269,13 @@
     that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `slowness` is 1 at the estimated speed and higher if slower.
-    `has_invalid_entry` is set while the platform lists an entry that cannot be used. `is_gone` is
-    set once its process is certainly gone, and `tasks_at_silence` holds what ran on it when it
-    stopped answering.
+    `born_known_at` is the time since which its start time `born_ms` is known. `has_invalid_entry`
+    is set while the platform lists an entry that cannot be used. `is_gone` is set once its process
+    is certainly gone, and `tasks_at_silence` holds what ran on it when it stopped answering.
     """
 
     __slots__ = (
+        "born_known_at",
         "born_ms",
         "clock_at",
         "clock_ms",
@@ -317,6 +318,7 @@
         self.entry = entry
         self.is_listed = True
         self.has_invalid_entry = False
+        self.born_known_at = 0.0
         self.is_in_stored_roster = False
         self.unlisted_at = 0.0
         self.must_answer = False
