Read the names of tasks in one form only

Seen: a run in an executor's report whose name has a superscript digit, or a number of more than 4,300 digits, raised ValueError in the handling of the report. The hold stayed open, so that the executor got no further one: its leases lapsed, and the ends of its runs were not read.

Cause: `str.isdigit` is true for digits that `int` refuses.

Conclusion: the numbers of a name are ASCII digits without leading zeros, at most 15 of them, so that a task has one name; any other name is that of an unknown run.

--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+import re
 from typing import Final
 
 PENDING: Final = "pending"
@@ -12,6 +13,9 @@
 CANCELLED: Final = "cancelled"
 FINAL_PHASES: Final = frozenset({DONE, FAILED, CANCELLED})
 
+TASK_PATTERN: Final = re.compile(r"([^.]+)" + 3 * r"\.(0|[1-9][0-9]{0,14})")
+"""Names of tasks: the job, and the numbers of occurrence, step and task in their shortest form."""
+
 
 @dataclass(slots=True, frozen=True)
 class Resources:
@@ -259,7 +263,8 @@
 
 def parse_task(name: str) -> tuple[str, int, int, int] | None:
     """Return job, occurrence, step and index from a task name, or None if its format is unknown."""
-    parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    match = TASK_PATTERN.fullmatch(name)
+    if match is None:
         return None
-    return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+    job_id, occurrence, step, index = match.groups()
+    return job_id, int(occurrence), int(step), int(index)
