Check the fields of calls between daemons and of their answers

Seen: a call or an answer whose fields are of another type was served or used as it came: a job id that is a list, counts that are a list, advice whose tickets are no texts. The errors came from the code behind (TypeError, AttributeError); by the code, advice of that form leaves the question of its step open, so that the step asks no more.

Cause: the type of the record was checked, its fields were not.

Conclusion: calls and answers are decoded by one function each; an odd call is answered as failed, an odd answer counts as missing.

--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -24,6 +24,9 @@
 CALL_SUMMARY_INTERVAL_S: Final = 5.0
 """Interval of the log lines that count calls and bytes by kind, to explain traffic peaks."""
 
+MAX_DURATION_S: Final = 366 * 86_400.0
+"""Longest duration that a message may name."""
+
 OK: Final = "ok"
 NOT_OWNER: Final = "not-owner"
 
@@ -95,6 +98,84 @@
     value: Any = None
 
 
+def _is_list_of(value: Any, kind: type) -> bool:
+    """Return whether a value is a list with elements of one type."""
+    return isinstance(value, list) and all(isinstance(element, kind) for element in value)
+
+
+def _is_duration(value: Any) -> bool:
+    """Return whether a value is a number of seconds that a call may use."""
+    return type(value) in (int, float) and 0 <= value <= MAX_DURATION_S
+
+
+def _is_announced_job(row: Any) -> bool:
+    """Return whether a row is the bytes of a definition and its revision."""
+    return isinstance(row, list) and list(map(type, row)) == [bytes, int]
+
+
+def _is_advice(value: Any) -> bool:
+    """Return whether a value is the tickets by executor, and how long they are valid."""
+    if not isinstance(value, list) or len(value) != 2 or not isinstance(value[0], dict):
+        return False
+    texts = [*value[0], *value[0].values()]
+    return all(isinstance(text, str) for text in texts) and _is_duration(value[1])
+
+
+def _is_counts(value: Any) -> bool:
+    """Return whether a value is numbers by the names of queues."""
+    if not isinstance(value, dict):
+        return False
+    return all(isinstance(name, str) and type(n) is int for name, n in value.items())
+
+
+def _is_text_or_none(value: Any) -> bool:
+    """Return whether a value is a text or missing."""
+    return value is None or isinstance(value, str)
+
+
+MESSAGE_CHECKS: Final[dict[type, Callable[[Any], bool]]] = {
+    AnnounceJobs: lambda call: isinstance(call.jobs, list)
+    and all(map(_is_announced_job, call.jobs)),
+    StoreJobs: lambda call: _is_list_of(call.definitions, bytes),
+    ShowJob: lambda call: isinstance(call.job, str),
+    CancelJob: lambda call: isinstance(call.job, str),
+    CountWaiting: lambda call: True,
+    AskAdviser: lambda call: isinstance(call.step, str)
+    and _is_list_of(call.executors, str)
+    and _is_duration(call.timeout_s),
+    TakeOver: lambda call: isinstance(call.address, str),
+}
+"""Checks of the fields of each call, as another process sends it."""
+
+VALUE_CHECKS: Final[dict[type, Callable[[Any], bool]]] = {
+    CountWaiting: _is_counts,
+    AskAdviser: _is_advice,
+}
+"""Checks of the values of positive answers; those to other calls are texts or missing."""
+
+
+def decode_call(data: bytes) -> Any:
+    """Decode a call of another daemon; raises DecodeError if it or its fields are invalid."""
+    message = decode_message(data)
+    check = MESSAGE_CHECKS.get(type(message))
+    if check is None or not check(message):
+        raise DecodeError(f"unexpected call or fields of {type(message).__name__}")
+    return message
+
+
+def decode_answer(data: bytes, message: Any) -> PeerAnswer:
+    """Decode the answer to a call; raises DecodeError if it or its value is invalid."""
+    answer = decode_message(data)
+    if not isinstance(answer, PeerAnswer) or not isinstance(answer.outcome, str):
+        raise DecodeError(f"unexpected answer {type(answer).__name__}")
+    check = _is_text_or_none
+    if answer.outcome == OK:
+        check = VALUE_CHECKS.get(type(message), _is_text_or_none)
+    if not check(answer.value):
+        raise DecodeError(f"unexpected value in the answer to {type(message).__name__}")
+    return answer
+
+
 ServeCall = Callable[[Any], Awaitable[PeerAnswer]]
 
 
@@ -175,7 +256,7 @@
         """Answer one call."""
         data = await stream.recv_message()
         try:
-            message = decode_message(data or b"")
+            message = decode_call(data or b"")
         except DecodeError as err:
             log_event("peer_call_unreadable", error=err)
             await stream.send_message(encode_message(PeerAnswer(FAILED, str(err))))
@@ -212,10 +293,7 @@
         try:
             data = await asyncio.wait_for(method(sent), self._lag.extend(timeout_s))
             self._peer_traffic.record_call(kind, len(sent) + len(data), is_answered=True)
-            answer = decode_message(data)
-            if not isinstance(answer, PeerAnswer):
-                raise DecodeError(f"unexpected answer {type(answer).__name__}")
-            return answer
+            return decode_answer(data, message)
         except (
             TimeoutError,
             OSError,
