Leave out executors of services that nothing names

Cause: the service was only compared where tasks are placed.

Conclusion: such an entry is left out with the line of an invalid one, and looked at again when a configuration or a job names its service. Executors that are known, as from the roster, stay.

--- a/tests/entry/test_invalid_inputs.py
+++ b/tests/entry/test_invalid_inputs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -21,6 +22,7 @@
 from wasabiramp.model.entry.clock import VirtualLoop
 from wasabiramp.model.entry.schedule import find_owner
 from wasabiramp.model.entry.world import ModelCodec, World
+from wasabiramp.scheduling.model import CellConfig
 
 Lines = list[dict[str, Any]]
 
@@ -269,3 +271,56 @@
 
         world.run(run_scenario())
         assert world.checker.breaches == []
+
+    # Guards against holds, silence and a roster of executors that no work can use.
+    def test_entries_of_a_service_that_is_not_named(self, lines: Lines) -> None:
+        world = World(14)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            entry = replace(world.executors.by_id["i-0"].entry, service="other")
+            for number in range(50):
+                value = world.codec.encode(replace(entry, id=f"x-{number}", address="x"))
+                self.put_entry(world, f"x-{number}", value)
+            await self.async_run_jobs(world, 0)
+            owner = find_owner(world)
+            assert owner is not None
+            state = world.daemons[owner].owner.scheduler.state
+            assert sorted(state.executors) == [f"i-{number}" for number in range(8)]
+            self.put_entry(world, "x-1", b"odd")
+            await asyncio.sleep(1.0)
+            queue = replace(world.queues[2], name="more", prefix="/m/", service="other")
+            world.set_config(CellConfig(2, (*world.queues, queue)))
+            await asyncio.sleep(1.0)
+            assert len(state.executors) == 8 + 49
+            world.unlist_executor("x-2")
+            await asyncio.sleep(1.0)
+            assert "x-1" not in state.executors
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+        assert len(lines) == 51
+
+    # Guards against a job of a queue that was removed, whose executors are not listed.
+    def test_service_of_a_job_whose_queue_was_removed(self) -> None:
+        world = World(15)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            for executor in list(world.executors.by_id.values()):
+                executor.entry = replace(executor.entry, service="other")
+                world.executors.by_id.pop(executor.entry.id)
+                executor.entry = replace(executor.entry, id="y" + executor.entry.id)
+                world.executors.by_id[executor.entry.id] = executor
+                world.list_executor(executor)
+            await asyncio.sleep(1.0)
+            owner = find_owner(world)
+            assert owner is not None
+            state = world.daemons[owner].owner.scheduler.state
+            assert not any(name.startswith("y") for name in state.executors)
+            job = make_job(world, 1)
+            definition = replace(job, queue=replace(job.queue, name="gone", service="other"))
+            world.daemons[owner].owner.add_stored_job(definition, 10_000)
+            assert sum(name.startswith("y") for name in state.executors) == 8
+
+        world.run(run_scenario())
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -69,6 +69,7 @@
         {"state": ["ready"]},
         {"labels": [[["a"]]]},
         {"service": 5},
+        {"service": "other"},
     ]
     start = orjson.dumps({key: value for key, value in good.items() if key != "zone"})[:-1]
     return [
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -75,6 +75,12 @@
         assert queue.advice == AdvicePolicy(0.02, 0.0005, 2.5)
         assert config.route("other", "/p/abc") is None
 
+    def test_services(self) -> None:
+        rows: list[Any] = [{"name": "a"}, {"name": 5}, 5, {}]
+        for services, names in ((rows, {"a", "s"}), ({"a": 1}, {"s"}), (None, {"s"})):
+            raw = {"version": 1, "routes": [{**ROUTE, "service": "s"}], "services": services}
+            assert decode_config(orjson.dumps(raw)).services == names
+
     def test_longest_prefix(self) -> None:
         routes = [{"name": n, "host": "h", "prefix": p} for n, p in (("a", "/a/"), ("b", "/a/b/"))]
         config = decode_config(orjson.dumps({"version": 1, "routes": routes}))
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -175,6 +175,7 @@
         offset_s = read_wall() - self._loop.time()
         self.scheduler = Scheduler(tenure.term, self._lease_s, lease_limit_s, offset_s)
         self._invalid_entries = InvalidInputs("executor_entry_invalid")
+        self._unused_keys: set[str] = set()
         self._executors_watcher = PrefixWatcher(
             store, codec.executors_prefix, 1.0, self._handle_executor_entry
         )
@@ -239,11 +240,15 @@
     def apply_config(self, config: CellConfig) -> None:
         """Apply a newer configuration."""
         self._reduce(ConfigChanged(config))
+        self._list_unused_executors()
 
     def add_stored_job(self, definition: JobDefinition, revision: int) -> None:
         """Add a job that a daemon stored at the given revision."""
         accepted_at = self._compute_accepted_at(definition)
+        is_new_service = definition.queue.service not in self.scheduler.state.job_services
         self._reduce(JobAccepted(StoredJob(definition, accepted_at, revision)))
+        if is_new_service:
+            self._list_unused_executors()
 
     def add_encoded_job(self, data: bytes, revision: int) -> bool:
         """Add a stored job from its record; return whether the record could be decoded."""
@@ -331,12 +336,16 @@
     def _handle_executor_entry(self, key: str, item: Item | None) -> None:
         """Handle a change of an executor's entry."""
         executor_id = self._codec.parse_executor_id(key)
+        self._unused_keys.discard(key)
         if item is None:
             self._invalid_entries.remove(key)
             self._reduce(ExecutorUnlisted(executor_id))
             return
         try:
             entry = self._codec.decode_executor(key, item.value)
+            if not self.scheduler.state.has_use_for(entry):
+                self._unused_keys.add(key)
+                raise DecodeError("service: expected one that the configuration or a job names")
         except DecodeError as err:
             if self._invalid_entries.add(key, err):
                 self._reduce(ExecutorEntryInvalid(executor_id))
@@ -344,6 +353,11 @@
         self._invalid_entries.remove(key)
         self._reduce(ExecutorListed(entry))
 
+    def _list_unused_executors(self) -> None:
+        """Handle the entries of services that were not named again, as one may be named now."""
+        for key in list(self._unused_keys):
+            self._handle_executor_entry(key, self._executors_watcher.items.get(key))
+
     async def _async_run_or_give_up(self) -> None:
         """Run the owner; give up ownership if an unexpected error prevents recovery."""
         try:
--- a/wasabiramp/platform/wire.py
+++ b/wasabiramp/platform/wire.py
@@ -83,9 +83,17 @@
         _check_whole_number(raw.get("version"), "version"),
         tuple(_decode_queue(row, f"routes[{index}]") for index, row in enumerate(routes)),
         int(_check_number(limits.get("maxBodyBytes", 262_144), "limits.maxBodyBytes")),
+        _decode_services(raw.get("services")),
     )
 
 
+def _decode_services(raw: Any) -> frozenset[str]:
+    """Return the names of the services; those of the queues count without being listed."""
+    rows = raw if isinstance(raw, list) else []
+    names = [row.get("name") for row in rows if isinstance(row, dict)]
+    return frozenset(name for name in names if isinstance(name, str))
+
+
 def _decode_queue(raw: Any, path: str) -> Queue:
     """Decode a queue, which the platform calls a route."""
     _check_object(raw, path)
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -105,6 +105,7 @@
     """Add a job and prepare the steps of its next occurrences."""
     job = JobRun(stored.definition, stored.progress or JobProgress(), stored.accepted_at)
     state.jobs[job.definition.id] = job
+    state.job_services.add(job.definition.queue.service)
     job.objective_at = calculate_objective(state, job)
     if job.is_ended:
         job.ended_at = state.now
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -122,11 +122,15 @@
 
 @dataclass(slots=True, frozen=True)
 class CellConfig:
-    """One version of the configuration that operators publish for a cell."""
+    """One version of the configuration that operators publish for a cell.
+
+    `services` are the names of all services, those of the queues included.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     max_body_bytes: int = 262_144
+    services: frozenset[str] = frozenset()
     _by_name: dict[str, Queue] = field(init=False, repr=False, compare=False)
     _by_host: dict[str, list[Queue]] = field(init=False, repr=False, compare=False)
 
@@ -137,6 +141,7 @@
             by_host.setdefault(queue.host, []).append(queue)
         object.__setattr__(self, "_by_name", {q.name: q for q in reversed(self.queues)})
         object.__setattr__(self, "_by_host", by_host)
+        object.__setattr__(self, "services", self.services | {q.service for q in self.queues})
 
     def find(self, name: str) -> Queue | None:
         """Return the queue with the given name, or None."""
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -372,6 +372,7 @@
     expired; it is 0 once the recovery is complete. `has_unknown_executors` is set if the earlier
     owner may have runs on executors that are not known. `recovered_revision` is the store revision
     as of which jobs were recovered. `suspect_steps` are the open steps with suspects, by name.
+    `job_services` are the names of the services of all jobs so far, which may outlive their queues.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -386,6 +387,7 @@
         "has_given_up_ownership",
         "has_unknown_executors",
         "is_roster_dirty",
+        "job_services",
         "jobs",
         "lease_limit_s",
         "lease_s",
@@ -415,6 +417,7 @@
         self.config = CellConfig(0, ())
         self.executors: dict[str, ExecutorState] = {}
         self.jobs: dict[str, JobRun] = {}
+        self.job_services: set[str] = set()
         self.open_steps: dict[str, StepRun] = {}
         self.suspect_steps: dict[str, StepRun] = {}
         self.risk_by_queue: dict[str, tuple[float, float]] = {}
@@ -436,6 +439,11 @@
         """Add an effect that logs a decision, which counts `count` times in the metrics."""
         self.effects.append(NoteDecision(event, fields, count))
 
+    def has_use_for(self, entry: ExecutorEntry) -> bool:
+        """Return whether an executor is known, or of a service that the cell or a job names."""
+        is_named = entry.service in self.config.services or entry.service in self.job_services
+        return is_named or entry.id in self.executors
+
     def find_queue(self, job: JobRun) -> Queue:
         """Return the configured queue of a job, or the job's own copy if it was removed."""
         return self.config.find(job.definition.queue.name) or job.definition.queue
