--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -12,6 +12,7 @@
 from wasabiramp.entry.advisers import AdviserPool
 from wasabiramp.entry.authority import Authority
 from wasabiramp.entry.dispatcher import Dispatcher
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.journal import Journal
 from wasabiramp.entry.keys import (
     KEY_TERM,
@@ -46,6 +47,7 @@
 from wasabiramp.scheduling.events import (
     Committed,
     ConfigChanged,
+    ExecutorEntryInvalid,
     ExecutorListed,
     ExecutorUnlisted,
     JobAccepted,
@@ -206,6 +208,8 @@
         self._removal_due_at: dict[str, float] = {}
         offset_s = read_wall() - self._loop.time()
         self.scheduler = Scheduler(tenure.term, self._lease_s, lease_limit_s, offset_s)
+        self._invalid_entries = InvalidInputs("executor_entry_invalid")
+        self._unused_keys: set[str] = set()
         self._executors_watcher = PrefixWatcher(
             store, codec.executors_prefix, 1.0, self._handle_executor_entry
         )
@@ -282,6 +286,7 @@
     def apply_config(self, config: CellConfig) -> None:
         """Apply a newer configuration."""
         self._reduce(ConfigChanged(config))
+        self._list_unused_executors()
 
     def add_stored_job(
         self,
@@ -297,7 +302,10 @@
         """
         stored = StoredJob(definition, self._compute_accepted_at(definition), revision)
         is_new = is_first and revision > self.tenure.fencing_token
+        is_new_service = definition.queue.service not in self.scheduler.state.job_services
         self._reduce(JobAccepted(stored, is_new, is_found))
+        if is_new_service:
+            self._list_unused_executors()
 
     def add_encoded_job(
         self, data: bytes, revision: int, is_first: bool = False, is_found: bool = False
@@ -305,6 +313,8 @@
         """Add a stored job from its record; return whether the record could be decoded."""
         try:
             definition = decode_definition(data)
+            if type(revision) is not int:
+                raise DecodeError("revision: expected a whole number")
         except DecodeError as err:
             log_event("job_unreadable", revision=revision, error=err)
             return False
@@ -394,13 +404,28 @@
 
     def _handle_executor_entry(self, key: str, item: Item | None) -> None:
         """Handle a change of an executor's entry."""
-        entry = self._codec.decode_executor(key, item.value) if item is not None else None
-        if entry is not None:
-            self._reduce(ExecutorListed(entry))
-        elif item is None:
-            self._reduce(ExecutorUnlisted(self._codec.parse_executor_id(key)))
-        else:
-            log_event("executor_entry_unreadable", key=key, revision=item.revision)
+        executor_id = self._codec.parse_executor_id(key)
+        self._unused_keys.discard(key)
+        if item is None:
+            self._invalid_entries.remove(key)
+            self._reduce(ExecutorUnlisted(executor_id))
+            return
+        try:
+            entry = self._codec.decode_executor(key, item.value)
+            if not self.scheduler.state.has_use_for(entry):
+                self._unused_keys.add(key)
+                raise DecodeError("service: expected one that the configuration or a job names")
+        except DecodeError as err:
+            if self._invalid_entries.add(key, err):
+                self._reduce(ExecutorEntryInvalid(executor_id))
+            return
+        self._invalid_entries.remove(key)
+        self._reduce(ExecutorListed(entry))
+
+    def _list_unused_executors(self) -> None:
+        """Handle the entries of services that were not named again, as one may be named now."""
+        for key in list(self._unused_keys):
+            self._handle_executor_entry(key, self._executors_watcher.items.get(key))
 
     async def _async_run_or_give_up(self) -> None:
         """Run the owner; give up ownership if an unexpected error prevents recovery."""
@@ -447,6 +472,7 @@
                 stored_state.ended,
                 stored_state.unreadable,
                 self.tenure.fencing_token,
+                stored_state.is_roster_complete,
             )
         )
         self._jobs_watcher.start_after(stored_state.as_of)
--- a/wasabiramp/entry/watcher.py
+++ b/wasabiramp/entry/watcher.py
@@ -6,15 +6,17 @@
 from collections.abc import Callable
 from typing import Final
 
+from wasabiramp.entry.invalid_inputs import InvalidInputs
 from wasabiramp.entry.ports import (
     Change,
     HistoryLostError,
     Item,
+    PartialList,
     Store,
     StoreRefusedError,
     StoreUnknownError,
 )
-from wasabiramp.logs import log_event
+from wasabiramp.logs import log_event, log_failure
 
 RETRY_DELAY_S: Final = 0.15
 """Delay after a first failed call; it doubles, so that an outage costs few calls."""
@@ -52,6 +54,7 @@
         self._batch_delay_s = batch_delay_s
         self._revision = 0
         self._watch_after: int | None = None
+        self._failed_changes = InvalidInputs("store_change_failed")
         self.items: dict[str, Item] = {}
         self.confirmed_at: float | None = None
         self.synced = asyncio.Event()
@@ -94,33 +97,53 @@
             await asyncio.sleep(self._batch_delay_s)
 
     def _apply_list(self, items: list[Item], as_of: int) -> bool:
-        """Apply a complete list, whose missing items were removed; return False if it is stale."""
+        """Apply a list; return False if it is stale.
+
+        Items missing from it were removed, unless the list is partial.
+        """
         if as_of < self._revision:
             log_event("store_list_stale", prefix=self._prefix, revision=as_of, known=self._revision)
             return False
         listed = {item.key for item in items}
-        for key in [key for key in self.items if key not in listed]:
+        removed = [key for key in self.items if key not in listed]
+        if isinstance(items, PartialList):
+            log_event("store_list_partial", prefix=self._prefix, missing=len(removed))
+            removed.clear()
+        for key in removed:
             del self.items[key]
-            self._on_change(key, None)
+            self._report_change(key, None)
         for item in items:
             self._apply_item(item)
         self._watch_after = self._revision = as_of
         return True
 
     def _apply_changes(self, changes: list[Change], as_of: int) -> None:
-        """Apply changes in the order of their revisions."""
+        """Apply changes in the order of their revisions; list again if some could not be read."""
         for change in changes:
             if change.item is not None:
                 self._apply_item(change.item)
             elif change.key in self.items and self.items[change.key].revision < change.revision:
                 del self.items[change.key]
-                self._on_change(change.key, None)
+                self._report_change(change.key, None)
         self._watch_after = max(self._watch_after or 0, as_of)
         self._revision = max(self._revision, self._watch_after)
+        if isinstance(changes, PartialList):
+            log_event("store_changes_partial", prefix=self._prefix, revision=as_of)
+            self._watch_after = None
 
     def _apply_item(self, item: Item) -> None:
         """Apply an item, unless the copy has the same revision or a newer one."""
         known = self.items.get(item.key)
         if known is None or known.revision < item.revision:
             self.items[item.key] = item
-            self._on_change(item.key, item)
+            self._report_change(item.key, item)
+
+    def _report_change(self, key: str, item: Item | None) -> None:
+        """Call `on_change`; an unexpected error affects neither other items nor the watch."""
+        try:
+            self._on_change(key, item)
+        except Exception as err:
+            if self._failed_changes.add(key, err) and len(self._failed_changes) == 1:
+                log_failure("store_change_failed")
+        else:
+            self._failed_changes.remove(key)
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -60,10 +60,10 @@
 class JobsRecovered:
     """Jobs and executor roster of an earlier owner, as of a store revision.
 
-    The roster holds the id and address of each executor. The earlier owner's leases on executors
-    have expired `lease_left_s` from now. `ended` are the ids of jobs that have ended, and
-    `unreadable` those of jobs whose records this build cannot read. `claim_revision` is that at
-    which this owner claimed its term.
+    The roster holds the id and address of each executor; `is_roster_complete` is False if some of
+    it could not be read. The earlier owner's leases on executors have expired `lease_left_s` from
+    now. `ended` are the ids of jobs that have ended, and `unreadable` those of jobs whose records
+    this build cannot read. `claim_revision` is that at which this owner claimed its term.
     """
 
     jobs: list[StoredJob]
@@ -73,6 +73,7 @@
     ended: list[str] = field(default_factory=list)
     unreadable: list[str] = field(default_factory=list)
     claim_revision: int = 0
+    is_roster_complete: bool = True
 
 
 @dataclass(slots=True)
@@ -118,6 +119,13 @@
     entry: ExecutorEntry
 
 
+@dataclass(slots=True)
+class ExecutorEntryInvalid:
+    """The platform lists an entry under an executor's id that cannot be used."""
+
+    id: str
+
+
 @dataclass(slots=True)
 class ExecutorUnlisted:
     """The platform removed an executor's entry."""
--- a/wasabiramp/scheduling/evidence.py
+++ b/wasabiramp/scheduling/evidence.py
@@ -70,7 +70,12 @@
 
 
 def is_awaiting_answers(state: SchedulerState) -> bool:
-    """Return whether an executor has not answered completely since the takeover."""
+    """Return whether an executor has not answered completely since the takeover.
+
+    If the list of executors that an earlier owner used is incomplete, its leases are awaited.
+    """
+    if state.has_unknown_executors and state.now < state.predecessor_leases_end_at:
+        return True
     return any(executor.must_answer for executor in state.executors.values())
 
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -24,6 +24,7 @@
     NOT_SENT,
     REFUSED_FENCE,
     UNKNOWN,
+    ExecutorEntryInvalid,
     ExecutorListed,
     ExecutorUnlisted,
     HoldAnswered,
@@ -94,18 +95,37 @@
             "executor_listed", executor=entry.id, service=entry.service, rack=entry.rack
         )
         return
+    executor.has_invalid_entry = False
     if entry.born_ms < executor.born_ms:
-        return
+        if executor.has_accepted_fence:
+            return
+        correct_incarnation(state, executor, entry.born_ms)
     if entry.born_ms > executor.born_ms and executor.born_ms:
         record_new_incarnation(state, executor, entry.born_ms)
     if entry.is_draining and not executor.entry.is_draining:
         state.log_decision("executor_draining", executor=entry.id, runs=len(executor.runs))
-    executor.born_ms = entry.born_ms
+    if entry.born_ms != executor.born_ms:
+        executor.born_ms = entry.born_ms
+        executor.born_known_at = state.now
     executor.entry = entry
     executor.is_listed = True
     record_capacity(state, executor)
 
 
+@handles(ExecutorEntryInvalid)
+def handle_invalid_entry(state: SchedulerState, event: ExecutorEntryInvalid) -> None:
+    """Give an executor no new work while its entry is invalid; its runs stay tracked.
+
+    An invalid entry of an unknown executor is that of another writer.
+    """
+    executor = state.executors.get(event.id)
+    if executor is None or executor.has_invalid_entry:
+        return
+    state.executor_list_version += 1
+    executor.has_invalid_entry = True
+    state.log_decision("executor_entry_unusable", executor=event.id, runs=len(executor.runs))
+
+
 @handles(ExecutorUnlisted)
 def handle_executor_unlisted(state: SchedulerState, event: ExecutorUnlisted) -> None:
     """Mark an executor as unlisted; the resources of its runs stay occupied."""
@@ -127,7 +147,24 @@
     note_silence(state, executor)
     confirm_crash(state, executor)
     forget_verdicts(state, executor)
+    _begin_incarnation(state, executor, born_ms)
+
+
+def correct_incarnation(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
+    """Return to an earlier start time: the later one came from the entry of another writer.
+
+    Nothing is concluded on a crash, and the runs stay tracked. No hold that is sent once a process
+    is known reaches an earlier one, so the answer names the true start time. That of a process may
+    also be earlier because a clock was set back.
+    """
+    state.log_decision("executor_start_corrected", executor=executor.id, runs=len(executor.runs))
+    _begin_incarnation(state, executor, born_ms)
+
+
+def _begin_incarnation(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
+    """Reset what is known of the process of an executor, and stop starts that may come late."""
     executor.reset(born_ms)
+    executor.born_known_at = state.now
     executor.lease_expiry_floor = state.now + state.lease_limit_s
     for run in executor.runs.values():
         run.stop_sent_at = run.stop_confirmed_at = None
@@ -157,9 +194,11 @@
         return
     report = event.report
     if report.born_ms < executor.born_ms:
-        # An earlier incarnation, or an entry with a wrong start time: nothing is known of this one.
-        handle_hold_failure(state, HoldFailed(event.executor, event.sent_at, UNKNOWN))
-        return
+        if event.sent_at <= executor.born_known_at:
+            # An earlier incarnation answered, so nothing is known of the present one.
+            handle_hold_failure(state, HoldFailed(event.executor, event.sent_at, UNKNOWN))
+            return
+        correct_incarnation(state, executor, report.born_ms)
     executor.has_open_hold = False
     executor.answered_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
@@ -167,6 +206,7 @@
         if executor.born_ms:
             record_new_incarnation(state, executor, report.born_ms)
         executor.born_ms = report.born_ms
+        executor.born_known_at = state.now
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.has_accepted_fence = True
@@ -356,6 +396,7 @@
     """Return whether an executor may get new work now."""
     if (
         executor.entry.is_draining
+        or executor.has_invalid_entry
         or not executor.has_accepted_fence
         or not executor.is_in_stored_roster
     ):
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -28,6 +28,10 @@
 OCCURRENCES_AHEAD: Final = 4
 """Maximum number of unfinished occurrences of a repeated job that are prepared."""
 
+MAX_STEPS: Final = 200
+MAX_TASKS: Final = 20_000
+"""Limits of one job, which keep its record well below the store's limit of a value."""
+
 
 @handles(ConfigChanged)
 def handle_config_changed(state: SchedulerState, event: ConfigChanged) -> None:
@@ -80,6 +84,7 @@
     state.is_recovering = True
     state.predecessor_leases_end_at = state.now + event.lease_left_s
     state.recovered_revision = event.as_of
+    state.has_unknown_executors = not event.is_roster_complete
     for executor_id, address in event.roster:
         executor = state.executors.get(executor_id)
         if executor is None:
@@ -116,6 +121,7 @@
     """Add a job and prepare the steps of its next occurrences."""
     job = JobRun(stored.definition, stored.progress or JobProgress(), stored.accepted_at)
     state.jobs[job.definition.id] = job
+    state.job_services.add(job.definition.queue.service)
     job.objective_at = calculate_objective(state, job)
     if job.is_ended:
         job.ended_at = state.now
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -277,12 +277,15 @@
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `unattributed_ends` are ends of unknown jobs by number, with the time
     at which each was read. `hold_address` is the address to which the last hold was sent, and
-    `reached_at` the one from which the executor answered last. `slowness` is 1 at the estimated
+    `reached_at` the one from which the executor answered last. `born_known_at` is the time since
+    which its start time `born_ms` is known. `has_invalid_entry` is set while the platform lists an
+    entry that cannot be used. `slowness` is 1 at the estimated
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering.
     """
 
     __slots__ = (
+        "born_known_at",
         "born_ms",
         "clock_at",
         "clock_ms",
@@ -296,6 +299,7 @@
         "next_hold_at",
         "id",
         "has_accepted_fence",
+        "has_invalid_entry",
         "has_open_hold",
         "is_gone",
         "is_listed",
@@ -326,6 +330,8 @@
         self.id = entry.id
         self.entry = entry
         self.is_listed = True
+        self.has_invalid_entry = False
+        self.born_known_at = 0.0
         self.is_in_stored_roster = False
         self.unlisted_at = 0.0
         self.must_answer = False
@@ -379,10 +385,12 @@
     """State of the scheduler of one domain.
 
     `is_recovering` is set after a takeover until it is known what earlier owners left running, and
-    their leases end at `predecessor_leases_end_at` at the latest. `recovered_revision` is the store
-    revision as of which jobs were recovered. `ended_jobs` had ended by then, and `unreadable_jobs`
-    have records that this build cannot read. All jobs stored up to `jobs_confirmed_at` are known.
+    their leases end at `predecessor_leases_end_at` at the latest. `has_unknown_executors` is set if
+    they may have runs on executors that are not known. `recovered_revision` is the store revision
+    as of which jobs were recovered. `ended_jobs` had ended by then, and `unreadable_jobs` have
+    records that this build cannot read. All jobs stored up to `jobs_confirmed_at` are known.
     `suspect_steps` are the open steps with suspects, by name.
+    `job_services` are the names of the services of all jobs so far, which may outlive their queues.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -398,7 +406,9 @@
         "executors",
         "has_given_up_ownership",
         "is_recovering",
+        "has_unknown_executors",
         "is_roster_dirty",
+        "job_services",
         "jobs",
         "jobs_confirmed_at",
         "lease_limit_s",
@@ -432,6 +442,7 @@
         self.config = CellConfig(0, ())
         self.executors: dict[str, ExecutorState] = {}
         self.jobs: dict[str, JobRun] = {}
+        self.job_services: set[str] = set()
         self.open_steps: dict[str, StepRun] = {}
         self.suspect_steps: dict[str, StepRun] = {}
         self.risk_by_queue: dict[str, tuple[float, float]] = {}
@@ -447,6 +458,7 @@
         self.ended_jobs: set[str] = set()
         self.unreadable_jobs: set[str] = set()
         self.has_given_up_ownership = False
+        self.has_unknown_executors = False
         self.is_roster_dirty = False
         self.executor_list_version = 0
         self.list_age_s = 0.0
@@ -456,6 +468,11 @@
         """Add an effect that logs a decision, which counts `count` times in the metrics."""
         self.effects.append(NoteDecision(event, fields, count))
 
+    def has_use_for(self, entry: ExecutorEntry) -> bool:
+        """Return whether an executor is known, or of a service that the cell or a job names."""
+        is_named = entry.service in self.config.services or entry.service in self.job_services
+        return is_named or entry.id in self.executors
+
     def find_queue(self, job: JobRun) -> Queue:
         """Return the configured queue of a job, or the job's own copy if it was removed."""
         return self.config.find(job.definition.queue.name) or job.definition.queue
