Withdraw crashes that a false start time of an entry recorded

Seen: an entry of another writer under an executor's id, with a later `born`, recorded a proven crash for each task on the executor, which went on to answer; further ones would add up to a suspect.

Cause: a later start time in an entry counts as the end of the process before it.

Conclusion: the executor's own report with the earlier start time withdraws the crashes of that incarnation from the tasks that run on it. A job that was given up in between stays failed, and the crash stays counted in the risk of its queue.

--- a/tests/scheduling/test_invalid_entries.py
+++ b/tests/scheduling/test_invalid_entries.py
@@ -11,7 +11,7 @@
     JobsRecovered,
 )
 from wasabiramp.scheduling.executors import RELIST_GRACE_S
-from wasabiramp.scheduling.model import RunReport
+from wasabiramp.scheduling.model import DONE, RunReport
 
 
 class TestExecutorWithInvalidEntry:
@@ -150,6 +150,22 @@
         harness.list_executor("e0", born_ms=1)
         assert harness.scheduler.state.executors["e0"].born_ms == 9
 
+    # Guards against a job that fails for crashes that were none.
+    def test_crashes_are_withdrawn_when_the_executor_answers(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        job = harness.submit("a" * 16, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        for born_ms in range(9, 14):
+            harness.tick(0.1)
+            harness.list_executor(start.executor, born_ms=born_ms)
+            harness.tick(0.1)
+            harness.answer_hold(start.executor)
+            assert job.steps[(0, 0)].progress.crashes == {}
+            assert harness.scheduler.state.suspect_steps == {}
+            harness.list_executor(start.executor, born_ms=1)
+        harness.finish_run(start)
+        assert job.progress.phase == DONE
+
     def run_task(self, harness: SchedulerHarness, letter: str = "a") -> list[StartTask]:
         """Submit a job of one task and return its start."""
         harness.submit(letter * 16, "batch", make_step(1))
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -215,6 +215,15 @@
             return
 
 
+def withdraw_crashes(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
+    """Withdraw the crashes that were recorded for an incarnation that answers again."""
+    for run in executor.runs.values():
+        crashes = run.step.progress.crashes.get(run.index, []) if run.step is not None else []
+        for crash in list(crashes):
+            if run.step is not None and (crash.executor, crash.born_ms) == (executor.id, born_ms):
+                _remove_crash(state, TaskAtCrash(run.step, run.index, crash))
+
+
 def _remove_crash(state: SchedulerState, task: TaskAtCrash) -> None:
     """Remove a crash from the progress of its step."""
     crashes = task.step.progress.crashes.get(task.index, [])
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -13,6 +13,7 @@
     confirm_crash,
     note_silence,
     settle_silence,
+    withdraw_crashes,
 )
 from wasabiramp.scheduling.events import (
     NOT_SENT,
@@ -187,6 +188,7 @@
         if event.sent_at <= executor.born_known_at:
             return
         correct_incarnation(state, executor, report.born_ms)
+        withdraw_crashes(state, executor, report.born_ms)
     if report.born_ms > executor.born_ms:
         if executor.born_ms:
             record_new_incarnation(state, executor, report.born_ms)
