--- a/tests/entry/test_election.py
+++ b/tests/entry/test_election.py
@@ -16,6 +16,7 @@
     decode_member,
     encode_member,
     parse_name,
+    parse_owner_address,
     parse_term,
 )
 from wasabiramp.entry.keys import KEY_OWNER, KEY_TERM, PREFIX_MEMBER
@@ -70,9 +71,22 @@
         assert (member.name, member.address, member.power) == ("a", "10.0.0.2:81", 0.5)
 
     def test_claim(self) -> None:
-        item = Item(KEY_TERM, msgpack.packb(("a", 7)), 7)
-        assert decode_claim(item) == ("a", 7)
+        item = Item(KEY_TERM, msgpack.packb(("a", 7, "10.0.0.2:80")), 7)
+        assert decode_claim(item) == ("a", 7, "10.0.0.2:80")
         assert (parse_name(item), parse_term(item)) == ("a", 7)
+        assert parse_owner_address(item) == "10.0.0.2:80"
+
+    @pytest.mark.parametrize("row", [("a", 7), ("a", 7, "", "more")])
+    def test_claim_of_another_version(self, row: Any) -> None:
+        item = Item(KEY_TERM, msgpack.packb(row), 7)
+        assert decode_claim(item) == ("a", 7, "")
+
+    @pytest.mark.parametrize("address", [5, None, ["10.0.0.2:80"], "a" * 5_000])
+    def test_invalid_address_of_a_claim_is_named(self, address: Any) -> None:
+        item = Item(KEY_TERM, msgpack.packb(("a", 7, address)), 7)
+        with pytest.raises(DecodeError, match="^address: "):
+            decode_claim(item)
+        assert parse_owner_address(item) == ""
 
     @pytest.mark.parametrize("value", ODD_BYTES, ids=range(len(ODD_BYTES)))
     def test_odd_member_is_refused(self, value: bytes) -> None:
--- a/tests/platform/test_odd_requests.py
+++ b/tests/platform/test_odd_requests.py
@@ -68,7 +68,7 @@
         first = await async_send(port, request)
         good = build_request("GET", JOB_PATH)
         assert b" 200 " in await async_send(port, good)
-        await server.async_stop()
+        await server.async_stop(asyncio.get_running_loop().time() + 1.0)
         return first
 
     return asyncio.run(async_run()), backend
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -17,7 +17,7 @@
 
 from soak.callers import Caller, async_wait_for_jobs
 from soak.cell import Cell, DaemonProcess
-from soak.plan import FULL, make_plan
+from soak.plan import FULL, PLAIN, make_plan
 from soak.run import async_soak
 from tests.core.test_records import nest_records
 from wasabiramp.entry.keys import (
@@ -188,7 +188,7 @@
     async def async_run_job(self, caller: Caller, number: int, delay_s: float) -> None:
         """Run a job after a delay."""
         await asyncio.sleep(delay_s)
-        await caller.async_run_job(number)
+        await caller.async_run_job(number, [PLAIN])
 
     async def async_find_owner(self, cell: Cell) -> DaemonProcess:
         """Return the daemon that owns the domain, once there is one."""
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -19,6 +19,7 @@
     confirm_crash,
     note_silence,
     settle_silence,
+    withdraw_crashes,
 )
 from wasabiramp.scheduling.events import (
     NOT_SENT,
@@ -199,6 +200,7 @@
             handle_hold_failure(state, HoldFailed(event.executor, event.sent_at, UNKNOWN))
             return
         correct_incarnation(state, executor, report.born_ms)
+        withdraw_crashes(state, executor, report.born_ms)
     executor.has_open_hold = False
     executor.answered_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -33,7 +33,7 @@
 MAX_ROWS: Final = 1_000_000
 """Greatest length of a list in the progress of a job."""
 
-PHASES: Final = FINAL_PHASES | {PENDING, RUNNING}
+PHASES: Final = FINAL_PHASES | {PENDING, RUNNING, VOID}
 
 
 def encode_definition(job: JobDefinition) -> bytes:
