--- a/soak/owner_faults.py
+++ b/soak/owner_faults.py
@@ -17,6 +17,9 @@
 """Range of the time for which the owner is cut off from the store; its keys expire meanwhile or
 not."""
 
+LONG_CUT_S: Final = (5.0, 5.5)
+"""The same where executors are cut off as well, so that another daemon takes them for silent."""
+
 PAUSE_S: Final = (3.5, 7.0)
 """Range of the time for which the owner is suspended, longer than its lease."""
 
@@ -107,13 +110,18 @@
 
 @hand_over_fault
 async def async_cut_owner_and_executor(cell: Cell, random: Random) -> None:
-    """Cut the owner off from the store, and an executor with runs from the other daemons."""
-    owner = find_owner(cell, "cut from the store, and an executor from the others than")
+    """Cut the owner off from the store, and one or all executors with runs from the others.
+
+    If all are cut, no executor refuses the owner after another daemon has taken over.
+    """
+    owner = find_owner(cell, "cut from the store, and executors from the others than")
     others = [daemon.name for daemon in cell.daemons if daemon is not owner]
-    busiest = cell.platform.executors.list_busiest()[:1]
+    executors = cell.platform.executors.list_with_runs()
+    if executors and random.random() < 0.5:
+        executors = [random.choice(executors)]
     await asyncio.gather(
-        async_hold_path(owner, SILENT, (5.0, 5.5), random),
-        async_hold_cut(cell, Cut(busiest, others, SILENT), random.uniform(5.0, 5.5)),
+        async_hold_path(owner, SILENT, LONG_CUT_S, random),
+        async_hold_cut(cell, Cut(executors, others, SILENT), random.uniform(*LONG_CUT_S)),
     )
 
 
--- a/stand_ins/platform_executors.py
+++ b/stand_ins/platform_executors.py
@@ -53,6 +53,10 @@
         self.on_add(executor)
         return executor
 
+    def list_with_runs(self) -> list[str]:
+        """Return the ids of the executors that run something."""
+        return sorted(name for name, executor in self.by_id.items() if executor.runs)
+
     def list_busiest(self) -> list[str]:
         """Return the ids of the executors that are up, those with the most runs first."""
         up = [executor for executor in self.by_id.values() if executor.is_up]
