--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -100,16 +100,16 @@
     step = {
         "cpu": random.randrange(100, 500),
         "memMb": random.randrange(50, 250),
-        "estimateMs": random.randrange(60, 400),
+        "estimateMs": random.randrange(60, 200),
         "count": random.randrange(1, 5),
         "antiAffinity": random.choice((0, 1)),
     }
     body = {
         "spec": draw_spec(random),
         "steps": [step],
-        "repeatCount": random.randrange(10, 80),
+        "repeatCount": random.randrange(30, 100),
         "firstMs": int(time.time() * 1000) + 500,
-        "intervalMs": random.randrange(150, 500),
+        "intervalMs": random.randrange(100, 300),
     }
     return JobDraft("/b/", body, CANCEL_SHARE)
 
