--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -44,7 +44,7 @@
     """An executor that is cut off, drains or lost its entry may still run its tasks."""
 
     # A new owner took an executor without an entry for one that had left (TWICE).
-    @pytest.mark.parametrize("seed", [*SEEDS, 15, 19, 30, 31, 39])
+    @pytest.mark.parametrize("seed", [*SEEDS, 14, 15, 24, 33])
     def test_cut_off_at_the_end_of_an_outage(self, seed: int) -> None:
         check(run_kind("outage", seed))
 
@@ -61,7 +61,7 @@
     """An owner that lost contact does not act beside the next one."""
 
     # An owner that was cut off renewed leases which the next one took for lapsed (TWICE).
-    @pytest.mark.parametrize("seed", [*SEEDS, 19, 25, 32, 35, 39])
+    @pytest.mark.parametrize("seed", [*SEEDS, 13, 15, 21, 26, 28])
     def test_cut_off_from_the_store(self, seed: int) -> None:
         check(run_kind("two_owners", seed))
 
--- a/tests/model/entry/test_platform.py
+++ b/tests/model/entry/test_platform.py
@@ -282,29 +282,29 @@
 
     def test_unanswered(self) -> None:
         checker, _request = self._make_checker()
-        checker.check_answers(4.9, {"a": 0.0})
+        checker.check_answers({"a": (4.9, 0.0)})
         assert checker.breaches == []
-        checker.check_answers(5.1, {"a": 0.0})
-        checker.check_answers(6.0, {"a": 0.0})
+        checker.check_answers({"a": (5.1, 0.0)})
+        checker.check_answers({"a": (6.0, 0.0)})
         assert [text.split()[0] for text in checker.breaches] == ["LOST"]
 
     def test_answered(self) -> None:
         checker, request = self._make_checker()
         checker.record_answer(request)
-        checker.check_answers(9.0, {"a": 0.0})
+        checker.check_answers({"a": (9.0, 0.0)})
         assert checker.breaches == []
 
     def test_daemon_ended(self) -> None:
         checker, _request = self._make_checker()
-        checker.check_answers(9.0, {"b": 0.0})
-        checker.check_answers(9.0, {"a": 0.0})
+        checker.check_answers({"b": (9.0, 0.0)})
+        checker.check_answers({"a": (9.0, 0.0)})
         assert checker.breaches == []
 
     def test_daemon_was_paused(self) -> None:
         checker, _request = self._make_checker()
-        checker.check_answers(9.0, {"a": 8.0})
+        checker.check_answers({"a": (9.0, 8.0)})
         assert checker.breaches == []
-        checker.check_answers(12.0, {"a": 8.0})
+        checker.check_answers({"a": (12.0, 8.0)})
         assert len(checker.breaches) == 1
 
 
--- a/wasabiramp/model/entry/checker.py
+++ b/wasabiramp/model/entry/checker.py
@@ -117,7 +117,10 @@
         self.breaches.append(text)
 
     def record_request(self, text: str, daemon: str, due_at: float) -> int:
-        """Record that a daemon got a request of a caller, and return its number."""
+        """Record that a daemon got a request of a caller, and return its number.
+
+        `due_at` is the time on the daemon's clock by which it has answered.
+        """
         self._request_count += 1
         self._open_requests[self._request_count] = (text, daemon, due_at)
         return self._request_count
@@ -126,16 +129,18 @@
         """Record that a request was answered, or that its daemon ended."""
         self._open_requests.pop(request, None)
 
-    def check_answers(self, now: float, resumed_at: dict[str, float]) -> None:
+    def check_answers(self, clocks: dict[str, tuple[float, float]]) -> None:
         """Report the requests that are overdue at daemons that live.
 
-        `resumed_at` holds for each living daemon the end of its last pause; it gets some time to
-        answer after that.
+        `clocks` holds for each living daemon its clock, and the time on it at which its last pause
+        ended; it gets some time to answer after that.
         """
         for request, (text, daemon, due_at) in list(self._open_requests.items()):
-            if daemon not in resumed_at:
+            if daemon not in clocks:
                 del self._open_requests[request]
-            elif now > max(due_at, resumed_at[daemon] + MAX_ANSWER_DELAY_S):
+                continue
+            now, resumed_at = clocks[daemon]
+            if now > max(due_at, resumed_at + MAX_ANSWER_DELAY_S):
                 del self._open_requests[request]
                 self.report(f"LOST at {now:.3f} {text}: no answer though the daemon lives")
 
--- a/wasabiramp/model/entry/clock.py
+++ b/wasabiramp/model/entry/clock.py
@@ -126,9 +126,13 @@
         when = resume_at + self._deferred_count * DEFERRED_CALL_SPACING_S
         super().call_at(when, self._run_unless_paused, handles, callback, args)
 
+    def get_suspended_s(self, node: str) -> float:
+        """Return for how long the machine of a node was suspended, also for one that goes on."""
+        return self._suspended_s.get(node, 0.0)
+
     def _get_suspended_s(self) -> float:
         """Return for how long the machine of the current node was suspended."""
-        return self._suspended_s.get(CURRENT_NODE.get(), 0.0) if self._suspended_s else 0.0
+        return self.get_suspended_s(CURRENT_NODE.get()) if self._suspended_s else 0.0
 
     @property
     def true_time(self) -> float:
--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from wasabiramp.model.entry.checker import MAX_ANSWER_DELAY_S
 from wasabiramp.model.entry.contact import CONTACT_FAULTS, heal
 from wasabiramp.model.entry.liveness import (
     MAX_GAP_S,
@@ -265,6 +266,9 @@
             await world.async_cancel(job_id)
     await world.async_wait_for_jobs(FINISH_TIMEOUT_S)
     standstill_check.cancel()
+    # The last calls of callers that gave up are due only now.
+    await asyncio.sleep(MAX_ANSWER_DELAY_S)
+    world.check_answers()
 
 
 async def _async_run_caller(world: World, kind: ScheduleKind, number: int) -> None:
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -347,7 +347,8 @@
 
         async def serve() -> Answer:
             # The request runs in the daemon: a killed daemon never answers.
-            due_at = self.loop.time() + timeout_s + MAX_ANSWER_DELAY_S
+            clock = self.loop.true_time - self.loop.get_suspended_s(node)
+            due_at = clock + timeout_s + MAX_ANSWER_DELAY_S
             request = self.checker.record_request(f"{call} at {node}", node, due_at)
             try:
                 return await async_run_on_node(node, getattr(handler, call)(*args, timeout_s))
@@ -356,14 +357,18 @@
             finally:
                 self.checker.record_answer(request)
 
-        self._check_answers()
+        self.check_answers()
 
         return await self.network.async_call(CALLER, node, timeout_s, serve)
 
-    def _check_answers(self) -> None:
-        """Check that the daemons have answered in time, as far as they ran."""
-        resumed_at = {node: self.loop.get_resume_time(node) for node in self.node_names.values()}
-        self.checker.check_answers(self.loop.time(), resumed_at)
+    def check_answers(self) -> None:
+        """Check that the daemons have answered in time all requests that are due."""
+        clocks: dict[str, tuple[float, float]] = {}
+        for node in self.node_names.values():
+            suspended_s = self.loop.get_suspended_s(node)
+            resumed_at = self.loop.get_resume_time(node) - suspended_s
+            clocks[node] = (self.loop.true_time - suspended_s, resumed_at)
+        self.checker.check_answers(clocks)
 
     async def async_submit(self, job: JobDefinition, attempts: int = MAX_CALL_ATTEMPTS) -> bool:
         """Submit a job with retries and return whether it was accepted."""
@@ -427,6 +432,6 @@
                 if await self.async_show(job_id) in FINAL_PHASES:
                     waiting.discard(job_id)
             await asyncio.sleep(0.5)
-        self._check_answers()
+        self.check_answers()
         for job_id in sorted(waiting):
             self.checker.report(f"LOST {job_id}: not ended {limit_s:.0f} s after the last fault")
