Test that callers are told to leave a daemon that stops

The cases of test_draining.py whose losses stay within the slack of 0.2 s passed on the code before their fix. At most half of the callers may now lose a call at the end of their connection.

--- a/tests/platform/test_draining.py
+++ b/tests/platform/test_draining.py
@@ -136,6 +136,9 @@
                 await cell.async_stop()
 
         looping, code = asyncio.run(run_scenario())
-        assert [lost for c in looping for lost in c.lost if lost[1] > LOSS_SLACK_S] == []
+        lost = [call for caller in looping for call in caller.lost]
+        assert [call for call in lost if call[1] > LOSS_SLACK_S] == []
+        # Callers are told to leave, so hardly any request is on its way when a connection ends.
+        assert len(lost) < CALLERS / 2
         assert min(caller.answered for caller in looping) > 4
         assert code == 0
