Model callers that give up soon and cancel, with late writes

Callers saw UNASKED after a cancel that was answered 410; the random schedules did not find it, as their callers cancel accepted jobs only and submit with a timeout in which late writes are mostly resolved.

Now schedules of their own have callers that submit once, with a timeout of 0.3 to 1.5 s, cancel what was not accepted, and at random submit it again. A kill of a daemon during its graceful stop no longer ends the schedule with CancelledError.

--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -285,6 +285,10 @@
         try:
             await daemon.async_relinquish()
             await daemon.async_stop()
+        except asyncio.CancelledError:
+            # A kill of the daemon meanwhile cancels the calls that it waits for.
+            if self.daemons.get(name) is daemon:
+                raise
         finally:
             CURRENT_NODE.reset(token)
         if self.daemons.get(name) is daemon:
@@ -315,7 +319,7 @@
         executor.crash()
         self.unlist_executor(executor.entry.id)
 
-    async def _async_call(self, call: str, *args: Any) -> Answer:
+    async def _async_call(self, call: str, *args: Any, timeout_s: float = CALL_TIMEOUT_S) -> Answer:
         """Call the request handler of a random daemon as a caller."""
         names = sorted(self.daemons)
         if not names:
@@ -326,11 +330,11 @@
         async def serve() -> Answer:
             # The request runs in the daemon: a killed daemon never answers.
             try:
-                return await async_run_on_node(node, getattr(handler, call)(*args, CALL_TIMEOUT_S))
+                return await async_run_on_node(node, getattr(handler, call)(*args, timeout_s))
             except asyncio.CancelledError:
                 return await self.loop.create_future()
 
-        return await self.network.async_call(CALLER, node, CALL_TIMEOUT_S, serve)
+        return await self.network.async_call(CALLER, node, timeout_s, serve)
 
     async def async_submit(self, job: JobDefinition) -> bool:
         """Submit a job with retries and return whether it was accepted."""
@@ -348,6 +352,17 @@
             await asyncio.sleep(answer.retry_after_s or 0.5)
         return False
 
+    async def async_submit_once(self, job: JobDefinition, timeout_s: float) -> bool:
+        """Submit a job once with a timeout, and return whether it was accepted."""
+        record = self.checker.jobs.setdefault(job.id, JobRecord(job))
+        record.submit_attempts += 1
+        try:
+            answer = await self._async_call("async_submit", job, timeout_s=timeout_s)
+        except NoAnswerError:
+            return False
+        record.refusals += answer.outcome == NOT_RUN
+        return answer.outcome == ACCEPTED
+
     async def async_show(self, job_id: str) -> str:
         """Return the phase of an accepted job, or an empty string without an answer."""
         try:
