--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -309,6 +309,10 @@
         try:
             await daemon.async_relinquish()
             await daemon.async_stop()
+        except asyncio.CancelledError:
+            # A kill of the daemon meanwhile cancels the calls that it waits for.
+            if self.daemons.get(name) is daemon:
+                raise
         finally:
             CURRENT_NODE.reset(token)
         if self.daemons.get(name) is daemon:
@@ -363,7 +367,6 @@
                 self.checker.record_answer(request)
 
         self.check_answers()
-
         return await self.network.async_call(CALLER, node, timeout_s, serve)
 
     def check_answers(self) -> None:
@@ -391,6 +394,17 @@
             await asyncio.sleep(answer.retry_after_s or 0.5)
         return False
 
+    async def async_submit_once(self, job: JobDefinition, timeout_s: float) -> bool:
+        """Submit a job once with a timeout, and return whether it was accepted."""
+        record = self.checker.jobs.setdefault(job.id, JobRecord(job))
+        record.submit_attempts += 1
+        try:
+            answer = await self._async_call("async_submit", job, timeout_s=timeout_s)
+        except NoAnswerError:
+            return False
+        record.refusals += answer.outcome == NOT_RUN
+        return answer.outcome == ACCEPTED
+
     async def async_show(self, job_id: str) -> str:
         """Return the phase of an accepted job, or an empty string without an answer."""
         try:
