--- a/stand_ins/listener.py
+++ b/stand_ins/listener.py
@@ -42,17 +42,24 @@
         """Choose a port; nothing is served before `async_open`."""
         self._protocols = web.Server(handler, access_log=None)
         self._server: asyncio.Server | None = None
+        self._should_be_open = False
+        self._lock = asyncio.Lock()
         self._port = find_free_ports(1)[0]
         self.address = f"{HOST}:{self._port}"
 
     async def async_open(self) -> None:
-        """Listen, unless the port is open."""
-        if self._server is None:
-            loop = asyncio.get_running_loop()
-            self._server = await loop.create_server(self._protocols, HOST, self._port)
+        """Listen, unless the port is open, or is closed before it has been opened."""
+        self._should_be_open = True
+        async with self._lock:
+            if self._server is None and self._should_be_open:
+                loop = asyncio.get_running_loop()
+                self._server = await loop.create_server(self._protocols, HOST, self._port)
+        if not self._should_be_open:
+            self.close()
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
+        self._should_be_open = False
         server, self._server = self._server, None
         if server is not None:
             server.close()
--- a/tests/platform_stand_ins/test_listener.py
+++ b/tests/platform_stand_ins/test_listener.py
@@ -42,6 +42,25 @@
 
         assert asyncio.run(async_play()) == ["served", "refused", "served"]
 
+    def test_port_that_two_cuts_release_at_once_is_opened_once(self) -> None:
+        # Guards against a seed that ends as two overlapping cuts of an executor heal together.
+        async def async_handle(_request: web.BaseRequest) -> web.Response:
+            return web.Response(text="served")
+
+        async def async_play() -> list[str]:
+            listener = Listener(async_handle)
+            await asyncio.gather(listener.async_open(), listener.async_open())
+            answers = [await async_get(f"http://{listener.address}/")]
+            opening = asyncio.create_task(listener.async_open())
+            listener.close()
+            await opening
+            listener.close()
+            answers.append(await async_get(f"http://{listener.address}/"))
+            await listener.async_stop()
+            return answers
+
+        assert asyncio.run(async_play()) == ["served", "refused"]
+
     def test_sender_is_the_process_at_the_other_end(self) -> None:
         finder = SenderFinder()
         finder.processes = {"gone": 2**22 - 1, "this": os.getpid()}
