Soak: end the other faults of a seed when one fails

A seed that ended with an error left four daemons behind: faults that were still under way restarted them after the cell had stopped. The jobs and faults of a seed are one task group now, which cancels the rest.

That an error leaves none was not shown by a run.

--- a/soak/run.py
+++ b/soak/run.py
@@ -63,7 +63,9 @@
             _async_run_after(delay_s, ALL_FAULTS[name](cell, random))
             for delay_s, name in plan.draw_faults(random, seconds)
         ]
-        await asyncio.gather(*jobs, *faults)
+        async with asyncio.TaskGroup() as group:
+            for play in (*jobs, *faults):
+                group.create_task(play)
         cell.heal()
         cell.note("calm")
         await async_check_lasting_tasks(checker)
