Let a partial list confirm nothing

Callers would see: tasks that start from zero or twice, and jobs taken for over.

Cause: a list that lacks a row counted as complete in a recovery (the mark was lost where parts are joined) and in a watch, so that a job or progress record behind that row counted as absent.

Change: a recovery reads again; a watch applies what it has, and moves its time of completeness only with complete answers.

Such rows need a store that breaks its page.

--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -25,6 +25,7 @@
     HistoryLostError,
     Item,
     NoAnswerError,
+    PartialList,
     PeerGoneError,
     StoreConflictError,
     StoreRefusedError,
@@ -662,3 +663,23 @@
                 await PeerCaller(LoopLag()).async_call(f"127.0.0.1:{port}", ShowJob("x"), 2.0)
 
         asyncio.run(run_scenario())
+
+
+class TestPartialList:
+    """A list that lacks rows does not show that the copy is complete."""
+
+    # Guards against TWICE: a list that may lack a job confirms that all stored jobs are known.
+    def test_partial_list_confirms_nothing(self) -> None:
+        partial: Any = (PartialList([]), 8)
+        store = ScriptedStore(lists=20 * [partial], watches=[])
+        confirmed: list[Any] = []
+
+        async def run_scenario() -> None:
+            watcher = PrefixWatcher(store, "p/", 1.0, lambda key, item: None)
+            task = asyncio.get_running_loop().create_task(watcher.async_run())
+            await asyncio.sleep(0.02)
+            confirmed.append(watcher.confirmed_at)
+            task.cancel()
+
+        run(run_scenario())
+        assert confirmed == [None]
--- a/tests/entry/test_journal_records.py
+++ b/tests/entry/test_journal_records.py
@@ -20,7 +20,7 @@
     build_progress_key,
 )
 from wasabiramp.entry.membership import Tenure
-from wasabiramp.entry.ports import Item
+from wasabiramp.entry.ports import Item, PartialList
 from wasabiramp.model.entry.schedule import find_owner
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.events import JobsRecovered, StoredJob
@@ -157,3 +157,29 @@
 
         world.run(run_scenario())
         assert world.checker.breaches == []
+
+
+class PartialStore(RecordStore):
+    """A store whose lists lack a row that could not be read."""
+
+    async def async_list(self, prefix: str) -> tuple[list[Item], int]:
+        items, as_of = await super().async_list(prefix)
+        return PartialList(items), as_of
+
+
+class TestPartialLists:
+    """A list that lacks rows tells nothing of the jobs that it does not show."""
+
+    # Guards against TWICE: a recovery from a list without some rows started jobs without their
+    # progress, took jobs for over, and removed their progress.
+    def test_recovery_needs_complete_lists(self) -> None:
+        found: list[Any] = []
+
+        async def run_scenario() -> None:
+            key = build_progress_key("a" * 16)
+            store: Any = PartialStore({key: encode_progress(JobProgress())})
+            journal = Journal(store, Tenure(1, 1), lambda reason: None)
+            found.append(await journal.async_read())
+
+        run(run_scenario())
+        assert found == [None]
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -22,6 +22,7 @@
 from wasabiramp.entry.membership import Tenure
 from wasabiramp.entry.ports import (
     Item,
+    PartialList,
     Store,
     StoreConflictError,
     StoreRefusedError,
@@ -112,6 +113,9 @@
         except (StoreRefusedError, StoreUnknownError) as err:
             log_event("recovery_read_failed", error=err)
             return None
+        if isinstance(jobs, PartialList) or isinstance(progress, PartialList):
+            log_event("recovery_read_partial", jobs=len(jobs), progress=len(progress))
+            return None
         self._commits_revision = commits.revision if commits is not None else 0
         stored_state = Kept(as_of, *_decode_roster(roster))
         progress_items = {item.key.removeprefix(PREFIX_PROGRESS): item for item in progress}
--- a/wasabiramp/entry/shards.py
+++ b/wasabiramp/entry/shards.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Final
 
-from wasabiramp.entry.ports import Item, Store
+from wasabiramp.entry.ports import Item, PartialList, Store
 from wasabiramp.policy.switches import switchable
 
 SHARDS: Final = tuple("0123456789abcdef")
@@ -63,4 +63,7 @@
                 raise result
         parts = list(self._parts.values())
         items = [item for part, _as_of in parts for item in part]
+        if any(isinstance(part, PartialList) for part, _as_of in parts):
+            self._parts.clear()
+            items = PartialList(items)
         return items, min(as_of for _part, as_of in parts)
--- a/wasabiramp/entry/watcher.py
+++ b/wasabiramp/entry/watcher.py
@@ -54,6 +54,7 @@
         self._batch_delay_s = batch_delay_s
         self._revision = 0
         self._watch_after: int | None = None
+        self._is_partial = False
         self._failed_changes = InvalidInputs("store_change_failed")
         self.items: dict[str, Item] = {}
         self.confirmed_at: float | None = None
@@ -92,7 +93,8 @@
             if retry_delay_s != RETRY_DELAY_S:
                 log_event("store_watch_recovered", prefix=self._prefix, revision=self._revision)
             retry_delay_s = RETRY_DELAY_S
-            self.confirmed_at = requested_at
+            if not self._is_partial:
+                self.confirmed_at = requested_at
             self.synced.set()
             await asyncio.sleep(self._batch_delay_s)
 
@@ -104,9 +106,10 @@
         if as_of < self._revision:
             log_event("store_list_stale", prefix=self._prefix, revision=as_of, known=self._revision)
             return False
+        self._is_partial = isinstance(items, PartialList)
         listed = {item.key for item in items}
         removed = [key for key in self.items if key not in listed]
-        if isinstance(items, PartialList):
+        if self._is_partial:
             log_event("store_list_partial", prefix=self._prefix, missing=len(removed))
             removed.clear()
         for key in removed:
@@ -129,6 +132,7 @@
         self._revision = max(self._revision, self._watch_after)
         if isinstance(changes, PartialList):
             log_event("store_changes_partial", prefix=self._prefix, revision=as_of)
+            self._is_partial = True
             self._watch_after = None
 
     def _apply_item(self, item: Item) -> None:
