Refuse reports without their lists, and pages that do not say whether more follow

Callers would see: tasks that run twice.

Cause: a report without `running` or `ended` counted as a complete report of nothing, which releases all confirmed runs; a page without `hasMore` ended the list.

Change: both are refused like other unreadable answers. The page says that both are always there. The body of one test of lists lacked `hasMore`, and has it now.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,9 +11,11 @@
 import orjson
 import pytest
 
+from wasabiramp.core.records import DecodeError
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.ports import PartialList, StoreUnknownError, Transaction
 from wasabiramp.platform.clients import STORE_TIMEOUT_RANGE_S, HttpClient, StoreClient
+from wasabiramp.platform.items import decode_page
 
 PART_COUNT = 6
 PART_PAUSE_S = STORE_TIMEOUT_RANGE_S[0] / 3
@@ -190,7 +192,7 @@
         body = (
             b'{"items":[{"key":"p/1","value":"","rev":1},{"key":"p/\\ud800","value":"","rev":2},'
             b'{"key":"p/2","value":"","rev":3}],"events":[{"key":"p/\\ud800","value":"","rev":2},'
-            b'{"key":"p/2","value":"","rev":3}],"asOf":9}'
+            b'{"key":"p/2","value":"","rev":3}],"asOf":9,"hasMore":false}'
         )
         items, _as_of = self.answer(lambda store: store.async_list("p/"), body)
         assert [item.key for item in items] == ["p/1", "p/2"]
@@ -251,3 +253,15 @@
     def test_odd_answer_counts_as_lost(self, call: Call, body: bytes) -> None:
         with pytest.raises(StoreUnknownError):
             self.answer(call, body)
+
+
+class TestIncompletePage:
+    """A page has to say whether others follow."""
+
+    # Guards against a list that ends at a page which does not say whether others follow.
+    @pytest.mark.parametrize("odd", [{}, {"hasMore": None}, {"hasMore": "no"}])
+    def test_page_that_does_not_say_whether_more_follow_is_refused(
+        self, odd: dict[str, Any]
+    ) -> None:
+        with pytest.raises((DecodeError, KeyError)):
+            decode_page({"items": [], "asOf": 5, **odd})
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -502,3 +502,26 @@
     def test_truncated_body(self) -> None:
         with pytest.raises(InputError):
             decode_job(b'{"spec":"x","ste', "a" * 16, QUEUE, 5)
+
+
+COMPLETE_REPORT = {
+    "clockMs": 5,
+    "born": 7,
+    "running": [["a.0.0.0", 1, "", 5]],
+    "ended": [],
+}
+
+
+class TestIncompleteReport:
+    """A report that lacks one of its lists is no report."""
+
+    # Guards against TWICE: a report without one of its lists counted as complete, so that what it
+    # hid counted as gone.
+    @pytest.mark.parametrize("field", ["running", "ended"])
+    @pytest.mark.parametrize("odd", ["missing", None, "", 0, {}, False])
+    def test_report_without_a_list_is_refused(self, field: str, odd: Any) -> None:
+        report = {**COMPLETE_REPORT, field: odd}
+        if odd == "missing":
+            del report[field]
+        with pytest.raises(DecodeError):
+            decode_report(orjson.dumps(report))
--- a/wasabiramp/platform/items.py
+++ b/wasabiramp/platform/items.py
@@ -89,7 +89,9 @@
 def decode_page(raw: dict[str, Any]) -> tuple[list[Item], int, bool]:
     """Return the items of a page, its revision, and whether more pages follow."""
     items = _decode_rows(raw["items"], _decode_listed_item)
-    return items, check_revision(raw["asOf"], "asOf"), bool(raw.get("hasMore"))
+    if not isinstance(raw["hasMore"], bool):
+        raise DecodeError("hasMore: expected true or false")
+    return items, check_revision(raw["asOf"], "asOf"), raw["hasMore"]
 
 
 def decode_changes(raw: dict[str, Any]) -> tuple[list[Change], int]:
--- a/wasabiramp/platform/wire.py
+++ b/wasabiramp/platform/wire.py
@@ -226,7 +226,7 @@
     A report with an invalid row is refused as a whole: a run that it hides must not count as gone.
     """
     raw = _check_object(parse_json(data), "report")
-    running, ended = raw.get("running") or [], raw.get("ended") or []
+    running, ended = raw.get("running"), raw.get("ended")
     if not isinstance(running, list) or not isinstance(ended, list):
         raise DecodeError("running, ended: expected lists")
     return ExecutorReport(
