Know the earlier owner's address when the watch tells of the claim first

Callers saw: waiting tasks that started 7.9 s after a takeover where 3.8 s would do.

Cause: the watch often tells of a claim before its answer arrives. The tenure then began without the address of the owner before, which was not asked to end.

Change: the address is kept with the claim that is on its way.

--- a/wasabiramp/entry/membership.py
+++ b/wasabiramp/entry/membership.py
@@ -129,6 +129,7 @@
         self._deferred_until = 0.0
         self._claim_task: asyncio.Task[None] | None = None
         self._pending_claim = b""
+        self._pending_predecessor = ""
         self._replaced_revision = 0
         self._last_replacement_at = -REPLACE_INTERVAL_S
         self.tenure: Tenure | None = None
@@ -294,7 +295,8 @@
                 self.end_tenure(f"term taken by {parse_name(item)}")
         elif item.value == self._pending_claim:
             # The claim may be that of an earlier process, so it does not prove the term by itself.
-            self._begin_tenure(parse_term(item), item.revision, claimed_at=float("-inf"))
+            predecessor = self._pending_predecessor
+            self._begin_tenure(parse_term(item), item.revision, float("-inf"), predecessor)
 
     async def _async_renew(self) -> None:
         """Renew the lease regularly, and join again after it ended."""
@@ -449,6 +451,7 @@
             writes={KEY_OWNER: (value, self._lease), KEY_TERM: (value, 0)},
         )
         self._pending_claim = value
+        self._pending_predecessor = parse_owner_address(last_term)
         claimed_at = self._read_uptime()
         try:
             revision = await self._store.async_commit(transaction)
@@ -461,8 +464,7 @@
         except StoreRefusedError as err:
             log_event("claim_refused", term=term, error=err)
         else:
-            predecessor = parse_owner_address(last_term)
-            self._begin_tenure(term, revision, claimed_at, predecessor)
+            self._begin_tenure(term, revision, claimed_at, self._pending_predecessor)
 
     def _begin_tenure(
         self, term: int, revision: int, claimed_at: float, predecessor_address: str = ""
