Bound how long unreadable jobs hold up an executor

Callers would see: an executor without new work for good, or a recovery that never ends (LOST).

Cause: ends of jobs whose records cannot be read were kept without a limit, so that 250 ends behind one closed the executor, and a full page behind one ended no recovery. Their runs closed it too.

Change: they are left alone for 120 s, which outlasts an upgrade of all daemons, and their ends are dropped before that if too many others wait behind them. A job that a later version can read may then run again; that is written in the log (end_dropped).

--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -7,7 +7,11 @@
 import pytest
 
 from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, StartTask, StopTask, make_step
-from wasabiramp.scheduling.events import JobsRecovered, JobUnreadable, StoredJob
+from wasabiramp.scheduling.events import (
+    JobsRecovered,
+    JobUnreadable,
+    StoredJob,
+)
 from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S
 from wasabiramp.scheduling.model import EndReport, JobDefinition, RunReport
 
@@ -69,6 +73,9 @@
     return starts
 
 
+UNREADABLE_JOB = "d" * 16
+
+
 class TestOccurrencesAhead:
     """An earlier owner may have been further in a repeated job than the new one prepares."""
 
@@ -332,3 +339,44 @@
         assert (harness.place() == []) is is_awaited
         harness.scheduler.limit_leases(harness.now + MAX_UNCONFIRMED_S)
         assert (harness.place() != []) is is_awaited
+
+
+class TestUnreadableJobsInTheWay:
+    """Ends of jobs that cannot be read are left alone, but do not hold up other jobs for good."""
+
+    # Guards against LOST: one kept end of an unreadable job ahead of a full page ends no recovery.
+    def test_recovery_ends_behind_a_kept_end(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.apply(
+            JobsRecovered([], [("e0", "e0"), ("e1", "e1")], 7.9, 60, unreadable=[UNREADABLE_JOB])
+        )
+        ends = [EndReport(1, f"{UNREADABLE_JOB}.0.0.0", 1, "done", "")]
+        ends += [EndReport(n, f"{'e' * 16}.0.0.{n}", 1, "done", "") for n in range(2, 500 + 1)]
+        harness.ended["e0"] = ends
+        harness.answer_hold("e1")
+        for _ in range(600):
+            harness.answer_hold("e0")
+            harness.now += 0.1
+            harness.confirm_jobs(harness.now - 0.05)
+            harness.commit()
+            seen = harness.scheduler.state.executors["e0"].last_seen
+            harness.ended["e0"] = [end for end in harness.ended["e0"] if end.number > seen]
+        assert not harness.scheduler.state.is_recovering
+
+    # Guards against LOST: an executor gets no work for good after an end of an unreadable job.
+    def test_executor_gets_work_again_after_an_end_of_an_unreadable_job(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.apply(JobUnreadable(UNREADABLE_JOB))
+        harness.ended["e0"] = [EndReport(1, f"{UNREADABLE_JOB}.0.0.0", 1, "done", "")]
+        harness.answer_hold("e0")
+        started = 0
+        for number in range(300):
+            harness.submit(f"{number:016x}", "batch", make_step(1), revision=100 + number)
+            starts = harness.place_and_start()
+            started += len(starts)
+            for start in starts:
+                harness.finish_run(start)
+            harness.now += 0.1
+            harness.confirm_jobs(harness.now - 0.05)
+            harness.commit()
+        assert started == 300
--- a/wasabiramp/scheduling/attribution.py
+++ b/wasabiramp/scheduling/attribution.py
@@ -27,6 +27,10 @@
 
 Ends that are not acknowledged are listed again, and further ones have to fit on the same page."""
 
+MAX_UNREADABLE_S: Final = 120.0
+"""Time for which runs and ends of jobs with unreadable records are left alone: an upgrade of all
+daemons takes less, and an executor gets no work beside a run of unknown size."""
+
 
 def may_start_job(state: SchedulerState, job: JobRun) -> bool:
     """Return whether it is known of a job what earlier owners did, and that none came later.
@@ -47,7 +51,9 @@
     job_id = parse_job_id(task)
     if job_id in state.jobs or job_id in state.ended_jobs:
         return False
-    return job_id in state.unreadable_jobs or state.jobs_confirmed_at < reported_at
+    if job_id in state.unreadable_jobs:
+        return state.now < reported_at + MAX_UNREADABLE_S
+    return state.jobs_confirmed_at < reported_at
 
 
 def process_end(state: SchedulerState, executor: ExecutorState, end: EndReport) -> None:
@@ -86,9 +92,14 @@
 
 
 def _settle_ends(state: SchedulerState, executor: ExecutorState) -> None:
-    """Drop the kept ends of an executor that belong to no job."""
-    for number, (end, read_at) in list(executor.unattributed_ends.items()):
-        if not may_become_known(state, end.task, read_at):
+    """Drop the kept ends of an executor that belong to no job.
+
+    Those of unreadable jobs are dropped too if too many others wait behind them.
+    """
+    for number, (end, read_at) in sorted(executor.unattributed_ends.items()):
+        is_unreadable = parse_job_id(end.task) in state.unreadable_jobs
+        is_in_the_way = is_unreadable and is_blocked_by_ends(executor)
+        if is_in_the_way or not may_become_known(state, end.task, read_at):
             del executor.unattributed_ends[number]
             state.log_decision(
                 "end_dropped", task=end.task, run=end.run, executor=executor.id, how=end.how
