Take odd start times, addresses and clocks for no evidence

Callers would see: a task that runs on two executors at once (TWICE).

The roster kept the address of the entry, so that the next owner took another process behind a wrong address for proof that the executor is gone. The refusal of a start by another process set the executor's clock. A start without an answer was forgotten with its lease, and might be carried out under the next one.

Change: the wait for earlier leases is kept apart from that for a new incarnation, and the later one counts. The roster has the address at which an executor was reached, and holds tell theirs. Clocks of other processes are ignored. Unanswered starts are stopped before their executor gets a lease again.

--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -11,7 +12,7 @@
 from wasabiramp.entry.peers import FAILED, EndTenure
 from wasabiramp.model.entry.network import STORE
 from wasabiramp.model.entry.schedule import find_owner
-from wasabiramp.model.entry.world import World
+from wasabiramp.model.entry.world import ModelCodec, World
 from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S, PREDECESSOR_WAIT_S, convert_lease_s
 from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
 
@@ -184,3 +185,68 @@
     @pytest.mark.parametrize("seed", range(1, 6))
     def test_work_starts_again_after_a_long_outage(self, seed: int) -> None:
         assert self.run_through_outage(seed, 3 * MAX_UNCONFIRMED_S).checker.starts == 2
+
+
+class TestOddStartTimes:
+    """An entry with a later start time shows nothing about leases of earlier owners."""
+
+    # Guards against TWICE: after a takeover, an entry with a later start time of an executor that
+    # only the old owner reaches shortened the wait for its leases.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    @pytest.mark.parametrize("is_odd", [True, False])
+    def test_later_start_time_of_an_executor_during_a_recovery(
+        self, seed: int, is_odd: bool
+    ) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            owner = find_owner(world)
+            assert owner is not None
+            executor = await async_start_job(world, make_long_job(world))
+            await asyncio.sleep(world.random.uniform(0.5, 3.0))
+            node = world.node_names[owner]
+            world.network.add_partition(node, STORE)
+            for name, other in world.node_names.items():
+                if name != owner:
+                    world.network.add_partition(other, executor)
+                    world.network.add_partition(other, node)
+            others = [daemon for name, daemon in world.daemons.items() if name != owner]
+            while not any(d.owner is not None and d.owner.is_recovered for d in others):
+                await asyncio.sleep(0.005)
+            if is_odd:
+                entry = world.executors.by_id[executor].entry
+                odd = replace(entry, born_ms=entry.born_ms + 1)
+                world.store.put(ModelCodec.executors_prefix + executor, world.codec.encode(odd), 0)
+            await asyncio.sleep(9.0)
+            world.network.remove_all_partitions()
+            await world.async_wait_for_jobs(60.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+
+
+class TestAddressOfPredecessor:
+    """The watch may tell of a claim before its answer does."""
+
+    # Guards against waits of 7.9 s instead of 3.8 s, as the address was not known.
+    def test_new_owner_knows_the_address_of_the_one_before(self) -> None:
+        known: list[bool] = []
+        for seed in range(1, 21):
+            world = World(seed)
+
+            async def run_scenario(world: World = world) -> None:
+                await world.async_start()
+                owner = find_owner(world)
+                assert owner is not None
+                await asyncio.sleep(world.random.uniform(0.5, 3.0))
+                world.network.add_partition(world.node_names[owner], STORE)
+                others = [daemon for name, daemon in world.daemons.items() if name != owner]
+                while not any(d.owner is not None for d in others):
+                    await asyncio.sleep(0.005)
+                await asyncio.sleep(0.5)
+                (new,) = [d.owner for d in others if d.owner is not None]
+                known.append(bool(new.tenure.predecessor_address))
+
+            world.run(run_scenario())
+        assert known.count(True) == len(known), known
--- a/tests/model/entry/test_guards.py
+++ b/tests/model/entry/test_guards.py
@@ -92,7 +92,7 @@
         assert has_breach("TWICE", ["apply_late"])
 
     def test_leases_of_silent_executors_are_awaited(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(evidence, "calculate_lease_expiry", lambda executor: 0.0)
+        monkeypatch.setattr(evidence, "calculate_lease_expiry", lambda state, executor: 0.0)
         assert has_breach("TWICE", ["cut_executors"])
 
     def test_new_owner_waits_for_executor_reports(self, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/scheduling/test_evidence.py
+++ b/tests/scheduling/test_evidence.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
-from tests.scheduling.helpers import SchedulerHarness, StartTask, make_step
+from tests.scheduling.helpers import SchedulerHarness, StartTask, StopTask, make_step
 from wasabiramp.scheduling.events import (
     NOT_SENT,
     OTHER_INCARNATION,
     UNKNOWN,
+    ExecutorListed,
     ExecutorUnlisted,
     HoldFailed,
     JobsRecovered,
+    StartAnswered,
     StoredJob,
 )
 from wasabiramp.scheduling.evidence import ENDS_PER_PAGE
+from wasabiramp.scheduling.leases import PREDECESSOR_WAIT_S
 from wasabiramp.scheduling.model import EndReport, JobDefinition, RunReport
 
 JOB = "b" * 16
@@ -25,19 +30,32 @@
 """Address at which the earlier owner reached the executor `lost`."""
 
 
-def recover_job(harness: SchedulerHarness, executors: list[str], tasks: int = 1) -> None:
-    """Take over a job of equal tasks and a roster of executors from an earlier owner."""
+def recover_job(
+    harness: SchedulerHarness,
+    executors: list[str] | list[tuple[str, str]],
+    tasks: int = 1,
+    lease_left_s: float = LEASE_LEFT_S,
+) -> None:
+    """Take over a job of equal tasks and a roster of executors from an earlier owner.
+
+    The roster holds names, or names and addresses.
+    """
     queue = harness.scheduler.state.config.find("batch")
     definition = JobDefinition(JOB, queue, "spec", (make_step(tasks, cpu=1),))
-    roster = [(name, ROSTER_ADDRESS if name == "lost" else name) for name in executors]
+    roster = [
+        (name, ROSTER_ADDRESS if name == "lost" else name) if isinstance(name, str) else name
+        for name in executors
+    ]
     stored = StoredJob(definition, harness.now, 50)
-    harness.apply(JobsRecovered([stored], roster, LEASE_LEFT_S, 60))
+    harness.apply(JobsRecovered([stored], roster, lease_left_s, 60))
 
 
-def fail_holds(harness: SchedulerHarness, name: str, outcome: str, seconds: float) -> None:
-    """Let all holds of an executor fail for some time."""
+def fail_holds(
+    harness: SchedulerHarness, name: str, outcome: str, seconds: float, address: str = ""
+) -> None:
+    """Let all holds of an executor, at an address where one is given, fail for some time."""
     for _ in range(round(seconds / 0.1)):
-        harness.apply(HoldFailed(name, harness.now, outcome))
+        harness.apply(HoldFailed(name, harness.now, outcome, address))
         harness.tick(0.1)
 
 
@@ -185,3 +203,87 @@
         assert harness.place() == []
         harness.tick(LEASE_LEFT_S)
         assert len(harness.place()) == 1
+
+
+class TestOddAnswers:
+    """Answers of other processes, and entries of other writers, show nothing about an executor."""
+
+    # Guards against TWICE: a later start time of an executor that is not reached shortened the wait
+    # for the leases of the earlier owner from 7.9 s to the 6 s of the longest lease.
+    def test_later_start_time_does_not_shorten_the_wait_for_earlier_leases(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        recover_job(harness, ["e0", "e1"], lease_left_s=PREDECESSOR_WAIT_S)
+        harness.answer_hold("e1")
+        harness.tick(0.2)
+        harness.incarnations["e0"] = 2
+        harness.list_executor("e0")
+        fail_holds(harness, "e0", UNKNOWN, PREDECESSOR_WAIT_S - 0.6)
+        assert harness.place() == []
+
+    # Guards against TWICE: the roster holds the address of an entry at which the executor was
+    # never reached.
+    def test_unverified_address_of_the_roster_shows_no_replaced_process(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        entry = harness.scheduler.state.executors["e0"].entry
+        harness.apply(ExecutorListed(replace(entry, address="e1")))
+        harness.list_executor("e2")
+        roster = harness.scheduler.take_changes().roster
+        successor = SchedulerHarness(executors=0)
+        recover_job(successor, roster, lease_left_s=PREDECESSOR_WAIT_S)
+        successor.list_executor("e1")
+        successor.list_executor("e2")
+        successor.apply(ExecutorListed(replace(entry, address="e1")))
+        successor.tick()
+        successor.answer_hold("e1")
+        successor.answer_hold("e2")
+        successor.apply(HoldFailed("e0", successor.now, OTHER_INCARNATION))
+        successor.tick(0.1)
+        successor.commit()
+        assert successor.place() == []
+
+    # Guards against TWICE: the refusal of a start by another process behind a wrong address set the
+    # clock of the executor, by which its lease then seemed to have ended.
+    def test_clock_of_another_process_does_not_end_a_lease(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.submit(JOB, "batch", make_step(1))
+        (start,) = harness.place_and_start()
+        name = start.executor
+        harness.answer_hold(name)
+        entry = harness.scheduler.state.executors[name].entry
+        other = "e1" if name == "e0" else "e0"
+        harness.apply(ExecutorListed(replace(entry, address=other)))
+        harness.submit("f" * 16, "batch", make_step(8, cpu=100))
+        second = next(s for s in harness.place() if s.executor == name)
+        harness.apply(
+            StartAnswered(
+                name, second.task, second.run, harness.now, OTHER_INCARNATION, clock_ms=10**9
+            )
+        )
+        harness.effects.clear()
+        fail_holds(harness, name, OTHER_INCARNATION, 1.0, other)
+        again = [s for s in harness.place() if s.task == start.task]
+        assert again == []
+
+
+class TestLateStarts:
+    """An order without an answer may still be carried out after its lease has ended."""
+
+    # Guards against TWICE: a start without an answer was carried out seconds later, after its lease
+    # had lapsed and its task was started elsewhere, as the executor got a new lease before a stop.
+    def test_late_start_is_stopped_before_the_executor_gets_a_lease(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        harness.submit(JOB, "batch", make_step(1))
+        (start,) = harness.place()
+        harness.leave_unanswered(start)
+        fail_holds(harness, start.executor, UNKNOWN, 4.2)
+        (again,) = harness.place_and_start()
+        assert again.executor != start.executor
+        harness.effects.clear()
+        harness.answer_hold(start.executor)
+        harness.tick(0.1)
+        stops = harness.take_effects(StopTask)
+        harness.submit("f" * 16, "batch", make_step(8))
+        others = [s for s in harness.place() if s.executor == start.executor]
+        stops += harness.take_effects(StopTask)
+        stopped = [s for s in stops if (s.task, s.run) == (start.task, start.run)]
+        assert stopped or not others
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -117,9 +117,9 @@
             self._executors.async_hold(effect, self._get_fencing_token()), UNKNOWN
         )
         if isinstance(report, ExecutorReport):
-            self._reduce(HoldAnswered(effect.executor, sent_at, report))
+            self._reduce(HoldAnswered(effect.executor, sent_at, report, effect.address))
         else:
-            self._reduce(HoldFailed(effect.executor, sent_at, report))
+            self._reduce(HoldFailed(effect.executor, sent_at, report, effect.address))
 
     async def _async_ask_adviser(self, effect: AskAdvice) -> None:
         """Ask the adviser and reduce the answer."""
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -135,20 +135,28 @@
 
 @dataclass(slots=True)
 class HoldAnswered:
-    """An executor answered a hold that was sent at `sent_at`."""
+    """An executor answered a hold that was sent at `sent_at`.
+
+    `address` is that of the hold; if it is empty, the last hold was answered.
+    """
 
     executor: str
     sent_at: float
     report: ExecutorReport
+    address: str = ""
 
 
 @dataclass(slots=True)
 class HoldFailed:
-    """A hold failed; `outcome` is one of the constants in this module."""
+    """A hold failed; `outcome` is one of the constants in this module.
+
+    `address` is that of the hold; if it is empty, the last hold failed.
+    """
 
     executor: str
     sent_at: float
     outcome: str
+    address: str = ""
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/evidence.py
+++ b/wasabiramp/scheduling/evidence.py
@@ -19,7 +19,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
-from wasabiramp.scheduling.events import OTHER_INCARNATION, PredecessorEnded
+from wasabiramp.scheduling.events import OTHER_INCARNATION, HoldFailed, PredecessorEnded
 from wasabiramp.scheduling.leases import calculate_lease_expiry
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import release_run
@@ -34,15 +34,16 @@
     return len(report.ended) < ENDS_PER_PAGE
 
 
-def is_replaced(executor: ExecutorState, outcome: str) -> bool:
-    """Return whether the outcome of the last hold shows that the executor's process is gone."""
-    return outcome == OTHER_INCARNATION and executor.hold_address == executor.reached_at
+def is_replaced(executor: ExecutorState, event: HoldFailed) -> bool:
+    """Return whether a failed hold shows that the executor's process is gone."""
+    address = event.address or executor.hold_address
+    return event.outcome == OTHER_INCARNATION and address == executor.reached_at
 
 
 def has_lease_ended(state: SchedulerState, executor: ExecutorState) -> bool:
     """Return whether all leases of an executor that does not answer have certainly ended."""
     is_answering = executor.has_accepted_fence and executor.silent_since is None
-    return not is_answering and state.now > calculate_lease_expiry(executor)
+    return not is_answering and state.now > calculate_lease_expiry(state, executor)
 
 
 def expire_runs(state: SchedulerState, executor: ExecutorState, why: str) -> None:
@@ -101,9 +102,5 @@
     ends_at = state.now + event.lease_left_s
     if not state.is_recovering or ends_at >= state.predecessor_leases_end_at:
         return
-    for executor in state.executors.values():
-        # A new incarnation has a later limit of its own.
-        if executor.lease_expiry_floor == state.predecessor_leases_end_at:
-            executor.lease_expiry_floor = ends_at
     state.predecessor_leases_end_at = ends_at
     state.log_decision("predecessor_ended", lease_left_s=round(event.lease_left_s, 3))
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -42,7 +42,7 @@
 )
 from wasabiramp.scheduling.leases import calculate_longest_hold_s, has_old_clock
 from wasabiramp.scheduling.model import ExecutorReport
-from wasabiramp.scheduling.orders import send_hold, send_stop
+from wasabiramp.scheduling.orders import send_hold, send_stop, stop_run
 from wasabiramp.scheduling.progress import measure_speed, update_slowness
 from wasabiramp.scheduling.runs import give_up_ownership, reconcile_listed_run
 from wasabiramp.scheduling.sharing import SHARED_HOLD_WAIT_S, adjust_paces, is_shared
@@ -187,6 +187,19 @@
         run.wants_stop = True
 
 
+def _stop_expired_starts(state: SchedulerState, executor: ExecutorState) -> None:
+    """Stop the unanswered starts whose leases have ended, before the executor gets another lease.
+
+    Their orders may still arrive, and their tasks may have been started elsewhere.
+    """
+    for (task, number), sent_at in executor.unanswered_starts.items():
+        is_expired = (task, number) in executor.expired_runs
+        if is_expired and state.now <= sent_at + MAX_ORDER_DELAY_S:
+            run = Run(None, 0, task, executor.id, number, state.now)
+            executor.add_run(run)
+            stop_run(state, run)
+
+
 @handles(HoldAnswered)
 def handle_hold_answer(state: SchedulerState, event: HoldAnswered) -> None:
     """Reconcile the runs and ends that an executor reports with the tracked ones."""
@@ -212,11 +225,12 @@
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.has_accepted_fence = True
-    executor.reached_at = executor.hold_address
+    _note_address(state, executor, event.address or executor.hold_address)
     executor.must_answer &= not is_complete(report)
     if executor.silent_since is not None:
         state.log_decision("executor_answers", executor=executor.id)
         executor.silent_since = None
+        _stop_expired_starts(state, executor)
     if executor.tasks_at_silence:
         settle_silence(state, executor, report.born_ms)
     listed = _process_report(state, executor, report, event.sent_at)
@@ -225,6 +239,16 @@
     schedule_next_hold(state, executor)
 
 
+def _note_address(state: SchedulerState, executor: ExecutorState, address: str) -> None:
+    """Note at which address an executor answered, which the next owner has to know."""
+    if address == executor.reached_at:
+        return
+    if address != (executor.reached_at or executor.entry.address):
+        executor.is_in_stored_roster = False
+        state.is_roster_dirty = True
+    executor.reached_at = address
+
+
 def _process_report(
     state: SchedulerState, executor: ExecutorState, report: ExecutorReport, sent_at: float
 ) -> set[tuple[str, int]]:
@@ -292,7 +316,7 @@
         executor.silent_since = state.now
         state.log_decision("executor_silent", executor=executor.id, why=event.outcome)
         note_silence(state, executor)
-    if is_replaced(executor, event.outcome):
+    if is_replaced(executor, event):
         expire_runs(state, executor, "executor process was replaced")
         confirm_crash(state, executor)
         forget_verdicts(state, executor)
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -96,7 +96,6 @@
             state.executors[executor_id] = executor
         executor.is_in_stored_roster = True
         executor.must_answer = True
-        executor.lease_expiry_floor = state.predecessor_leases_end_at
     for stored in event.jobs:
         if stored.definition.id in state.jobs:
             continue
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -106,9 +106,13 @@
     return expiry_ms
 
 
-def calculate_lease_expiry(executor: ExecutorState) -> float:
-    """Return the time on our clock at which the executor's latest lease has certainly expired."""
+def calculate_lease_expiry(state: SchedulerState, executor: ExecutorState) -> float:
+    """Return the time on our clock at which the executor's latest lease has certainly expired.
+
+    Whichever owner gave it: those of earlier owners may last until `predecessor_leases_end_at`.
+    """
+    expires_at = max(executor.lease_expiry_floor, state.predecessor_leases_end_at)
     if executor.clock_ms is None:
-        return executor.lease_expiry_floor
+        return expires_at
     left_s = (executor.lease_until_ms - executor.clock_ms) / 1000
-    return max(executor.clock_at + convert_lease_s(left_s), executor.lease_expiry_floor)
+    return max(executor.clock_at + convert_lease_s(left_s), expires_at)
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -75,7 +75,7 @@
         return
     if event.outcome not in (UNKNOWN, NOT_SENT):
         executor.answered_at = state.now
-    if event.clock_ms is not None:
+    if event.clock_ms is not None and event.outcome != OTHER_INCARNATION:
         executor.clock_ms, executor.clock_at = event.clock_ms, state.now
     if event.outcome == STARTED:
         run.confirmed_at = state.now
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -116,7 +116,7 @@
             return None
         roster = None
         if state.is_roster_dirty:
-            roster = [(e.id, e.entry.address) for e in state.executors.values()]
+            roster = [(e.id, e.reached_at or e.entry.address) for e in state.executors.values()]
             state.is_roster_dirty = False
         for job in dirty:
             job.is_dirty = False
@@ -159,9 +159,10 @@
                 executor.last_seen = max(executor.last_seen, number)
                 executor.next_hold_at = self.state.now
         if changes.roster is not None:
-            for executor_id, _address in changes.roster:
-                if executor_id in self.state.executors:
-                    self.state.executors[executor_id].is_in_stored_roster = True
+            for executor_id, address in changes.roster:
+                executor = self.state.executors.get(executor_id)
+                if executor is not None:
+                    executor.is_in_stored_roster = executor.reached_at in ("", address)
 
     def _show_final_phase(self, job: JobRun, phase: str) -> None:
         """Show a stored final phase to callers, and log it if the storage took long."""
