Count a lease as ended only if the term is proven after that

Callers would see: a task that runs on two executors at once, or again after its end was acknowledged, in a plain split of the network (TWICE).

Cause: an owner that could not reach an executor released its runs when its own leases there had ended. If the owner is itself cut off from the store, another one may have claimed a term, reached that executor, and renewed its lease or read its ends.

Change: a lease counts as ended only if the owner's term was proven after its end: until then nobody else can have extended it, and afterwards it is too late. In an outage of the store, tasks of executors that are lost meanwhile wait until the store is back.

--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -250,3 +250,37 @@
 
             world.run(run_scenario())
         assert known.count(True) == len(known), known
+
+
+class TestSplitNetwork:
+    """Two owners each reach a part of the executors."""
+
+    # Guards against TWICE in a split network: an owner on the side without the store counted the
+    # leases of executors on the other side as ended, though the next owner renewed them, and
+    # started their tasks on its own side.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    @pytest.mark.parametrize("estimate_s", [2.5, 20.0])
+    def test_owner_is_on_the_side_without_the_store(self, seed: int, estimate_s: float) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            owner = find_owner(world)
+            assert owner is not None
+            executor = await async_start_job(world, make_long_job(world, estimate_s))
+            await asyncio.sleep(world.random.uniform(0.1, 0.5))
+            ids = sorted(world.executors.by_id)
+            near = set([name for name in ids if name != executor][: len(ids) // 2])
+            node = world.node_names[owner]
+            others = [other for name, other in world.node_names.items() if name != owner]
+            for other in [STORE, *others, *(name for name in ids if name not in near)]:
+                world.network.add_partition(node, other)
+            for other in others:
+                for name in near:
+                    world.network.add_partition(other, name)
+            await asyncio.sleep(6.0)
+            world.network.remove_all_partitions()
+            await world.async_wait_for_jobs(60.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
--- a/wasabiramp/scheduling/attribution.py
+++ b/wasabiramp/scheduling/attribution.py
@@ -16,7 +16,7 @@
 
 from wasabiramp.core.registry import handles
 from wasabiramp.scheduling.events import JobAccepted, JobsRecovered, JobUnreadable, TimePassed
-from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S
+from wasabiramp.scheduling.leases import get_proven_at
 from wasabiramp.scheduling.model import EndReport
 from wasabiramp.scheduling.orders import stop_run
 from wasabiramp.scheduling.runs import find_step, handle_run_end, link_run
@@ -38,7 +38,7 @@
     The next owner takes a job that is first announced to it for one that no other owner knows. So
     a job that was only found in the store waits until the term is proven to be current after that.
     """
-    return job.is_reconciled and state.leases_end_by - MAX_UNCONFIRMED_S >= job.found_at
+    return job.is_reconciled and get_proven_at(state) >= job.found_at
 
 
 def parse_job_id(task: str) -> str:
--- a/wasabiramp/scheduling/evidence.py
+++ b/wasabiramp/scheduling/evidence.py
@@ -4,7 +4,8 @@
 
 - its executor listed its end, or refused to start it;
 - a complete report, requested after the run was started or stopped there, does not list it;
-- its lease has ended, by the slowest clock and whichever owner gave it (`scheduling/leases.py`);
+- its lease has ended, by the slowest clock and whichever owner gave it (`scheduling/leases.py`),
+  and the owner's term was proven after that, so that no later owner can have extended it;
 - another process answers at the address at which the executor was reached.
 
 Nothing else is evidence. An executor may run on behind a partition while connections to it fail,
@@ -20,7 +21,7 @@
 
 from wasabiramp.core.registry import handles
 from wasabiramp.scheduling.events import OTHER_INCARNATION, HoldFailed, PredecessorEnded
-from wasabiramp.scheduling.leases import calculate_lease_expiry
+from wasabiramp.scheduling.leases import calculate_lease_expiry, get_proven_at
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import release_run
 from wasabiramp.scheduling.state import ExecutorState, SchedulerState
@@ -41,9 +42,13 @@
 
 
 def has_lease_ended(state: SchedulerState, executor: ExecutorState) -> bool:
-    """Return whether all leases of an executor that does not answer have certainly ended."""
+    """Return whether all leases of an executor that does not answer have certainly ended.
+
+    The term has to be proven after that: a later owner may have extended them.
+    """
     is_answering = executor.has_accepted_fence and executor.silent_since is None
-    return not is_answering and state.now > calculate_lease_expiry(state, executor)
+    ended_at = calculate_lease_expiry(state, executor)
+    return not is_answering and state.now > ended_at and get_proven_at(state) >= ended_at
 
 
 def expire_runs(state: SchedulerState, executor: ExecutorState, why: str) -> None:
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -57,6 +57,11 @@
 """Time from the claim of a term at which all leases of earlier owners have ended."""
 
 
+def get_proven_at(state: SchedulerState) -> float:
+    """Return the time up to which the owner's term was proven to be current."""
+    return state.leases_end_by - MAX_UNCONFIRMED_S
+
+
 def may_start_runs(state: SchedulerState) -> bool:
     """Return whether the owner's term was proven recently enough to start runs."""
     return state.now + MIN_START_LEASE_S <= state.leases_end_by
