Start a task again only with a proof of the term after its run was lost

Callers would see: a task that runs again after its end was acknowledged (TWICE).

Cause: in a split network, the next owner reads and stores the end of a run; the executor then restarts, and only the first owner reaches it. That one, without a proof of its term, takes the restart for the loss of the run and starts the task on its own side. The same holds for a run that a report does not list, and for an address at which another process answers.

Change: a step of which a run was released without a listed end waits until the term is proven after that: less than a second, or until the store is back.

--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -284,3 +284,35 @@
 
         world.run(run_scenario())
         assert world.checker.breaches == []
+
+    # Guards against TWICE: an owner without a proof of its term took the restart of an executor for
+    # the loss of a run whose success the next owner had read and stored before.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_executor_restarts_on_the_side_of_an_owner_without_the_store(self, seed: int) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            owner = find_owner(world)
+            assert owner is not None
+            executor = await async_start_job(world, make_long_job(world, 1.2))
+            ids = sorted(world.executors.by_id)
+            near = [name for name in ids if name != executor][: len(ids) // 2]
+            node = world.node_names[owner]
+            others = [other for name, other in world.node_names.items() if name != owner]
+            for other in [STORE, *others, *(name for name in ids if name not in near)]:
+                world.network.add_partition(node, other)
+            for other in others:
+                for name in near:
+                    world.network.add_partition(other, name)
+            await asyncio.sleep(2.6)
+            for other in others:
+                world.network.add_partition(other, executor)
+            world.network.remove_partition(node, executor)
+            await world.async_crash_executor(int(executor.removeprefix("i-")), 0.05, True)
+            await asyncio.sleep(3.0)
+            world.network.remove_all_partitions()
+            await world.async_wait_for_jobs(60.0)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
--- a/wasabiramp/scheduling/evidence.py
+++ b/wasabiramp/scheduling/evidence.py
@@ -24,7 +24,7 @@
 from wasabiramp.scheduling.leases import calculate_lease_expiry, get_proven_at
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import release_run
-from wasabiramp.scheduling.state import ExecutorState, SchedulerState
+from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState, StepRun
 
 ENDS_PER_PAGE: Final = 500
 """Maximum number of ends in one answer to a hold."""
@@ -57,7 +57,7 @@
         state.log_decision("runs_lapsed", executor=executor.id, runs=len(executor.runs), why=why)
     for key, run in list(executor.runs.items()):
         executor.expired_runs.add(key)
-        release_run(state, run)
+        _release_without_end(state, run)
 
 
 def release_unlisted_runs(
@@ -72,7 +72,22 @@
             continue
         settled_at = run.stop_confirmed_at if run.wants_stop else run.confirmed_at
         if settled_at is not None and settled_at < sent_at:
-            release_run(state, run)
+            _release_without_end(state, run)
+
+
+def _release_without_end(state: SchedulerState, run: Run) -> None:
+    """Release a run whose end was not listed.
+
+    A later owner may have read its end, so its step waits until the term is proven.
+    """
+    release_run(state, run)
+    if run.step is not None:
+        run.step.released_at = state.now
+
+
+def may_start_step(state: SchedulerState, step: StepRun) -> bool:
+    """Return whether no other owner can know more of a step's runs than this one."""
+    return get_proven_at(state) >= step.released_at
 
 
 def is_awaiting_answers(state: SchedulerState) -> bool:
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -8,7 +8,8 @@
 that tells that it has ended shortens the wait to one lease.
 
 The limit is a time on the executor's clock, so it also holds for orders that are delayed, and for
-owners that are paused between a check and an order.
+owners that are paused between a check and an order. It does not hold for an order that reaches a
+later incarnation of its executor, whose clock starts anew.
 """
 
 from __future__ import annotations
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -10,6 +10,7 @@
 from wasabiramp.scheduling.advice import ask_for_advice, get_max_refreshed_steps, has_ticket
 from wasabiramp.scheduling.attribution import may_start_job
 from wasabiramp.scheduling.capacity import measure_free_resources
+from wasabiramp.scheduling.evidence import may_start_step
 from wasabiramp.scheduling.executors import is_usable
 from wasabiramp.scheduling.isolation import Exposure
 from wasabiramp.scheduling.leases import may_start_runs
@@ -288,6 +289,8 @@
         job = step.job
         if job.is_ended or not may_start_job(state, job) or state.now < step.due_at:
             continue
+        if not may_start_step(state, step):
+            continue
         if not job.has_done_predecessors(step):
             continue
         is_waiting = bool(step.find_waiting_tasks())
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -132,12 +132,14 @@
     `lacks_resources` is set if a gang, or some tasks, did not fit in the last placement pass.
     `suspects` are the indexes of the tasks that may have crashed executors, and `trial_due_at` is
     the time until which they wait for an executor without other work. Since `closed_out_since`, the
-    step fits only on executors that are closed to it by suspects of others.
+    step fits only on executors that are closed to it by suspects of others. At
+    `released_at` a run was last released without a listed end.
     """
 
     __slots__ = (
         "closed_out_since",
         "next_advice_at",
+        "released_at",
         "is_feasible",
         "due_at",
         "feasibility_version",
@@ -185,6 +187,7 @@
         self.trial_due_at: float | None = None
         self.trial_executor = ""
         self.closed_out_since: float | None = None
+        self.released_at = -math.inf
 
     @property
     def is_done(self) -> bool:
