Model: let the kill of a daemon leave calls of others to it unanswered

Cause: a fault of the model. A daemon was killed while it handled a cancel for another one; the cancellation of its task reached the caller's request at the other daemon, which it ended without an answer. A real process that dies leaves a reset connection, which counts as no answer.

Change: a call whose handler is killed has no answer.

--- a/tests/model/entry/test_platform.py
+++ b/tests/model/entry/test_platform.py
@@ -8,8 +8,10 @@
 import pytest
 
 from wasabiramp.entry.keys import PREFIX_MEMBER
+from wasabiramp.entry.peers import OK, CountWaiting, PeerAnswer
 from wasabiramp.entry.ports import (
     LeaseEndedError,
+    NoAnswerError,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
@@ -22,7 +24,7 @@
     check_lasting_tasks,
     check_members,
 )
-from wasabiramp.model.entry.network import STORE
+from wasabiramp.model.entry.network import STORE, ModelPeers
 from wasabiramp.model.entry.store import ModelStoreClient
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.effects import HoldExecutor
@@ -378,3 +380,30 @@
             assert len(world.checker.breaches) == 1
 
         run_world(main)
+
+
+class TestKilledPeer:
+    """A daemon that is killed while it handles a call of another one does not answer."""
+
+    # Guards against a kill that also ended the request of a caller at another daemon, which then
+    # counted as unanswered (impatient schedule 12).
+    def test_caller_gets_no_answer(self) -> None:
+        world = World(1)
+
+        async def hang(message: object) -> PeerAnswer:
+            await asyncio.get_running_loop().create_task(asyncio.sleep(60.0))
+            return PeerAnswer(OK)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            name, other = sorted(world.daemons)[:2]
+            node = world.node_names[name]
+            world.network.listeners[node] = hang
+            peers = ModelPeers(world.network, world.node_names[other])
+            call = asyncio.ensure_future(peers.async_call(node, CountWaiting(), 1.0))
+            await asyncio.sleep(0.5)
+            world.kill_daemon(name)
+            with pytest.raises(NoAnswerError):
+                await call
+
+        world.run(run_scenario())
--- a/wasabiramp/model/entry/network.py
+++ b/wasabiramp/model/entry/network.py
@@ -199,7 +199,14 @@
             # After a lost message nothing answers within the timeout of the caller.
             if not await self.async_deliver(source, target, size):
                 await asyncio.sleep(3600)
-            answer = await handle()
+            try:
+                answer = await handle()
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if task is None or task.cancelling():
+                    raise
+                # The target was killed while it handled the call.
+                await asyncio.sleep(3600)
             if not await self.async_deliver(target, source, estimate_wire_bytes(answer)):
                 await asyncio.sleep(3600)
             return answer
