Track late starts in one place

Two functions tracked a start that may still begin with the same lines; the newer one put a second run in the place of one that was tracked already.

--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -178,15 +178,23 @@
         if state.now > sent_at + MAX_ORDER_DELAY_S:
             del executor.unanswered_starts[(task, number)]
             continue
-        run = executor.runs.get((task, number))
-        if run is None:
-            run = Run(None, 0, task, executor.id, number, state.now)
-            executor.add_run(run)
+        run = _find_or_track_start(state, executor, task, number)
         # The repeated order may have run in the earlier incarnation, while the first order may
         # still reach this one.
         run.wants_stop = True
 
 
+def _find_or_track_start(
+    state: SchedulerState, executor: ExecutorState, task: str, number: int
+) -> Run:
+    """Return the tracked run of a start, or track one that may still begin."""
+    run = executor.runs.get((task, number))
+    if run is None:
+        run = Run(None, 0, task, executor.id, number, state.now)
+        executor.add_run(run)
+    return run
+
+
 def _stop_expired_starts(state: SchedulerState, executor: ExecutorState) -> None:
     """Stop the unanswered starts whose leases have ended, before the executor gets another lease.
 
@@ -195,9 +203,7 @@
     for (task, number), sent_at in executor.unanswered_starts.items():
         is_expired = (task, number) in executor.expired_runs
         if is_expired and state.now <= sent_at + MAX_ORDER_DELAY_S:
-            run = Run(None, 0, task, executor.id, number, state.now)
-            executor.add_run(run)
-            stop_run(state, run)
+            stop_run(state, _find_or_track_start(state, executor, task, number))
 
 
 @handles(HoldAnswered)
