Give a task up only for crashes at one age, of several executors, without a common cause

Cause: each crash was taken as a finding of its own. A young run was blamed for whatever happened next, the retry of a suspect alone for the next crash of any cause; ages were not compared, executors that were lost in the same moment were not looked at, and an executor that crashed twice under its id counted as two.

Change: scheduling/suspicion.py says in one place what convicts: Bayes' rule over the ages at which a task may crash its executors, and several executors. scheduling/losses.py says how far a loss is shared. A suspect is tried on an executor that has not crashed under it. Crashes of a task that is given up no longer raise the rate of crashes without a cause. The model lets a deadly run not end before it crashes its executor.

--- a/wasabiramp/model/entry/__main__.py
+++ b/wasabiramp/model/entry/__main__.py
@@ -12,6 +12,7 @@
 from wasabiramp.model.entry.lasting import run_lasting_schedule
 from wasabiramp.model.entry.schedule import run_schedule
 from wasabiramp.model.entry.special import run_isolation_schedule, run_wide_schedule
+from wasabiramp.model.entry.waves import run_wave_schedule
 from wasabiramp.model.entry.world import World
 
 RUNNERS: Final[dict[str, Callable[[int], World]]] = {
@@ -19,6 +20,7 @@
     "isolation": run_isolation_schedule,
     "lasting": run_lasting_schedule,
     "mixed": run_schedule,
+    "waves": run_wave_schedule,
     "wide": run_wide_schedule,
 }
 """Schedules apart from those in `KINDS`, by name."""
--- a/wasabiramp/model/entry/deadly.py
+++ b/wasabiramp/model/entry/deadly.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from typing import Final
 
 from wasabiramp.model.entry.executors import ModelExecutor
-from wasabiramp.model.entry.schedule import FAULTS, FINISH_TIMEOUT_S, draw_job
+from wasabiramp.model.entry.schedule import FAULTS, FINISH_TIMEOUT_S, Fault, draw_job
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.model import FAILED, JobDefinition, Resources
 
@@ -57,7 +56,7 @@
         world.list_executor(executor)
 
 
-DEADLY_FAULTS: Final[dict[str, Callable[[World], Awaitable[None]]]] = {
+DEADLY_FAULTS: Final[dict[str, Fault]] = {
     "crash_executor": FAULTS["crash_executor"],
     "cut_executors": FAULTS["cut_executors"],
     "fail_all": FAULTS["fail_all"],
@@ -88,14 +87,19 @@
     return job
 
 
-async def async_run_deadly_schedule(world: World, faults: list[str], fault_count: int) -> None:
-    """Run jobs, some of them deadly, under random faults, and wait until all have ended."""
+async def async_run_deadly_schedule(
+    world: World, names: list[str], fault_count: int, faults: dict[str, Fault]
+) -> None:
+    """Run jobs, some of them deadly, under random faults, and wait until all have ended.
+
+    Each fault is drawn from `names`, in which a name may stand more than once.
+    """
     await world.async_start()
     world.executors.on_deadly_crash = lambda executor: crash_by_task(world, executor)
     world.executors.crash_delay_s = world.random.choice(CRASH_DELAYS_S)
     jobs = [_async_run_job(world, number) for number in range(JOB_COUNT)]
-    chosen = [world.random.choice(faults) for _ in range(fault_count)] if faults else []
-    await asyncio.gather(*jobs, *(_async_run_fault(world, name) for name in chosen))
+    chosen = [world.random.choice(names) for _ in range(fault_count)] if names else []
+    await asyncio.gather(*jobs, *(_async_run_fault(world, faults[name]) for name in chosen))
     world.network.remove_all_partitions()
     await world.async_wait_for_jobs(FINISH_TIMEOUT_S)
     _check_given_up_jobs(world)
@@ -110,10 +114,10 @@
             world.checker.report(f"LOST {job_id}: given up beside deadly tasks")
 
 
-async def _async_run_fault(world: World, name: str) -> None:
+async def _async_run_fault(world: World, fault: Fault) -> None:
     """Inject one fault at a random time."""
     await asyncio.sleep(world.random.uniform(0, SCHEDULE_S))
-    await DEADLY_FAULTS[name](world)
+    await fault(world)
 
 
 async def _async_run_job(world: World, number: int) -> None:
@@ -127,5 +131,5 @@
     """Run one schedule to its end and return the world, whose checker holds the breaches."""
     world = World(seed)
     names = faults if faults is not None else sorted(DEADLY_FAULTS)
-    world.run(async_run_deadly_schedule(world, names, fault_count))
+    world.run(async_run_deadly_schedule(world, names, fault_count, DEADLY_FAULTS))
     return world
--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -219,6 +219,8 @@
             self.fleet.start_complete_gang(run, step.estimate_s)
         elif not step.is_lasting:
             self._draw_end(run, step.estimate_s)
+            if effect.task in self.fleet.deadly_tasks:
+                run.ends_at = None
 
     def _draw_end(self, run: ModelRun, estimate_s: float) -> None:
         """Draw at random when and how a run ends."""
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -1,10 +1,9 @@
-"""Crashes of executors: which task may have caused them, and when it is given up.
+"""Crashes of executors: which tasks were on them, and when a task is given up.
 
 A task may crash each executor that starts it. All tasks that run on an executor when it crashes are
-recorded with it, most of them sound. Each gets a share of the blame: a task that causes a crash
-after some time is the more likely to have caused it the younger its run is (the prior of that time
-is uniform on a logarithmic scale), and the more suspect it was before. Suspects then run apart from
-other work (`scheduling/trials.py`), so that a further crash tells which of them causes it.
+recorded with it, most of them sound, each with the ages that its run may have had, and with a share
+of the blame (`scheduling/suspicion.py`). Suspects then run apart from other work
+(`scheduling/trials.py`), so that a further crash tells which of them causes it.
 """
 
 from __future__ import annotations
@@ -16,6 +15,14 @@
 from wasabiramp.scheduling.events import JobsRecovered
 from wasabiramp.scheduling.isolation import add_risk
 from wasabiramp.scheduling.jobs import end_job, mark_job_dirty
+from wasabiramp.scheduling.losses import (
+    MIN_OTHERS,
+    count_others,
+    count_unexplained,
+    measure_crash_rate,
+    note_loss,
+    withdraw_unexplained,
+)
 from wasabiramp.scheduling.model import FAILED, Crash
 from wasabiramp.scheduling.state import (
     ExecutorState,
@@ -24,44 +31,17 @@
     StepRun,
     TaskAtCrash,
 )
-
-BASE_SUSPICION: Final = 0.01
-"""Probability that a task without a record of crashes is deadly."""
-
-AGE_DENSITY: Final = 0.1
-"""Probability that a deadly task crashes its executor at a certain age, per natural logarithm of
-the age: ages from milliseconds to minutes are about ten such units."""
-
-MIN_AGE_S: Final = 0.05
-"""Resolution of the age of a run at a crash: runs that are younger are equally suspect."""
-
-PRIOR_CRASHES: Final = 1.0
-PRIOR_EXPOSURE_S: Final = 100.0
-"""Assumed crashes for which no task is to blame, and the executor-seconds in which they came."""
-
-CRASH_RATE_WINDOW_S: Final = 60.0
-"""Time constant with which earlier crashes are forgotten in the rate of crashes."""
-
-MIN_SUSPICION: Final = 0.05
-"""Suspicion from which a task runs apart from other work."""
-
-REPEATED_SUSPICION: Final = 0.3
-"""Least suspicion of a task under which several executors have crashed."""
-
-SUSPICIOUS_CRASHES: Final = 2
-"""Number of crashes from which a task is a suspect even if others are blamed more."""
-
-MIN_CRASHES: Final = 2.0
-CONVICTING_BLAME: Final = 0.8
-"""Number of crashes, and blame for the last one, from which a task is given up."""
-
-MANY_CRASHES: Final = 2.5
-MANY_CRASHES_BLAME: Final = 0.5
-"""The same for a task under which more executors have crashed."""
-
-UNCERTAIN_WEIGHT: Final = 0.5
-"""Weight of a crash if the start was not answered, as the executor may have been gone before it, or
-if the executor only vanished."""
+from wasabiramp.scheduling.suspicion import (
+    BASE_SUSPICION,
+    MIN_AGE_S,
+    MIN_SUSPICION,
+    UNCERTAIN_WEIGHT,
+    calculate_blame,
+    is_convicting,
+    measure_mass,
+    measure_suspicion,
+    widen_window,
+)
 
 CLEARING_FACTOR: Final = 2.0
 MIN_CLEARING_AGE_S: Final = 0.5
@@ -72,20 +52,14 @@
 """Number of the most suspect tasks that the log line of a crash names."""
 
 
-def measure_suspicion(crashes: list[Crash]) -> float:
-    """Return the probability that a task causes crashes, from those that are proven."""
-    innocence = 1.0
-    proven = [crash for crash in crashes if crash.is_proven]
-    for crash in proven:
-        innocence *= 1 - crash.blame
-    if len(proven) >= SUSPICIOUS_CRASHES:
-        return max(REPEATED_SUSPICION, 1 - innocence)
-    return 1 - innocence
+def find_proven_crashes(step: StepRun, index: int) -> list[Crash]:
+    """Return the recorded crashes of a task whose executors' processes are gone."""
+    return [crash for crash in step.progress.crashes.get(index, []) if crash.is_proven]
 
 
 def update_suspect(state: SchedulerState, step: StepRun, index: int) -> None:
     """Make a task a suspect, or clear it, by its recorded crashes."""
-    if measure_suspicion(step.progress.crashes.get(index, [])) >= MIN_SUSPICION:
+    if measure_suspicion(find_proven_crashes(step, index)) >= MIN_SUSPICION:
         step.suspects.add(index)
         state.suspect_steps[step.name] = step
         return
@@ -101,27 +75,53 @@
     The record is stored at once, so that it outlives this owner. A draining executor ends on
     purpose, so its silence says nothing about its tasks.
     """
-    crashed_by = _find_latest_crash(state, executor)
-    runs = [
-        run for run in executor.runs.values() if run.step is not None and run.sent_at <= crashed_by
-    ]
-    if executor.entry.is_draining or executor.tasks_at_silence or not runs:
+    was_silent = executor.silent_since is not None and executor.silent_since < state.now
+    if executor.entry.is_draining or executor.tasks_at_silence or was_silent:
         return
-    blame_by_job = _share_blame(state, executor, runs, crashed_by)
-    for run in runs:
-        step = run.step
-        if step is None or step.job.is_ended or run.index in step.progress.done:
-            continue
-        blame = round(blame_by_job[step.job.definition.id], 4)
-        age_s = round(crashed_by - run.sent_at, 3)
-        has_started = run.confirmed_at is not None
-        crash = Crash(executor.id, executor.born_ms, age_s, blame, is_certain=has_started)
-        step.progress.crashes.setdefault(run.index, []).append(crash)
-        executor.tasks_at_silence.append(TaskAtCrash(step, run.index, crash))
-        mark_job_dirty(step.job)
+    crashed_by = _find_latest_crash(state, executor)
+    for run in executor.runs.values():
+        if run.step is not None and run.sent_at <= crashed_by:
+            _record_crash(state, executor, run, crashed_by)
+    note_loss(state, executor, _explain_loss(executor))
+    for other in state.executors.values():
+        if other.tasks_at_silence and other.loss in state.losses:
+            _share_blame(state, other, count_others(state, other.loss))
     _add_risk(state, executor, 1)
 
 
+def _record_crash(
+    state: SchedulerState, executor: ExecutorState, run: Run, crashed_by: float
+) -> None:
+    """Record the possible crash of an executor for the task of one of its runs.
+
+    The executor crashed after its last answer. If the start was not answered, it may also have
+    crashed before that.
+    """
+    step = run.step
+    if step is None or step.job.is_ended or run.index in step.progress.done:
+        return
+    has_started = run.confirmed_at is not None
+    age_s = crashed_by - run.sent_at
+    survived_s = 0.0
+    if run.confirmed_at is not None:
+        survived_s = min(age_s, max(0.0, executor.reported_at - run.confirmed_at))
+    low, high = widen_window(survived_s, age_s)
+    exposed_s = high - low
+    if not has_started and executor.answered_at > -math.inf:
+        exposed_s = max(exposed_s, crashed_by - executor.answered_at)
+    crash = Crash(executor.id, executor.born_ms, round(age_s, 3), 0.0, is_certain=has_started)
+    crash.survived_s = round(survived_s, 3)
+    task = TaskAtCrash(step, run.index, crash)
+    task.mass = measure_mass(low, high) * (1.0 if has_started else UNCERTAIN_WEIGHT)
+    task.chance = exposed_s * measure_crash_rate(state)
+    task.age_share = min(1.0, (high - low) / max(MIN_AGE_S, age_s, step.spec.estimate_s))
+    task.weight = task.mass * max(
+        BASE_SUSPICION, measure_suspicion(find_proven_crashes(step, run.index))
+    )
+    step.progress.crashes.setdefault(run.index, []).append(crash)
+    executor.tasks_at_silence.append(task)
+
+
 def _find_latest_crash(state: SchedulerState, executor: ExecutorState) -> float:
     """Return the time by which an executor that does not answer has crashed.
 
@@ -135,62 +135,64 @@
     return min(min(unanswered, default=math.inf) + MIN_AGE_S, state.now)
 
 
-def _add_risk(state: SchedulerState, executor: ExecutorState, sign: int) -> None:
-    """Count the crash of an executor for the queue of the most suspect task, or withdraw it."""
-    tasks = executor.tasks_at_silence
-    if not tasks:
-        return
-    suspect = max(tasks, key=lambda task: task.crash.blame)
-    add_risk(state, suspect.step.job.definition.queue.name, sign * suspect.crash.blame)
+def _explain_loss(executor: ExecutorState) -> float:
+    """Return the probability that a task caused the loss of an executor, taken by itself."""
+    weight = sum(_weigh_jobs(executor).values())
+    chance = max((task.chance for task in executor.tasks_at_silence), default=1.0)
+    return weight / (weight + chance)
 
 
-def _share_blame(
-    state: SchedulerState, executor: ExecutorState, runs: list[Run], crashed_by: float
-) -> dict[str, float]:
-    """Return the probability that each job caused the crash of an executor with these runs.
+def _weigh_jobs(executor: ExecutorState) -> dict[str, float]:
+    """Return the probability that a job causes such a crash, by its id.
 
-    The executor crashed after its last answer. Of several runs of a job only the most suspect one
-    counts, as jobs are deadly, not runs.
+    Of several tasks of a job only the most suspect one counts, as jobs are deadly, not runs.
     """
     weights: dict[str, float] = {}
-    for run in runs:
-        step = run.step
-        if step is not None:
-            suspicion = measure_suspicion(step.progress.crashes.get(run.index, []))
-            job_id = step.job.definition.id
-            likelihood = _measure_likelihood(
-                executor.answered_at - run.sent_at, crashed_by - run.sent_at
-            )
-            weight = max(BASE_SUSPICION, suspicion) * likelihood
-            weights[job_id] = max(weights.get(job_id, 0.0), weight)
-    total = sum(weights.values()) + _measure_crash_rate(state)
-    return {job_id: weight / total for job_id, weight in weights.items()}
+    for task in executor.tasks_at_silence:
+        job_id = task.step.job.definition.id
+        weights[job_id] = max(weights.get(job_id, 0.0), task.weight)
+    return weights
 
 
-def _measure_crash_rate(state: SchedulerState) -> float:
-    """Return the rate of crashes for which no task is to blame, per executor and second."""
-    exposure_s = len(state.executors) * min(CRASH_RATE_WINDOW_S, state.now - state.created_at)
-    return (PRIOR_CRASHES + _decay_unexplained(state)) / (PRIOR_EXPOSURE_S + exposure_s)
+def _share_blame(state: SchedulerState, executor: ExecutorState, others_lost: float) -> None:
+    """Set the blame of each task for the crash of an executor.
 
+    The other causes of a crash are those that are usual, one that the executor shares with others
+    that were lost in the same moment, and the tasks of other jobs. A cause that executors share
+    meets the run at any age.
+    """
+    weights = _weigh_jobs(executor)
+    total = sum(weights.values())
+    share_lost = min(1.0, others_lost / max(1, len(state.executors)))
+    for task in executor.tasks_at_silence:
+        others = total - weights[task.step.job.definition.id]
+        chance = task.chance + share_lost * task.age_share + others
+        task.crash.blame = round(calculate_blame(task.mass, chance), 4)
+        task.crash.is_certain &= others_lost < MIN_OTHERS
+        mark_job_dirty(task.step.job)
 
-def _decay_unexplained(state: SchedulerState) -> float:
-    """Return the recent crashes for which no task is to blame, older ones counting less."""
-    passed_s = state.now - state.unexplained_at
-    return state.unexplained_crashes * math.exp(-passed_s / CRASH_RATE_WINDOW_S)
 
+def _measure_greatest_suspicion(executor: ExecutorState) -> float:
+    """Return the suspicion of the task that most likely crashed an executor.
 
-def _count_unexplained(state: SchedulerState, blame: float) -> None:
-    """Count a crash as far as the most suspect task is not to blame for it."""
-    state.unexplained_crashes = _decay_unexplained(state) + 1 - blame
-    state.unexplained_at = state.now
+    Its crash is not proven yet, but counts as if it were.
+    """
+    return max(
+        (
+            measure_suspicion([*find_proven_crashes(task.step, task.index), task.crash])
+            for task in executor.tasks_at_silence
+        ),
+        default=0.0,
+    )
 
 
-def _measure_likelihood(youngest_s: float, oldest_s: float) -> float:
-    """Return how likely a deadly run crashes its executor between two ages, per second."""
-    youngest_s = max(MIN_AGE_S, youngest_s)
-    if oldest_s <= youngest_s + MIN_AGE_S:
-        return AGE_DENSITY / youngest_s
-    return AGE_DENSITY * math.log(oldest_s / youngest_s) / (oldest_s - youngest_s)
+def _add_risk(state: SchedulerState, executor: ExecutorState, sign: int) -> None:
+    """Count the crash of an executor for the queue of the most suspect task, or withdraw it."""
+    tasks = executor.tasks_at_silence
+    if not tasks:
+        return
+    suspect = max(tasks, key=lambda task: task.crash.blame)
+    add_risk(state, suspect.step.job.definition.queue.name, sign * suspect.crash.blame)
 
 
 def settle_silence(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
@@ -242,9 +244,10 @@
 
     It is not certain that it crashed if only its entry was removed, as after a long partition.
     """
+    suspicion = _measure_greatest_suspicion(executor)
     tasks, executor.tasks_at_silence = executor.tasks_at_silence, []
     if not executor.is_gone and not executor.entry.is_draining:
-        _count_unexplained(state, max((task.crash.blame for task in tasks), default=0.0))
+        count_unexplained(state, suspicion)
     executor.is_gone = True
     if not tasks:
         return
@@ -253,9 +256,13 @@
         f"{task.step.build_task_name(task.index)}:{round(task.crash.age_s * 1000)}"
         for task in tasks[:MAX_LOGGED_TASKS]
     )
-    blame = tasks[0].crash.blame
     state.log_decision(
-        "executor_crashed", executor=executor.id, runs=len(tasks), blame=blame, suspects_ms=rows
+        "executor_crashed",
+        executor=executor.id,
+        runs=len(tasks),
+        blame=tasks[0].crash.blame,
+        suspicion=round(suspicion, 4),
+        suspects_ms=rows,
     )
     for task in tasks:
         task.crash.is_proven = True
@@ -269,16 +276,18 @@
 
 def give_up_if_guilty(state: SchedulerState, step: StepRun, index: int) -> None:
     """End the job of a task as failed if the task has certainly crashed its executors."""
-    proven = [crash for crash in step.progress.crashes.get(index, []) if crash.is_proven]
-    if step.job.is_ended or not proven:
+    crashes = find_proven_crashes(step, index)
+    if step.job.is_ended or not is_convicting(crashes):
         return
-    count = sum(1.0 if crash.is_certain else UNCERTAIN_WEIGHT for crash in proven)
-    is_guilty = count >= MIN_CRASHES and proven[-1].blame >= CONVICTING_BLAME
-    is_guilty |= count >= MANY_CRASHES and proven[-1].blame >= MANY_CRASHES_BLAME
-    if is_guilty:
-        name = step.build_task_name(index)
-        state.log_decision("task_given_up", task=name, crashes=len(proven), blame=proven[-1].blame)
-        end_job(state, step.job, FAILED, f"{len(proven)} executors crashed under {name}")
+    name = step.build_task_name(index)
+    count = len({crash.executor for crash in crashes})
+    ages = ",".join(f"{round(1000 * c.survived_s)}-{round(1000 * c.age_s)}" for c in crashes)
+    suspicion = round(measure_suspicion(crashes), 4)
+    state.log_decision(
+        "task_given_up", task=name, crashes=len(crashes), suspicion=suspicion, ages_ms=ages
+    )
+    withdraw_unexplained(state, crashes)
+    end_job(state, step.job, FAILED, f"{count} executors crashed under {name}")
 
 
 def clear_if_alive(state: SchedulerState, run: Run, age_s: float) -> None:
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -220,14 +220,14 @@
             return
         correct_incarnation(state, executor, report.born_ms)
         withdraw_crashes(state, executor, report.born_ms)
-    executor.has_open_hold = False
-    executor.answered_at = state.now
-    executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
     if report.born_ms > executor.born_ms:
         if executor.born_ms:
             record_new_incarnation(state, executor, report.born_ms)
         executor.born_ms = report.born_ms
         executor.born_known_at = state.now
+    executor.has_open_hold = False
+    executor.answered_at = executor.reported_at = state.now
+    executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.has_accepted_fence = True
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -230,9 +230,10 @@
 class Crash:
     """An executor that stopped answering while a run of a task was on it.
 
-    `born_ms` identifies its incarnation, and `age_s` is the time since the start order. `blame` is
-    the probability that the task's job caused the crash, from 0 to 1. `is_proven` is set once the
-    process is gone, and `is_certain` if it certainly crashed with the run on it.
+    `born_ms` identifies its incarnation, and `age_s` is the time since the start order. The run was
+    known to be alive at the age of `survived_s`. `blame` is the probability that its task caused
+    the crash, from 0 to 1, without regard to its other crashes. `is_proven` is set once the process
+    is gone, and `is_certain` if it certainly crashed with the run on it.
     """
 
     executor: str
@@ -241,6 +242,7 @@
     blame: float
     is_certain: bool = True
     is_proven: bool = False
+    survived_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -190,6 +190,7 @@
         executor = trials.choose_executor(
             self.state,
             step,
+            group,
             candidates,
             lambda executor: _score(step, executor, view.free_by_executor[executor.id]),
         )
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -273,14 +273,17 @@
 
 def _decode_crash(row: Any) -> Crash:
     """Decode a crash of an executor under a task."""
-    executor, born_ms, age_s, blame, *flags = _check_list(row, "crash", 6, 4)
-    return Crash(
+    executor, born_ms, age_s, blame, *more = _check_list(row, "crash", 7, 4)
+    crash = Crash(
         _check_text(executor, "crash"),
         _check_whole_number(born_ms, "crash"),
         _check_number(age_s, "crash"),
         _check_number(blame, "crash"),
-        *(_check_flag(flag, "crash") for flag in flags),
+        *(_check_flag(flag, "crash") for flag in more[:2]),
     )
+    if len(more) > 2:
+        crash.survived_s = _check_number(more[2], "crash")
+    return crash
 
 
 def check_progress(definition: JobDefinition, progress: JobProgress) -> None:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -87,15 +87,42 @@
 
 
 class TaskAtCrash:
-    """A task that ran on an executor when it stopped answering, and its record of that."""
+    """A task that ran on an executor when it stopped answering, and its record of that.
 
-    __slots__ = ("crash", "index", "step")
+    `mass` is the probability that a deadly task crashes its executor at such an age, and `weight`
+    that this task did. `chance` is the probability that the executor crashed in that time anyway,
+    and `age_share` that a sound run is at such an age at any time.
+    """
+
+    __slots__ = ("age_share", "chance", "crash", "index", "mass", "step", "weight")
 
     def __init__(self, step: StepRun, index: int, crash: Crash) -> None:
         """Create a reference to a crash in the progress of a step."""
         self.step = step
         self.index = index
         self.crash = crash
+        self.mass = 0.0
+        self.chance = 0.0
+        self.age_share = 0.0
+        self.weight = 0.0
+
+
+class Loss:
+    """The loss of contact with an executor, at some time after it last answered.
+
+    `explained` is the probability that a task on the executor caused it, taken by itself.
+    """
+
+    __slots__ = ("answered_at", "executor", "explained", "noticed_at")
+
+    def __init__(
+        self, executor: str, answered_at: float, noticed_at: float, explained: float
+    ) -> None:
+        """Create a record of a loss."""
+        self.executor = executor
+        self.answered_at = answered_at
+        self.noticed_at = noticed_at
+        self.explained = explained
 
 
 class TaskState:
@@ -280,11 +307,12 @@
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `unattributed_ends` are ends of unknown jobs by number, with the time
     at which each was read. `hold_address` is the address to which the last hold was sent, and
-    `reached_at` the one from which the executor answered last. `born_known_at` is the time since
+    `reached_at` the one from which the executor answered last. `reported_at` is the time of the
+    last report, which unlike other answers tells the incarnation. `born_known_at` is the time since
     which its start time `born_ms` is known. `has_invalid_entry` is set while the platform lists an
     entry that cannot be used. `slowness` is 1 at the estimated
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
-    `tasks_at_silence` holds what ran on it when it stopped answering.
+    `tasks_at_silence` holds what ran on it when it stopped answering, of which `loss` tells when.
     """
 
     __slots__ = (
@@ -296,6 +324,7 @@
         "entry",
         "failures",
         "answered_at",
+        "reported_at",
         "answered_hold_sent_at",
         "hold_address",
         "hold_sent_at",
@@ -311,6 +340,7 @@
         "lease_expiry_floor",
         "expired_runs",
         "lease_until_ms",
+        "loss",
         "must_answer",
         "reached_at",
         "has_new_ends",
@@ -356,6 +386,7 @@
         self.has_accepted_fence = False
         self.has_open_hold = False
         self.answered_at = float("-inf")
+        self.reported_at = float("-inf")
         self.answered_hold_sent_at = float("-inf")
         self.hold_sent_at = 0.0
         self.next_hold_at = 0.0
@@ -369,6 +400,7 @@
         self.failures: set[str] = set()
         self.cooldown_until = 0.0
         self.silent_since: float | None = None
+        self.loss: Loss | None = None
         self.tasks_at_silence: list[TaskAtCrash] = []
         self.expired_runs: set[tuple[str, int]] = set()
         self.unattributed_ends: dict[int, tuple[EndReport, float]] = {}
@@ -394,6 +426,7 @@
     records that this build cannot read. All jobs stored up to `jobs_confirmed_at` are known.
     `suspect_steps` are the open steps with suspects, by name.
     `job_services` are the names of the services of all jobs so far, which may outlive their queues.
+    `losses` are the latest losses of contact with executors.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -416,6 +449,7 @@
         "jobs_confirmed_at",
         "lease_limit_s",
         "lease_s",
+        "losses",
         "leases_end_by",
         "list_age_s",
         "smallest_capacity_share",
@@ -450,6 +484,7 @@
         self.suspect_steps: dict[str, StepRun] = {}
         self.risk_by_queue: dict[str, tuple[float, float]] = {}
         self.created_at = math.inf
+        self.losses: list[Loss] = []
         self.unexplained_crashes = 0.0
         self.unexplained_at = 0.0
         self.now = 0.0
--- /dev/null
+++ b/wasabiramp/scheduling/suspicion.py
@@ -0,0 +1,177 @@
+"""Suspicion: what the crashes of executors tell about a task that ran on them.
+
+A deadly task crashes each executor that starts it, at about the same age of its runs. A sound task
+is on an executor when that crashes for another reason, at any age. Each recorded crash has a window
+of ages in which the run was when its executor crashed. The suspicion of a task is the probability
+that it is deadly, by Bayes' rule, over all ages at which it may crash its executors:
+
+- a run that was still alive at an age shows that its task does not crash executors before that;
+- a crash whose window has the age is certain if the task is deadly. It is as likely otherwise as
+  its other possible causes are: the usual rate of crashes, other executors that were lost at the
+  same moment (`scheduling/losses.py`), and other suspicious runs on the executor;
+- a crash at an earlier age had another cause.
+
+So crashes at ages that differ, and those in a wave of crashes, hardly count against a task. It is
+given up only for crashes of several executors (`is_convicting`).
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+from wasabiramp.scheduling.model import Crash
+
+BASE_SUSPICION: Final = 0.01
+"""Probability that a task without a record of crashes is deadly."""
+
+AGE_DENSITY: Final = 0.1
+"""Probability that a deadly task crashes its executor at a certain age, per natural logarithm of
+the age: ages from milliseconds to minutes are about ten such units."""
+
+MIN_AGE_S: Final = 0.05
+"""Resolution of the age of a run at a crash: runs that are younger are equally suspect."""
+
+AGE_SPREAD: Final = 1.1
+"""Factor by which the ages of a deadly task at its crashes may differ from their mean."""
+
+UNSTEADY_SHARE: Final = 0.03
+"""Share of the deadly tasks that crash each executor at another age."""
+
+MIN_SUSPICION: Final = 0.05
+"""Suspicion from which a task runs apart from other work."""
+
+LEAST_SUSPICION: Final = ((2.0, 0.98), (3.0, 0.93))
+"""Numbers of crashes at about the same age, and the suspicion from which a task is given up."""
+
+MANY_CRASHES: Final = (4.0, 0.9)
+"""The same for crashes at any ages."""
+
+UNCERTAIN_WEIGHT: Final = 0.5
+"""Weight of a crash if the start was not answered, as the executor may have been gone before it, if
+the executor only vanished, if others were lost in the same moment, or if it had crashed under the
+task before."""
+
+MIN_EXECUTORS: Final = 2
+MAX_REPEATED_CRASHES: Final = 3
+"""Number of different executors that must have crashed under a task that is given up, and number of
+crashes from which they need not be different, as only one executor may be able to run the task."""
+
+MAX_BLAME: Final = 0.9999
+MIN_BLAME: Final = 0.0001
+"""Range of the recorded blame for a crash."""
+
+
+def widen_window(survived_s: float, age_s: float) -> tuple[float, float]:
+    """Return the ages at which a deadly task may crash, if one run crashed between these ages."""
+    youngest_s = min(survived_s, age_s) / AGE_SPREAD - MIN_AGE_S
+    return max(0.0, youngest_s), max(MIN_AGE_S, age_s) * AGE_SPREAD
+
+
+def measure_mass(youngest_s: float, oldest_s: float) -> float:
+    """Return the probability that a deadly task crashes its executor between two ages."""
+    return max(0.0, _accumulate_mass(oldest_s) - _accumulate_mass(youngest_s))
+
+
+def _accumulate_mass(age_s: float) -> float:
+    """Return the probability that a deadly task crashes its executor up to an age."""
+    if age_s <= MIN_AGE_S:
+        return AGE_DENSITY * age_s / MIN_AGE_S
+    return min(1.0, AGE_DENSITY * (1 + math.log(age_s / MIN_AGE_S)))
+
+
+def calculate_blame(mass: float, chance: float) -> float:
+    """Return the probability that a task without an earlier record caused a crash.
+
+    `mass` is the probability that a deadly task crashes an executor within the window of the crash,
+    and `chance` the probability that the executor crashed in that time for another reason.
+    """
+    odds = BASE_SUSPICION * mass
+    return min(MAX_BLAME, max(MIN_BLAME, odds / (odds + max(chance, 1e-9))))
+
+
+def _restore_chance(crash: Crash) -> float:
+    """Return the probability of a crash for other reasons, from the recorded blame."""
+    blame = min(MAX_BLAME, max(MIN_BLAME, crash.blame))
+    mass = measure_mass(*widen_window(crash.survived_s, crash.age_s))
+    return max(BASE_SUSPICION * mass * (1 - blame) / blame, 1e-12)
+
+
+def measure_suspicion(crashes: list[Crash]) -> float:
+    """Return the probability that a task is deadly, from the crashes that are recorded for it.
+
+    For example, two lone crashes at the age of 15 ms make it nearly certain, and one at 15 ms and
+    one at 800 ms leave about what the second one tells by itself.
+    """
+    if not crashes:
+        return BASE_SUSPICION
+    masses = [measure_mass(*widen_window(crash.survived_s, crash.age_s)) for crash in crashes]
+    chances = [_restore_chance(crash) for crash in crashes]
+    longest_s = max(widen_window(crash.survived_s, crash.age_s)[1] for crash in crashes)
+    steady = 1 - _accumulate_mass(longest_s) + sum(ratio for _age, ratio in _weigh_ages(crashes))
+    unsteady = math.prod(mass / chance for mass, chance in zip(masses, chances, strict=True))
+    ratio = (1 - UNSTEADY_SHARE) * steady + UNSTEADY_SHARE * unsteady
+    odds = ratio * BASE_SUSPICION / (1 - BASE_SUSPICION)
+    return odds / (1 + odds)
+
+
+def find_matching_crashes(crashes: list[Crash]) -> list[Crash]:
+    """Return the crashes at the age at which the task most likely crashes its executors."""
+    age_s, _ratio = max(_weigh_ages(crashes), key=lambda row: row[1], default=(-1.0, 0.0))
+    matching = []
+    for crash in crashes:
+        youngest_s, oldest_s = widen_window(crash.survived_s, crash.age_s)
+        if youngest_s <= age_s < oldest_s:
+            matching.append(crash)
+    return matching
+
+
+def _weigh_ages(crashes: list[Crash]) -> list[tuple[float, float]]:
+    """Return ages at which a task may crash its executors, each with its likelihood.
+
+    The likelihood is that of the crashes and of an age from there up to the next one, relative to
+    the likelihood of the crashes for a sound task.
+    """
+    windows = [widen_window(crash.survived_s, crash.age_s) for crash in crashes]
+    chances = [_restore_chance(crash) for crash in crashes]
+    survived_s = max((low for low, _high in windows), default=0.0)
+    edges = sorted({edge for window in windows for edge in window if edge >= survived_s})
+    rows = []
+    for youngest_s, oldest_s in zip(edges, edges[1:], strict=False):
+        ratio = math.prod(
+            1 / chance
+            for (low, high), chance in zip(windows, chances, strict=True)
+            if low <= youngest_s and oldest_s <= high
+        )
+        rows.append((youngest_s, measure_mass(youngest_s, oldest_s) * ratio))
+    return rows
+
+
+def is_convicting(crashes: list[Crash]) -> bool:
+    """Return whether the recorded crashes of a task are evidence enough to give it up.
+
+    Only crashes of executors whose processes are gone count.
+    """
+    proven = [crash for crash in crashes if crash.is_proven]
+    matching = find_matching_crashes(proven)
+    suspicion = measure_suspicion(proven)
+    count = _count_executors(matching)
+    if any(count >= least and suspicion >= needed for least, needed in LEAST_SUSPICION):
+        return True
+    least, needed = MANY_CRASHES
+    return _count_executors(proven) >= least and suspicion >= needed
+
+
+def _count_executors(crashes: list[Crash]) -> float:
+    """Return how many executors have crashed, those that are not certain counting less.
+
+    The executors of few crashes must be different, as one of them may have a fault of its own.
+    """
+    executors: set[str] = set()
+    count = 0.0
+    for crash in crashes:
+        is_full = crash.is_certain and crash.executor not in executors
+        count += 1.0 if is_full else UNCERTAIN_WEIGHT
+        executors.add(crash.executor)
+    is_enough = len(executors) >= MIN_EXECUTORS or len(crashes) >= MAX_REPEATED_CRASHES
+    return count if is_enough else 0.0
--- a/wasabiramp/scheduling/trials.py
+++ b/wasabiramp/scheduling/trials.py
@@ -7,9 +7,10 @@
 from typing import Final
 
 from wasabiramp.policy.switches import switchable
-from wasabiramp.scheduling.crashes import measure_suspicion
+from wasabiramp.scheduling.crashes import find_proven_crashes
 from wasabiramp.scheduling.reservations import could_hold
 from wasabiramp.scheduling.state import ExecutorState, SchedulerState, StepRun, TaskState
+from wasabiramp.scheduling.suspicion import measure_suspicion
 
 MAX_TRIAL_SHARE: Final = 1 / 6
 """Greatest share of the executors that may be kept for trials or be down after crashes."""
@@ -88,13 +89,17 @@
         self,
         state: SchedulerState,
         step: StepRun,
+        group: list[ExecutorState],
         candidates: list[ExecutorState],
         score: Callable[[ExecutorState], float],
     ) -> ExecutorState | None:
         """Return the executor on which suspects of a step start now, or None if they wait.
 
+        The candidates are those executors of the group that have room for one of them.
+
         They wait for an executor without work of other jobs, which gets no further work meanwhile,
-        but no longer than MAX_TRIAL_WAIT_S.
+        but no longer than MAX_TRIAL_WAIT_S. It should be one that has not crashed under them: a
+        second crash of the same executor does not show that they are deadly.
         """
         if step.trial_due_at is None:
             step.trial_due_at = state.now + get_trial_wait_s(step)
@@ -102,17 +107,23 @@
         is_full = self._down + len(self.closed) >= self._limit
         if not candidates or (is_full and not is_due and is_likely_deadly(step)):
             return None
+        crashed = find_crashed_executors(step)
         best = min(
             candidates,
             key=lambda executor: (
+                executor.id in crashed,
                 count_other_runs(executor, step),
                 executor.id != step.trial_executor,
                 score(executor),
             ),
         )
-        if not count_other_runs(best, step) or is_due:
+        others = [executor for executor in group if executor.id not in crashed]
+        must_differ = best.id in crashed and could_hold(step, others)
+        if is_due or (not must_differ and not count_other_runs(best, step)):
             return best
-        if step.trial_executor not in {executor.id for executor in candidates}:
+        if must_differ:
+            best = min(others, key=lambda executor: count_other_runs(executor, step))
+        if step.trial_executor not in {executor.id for executor in group} - crashed:
             step.trial_executor = "" if is_full else best.id
         if step.trial_executor:
             self.closed.add(step.trial_executor)
@@ -121,8 +132,16 @@
 
 def is_likely_deadly(step: StepRun) -> bool:
     """Return whether a suspect of a step most likely crashes its executor."""
+    return any(
+        measure_suspicion(find_proven_crashes(step, index)) >= LIKELY_SUSPICION
+        for index in step.suspects
+    )
+
+
+def find_crashed_executors(step: StepRun) -> set[str]:
+    """Return the ids of the executors that have crashed under suspects of a step."""
     crashes = step.progress.crashes
-    return any(measure_suspicion(crashes[index]) >= LIKELY_SUSPICION for index in step.suspects)
+    return {crash.executor for index in step.suspects for crash in crashes[index]}
 
 
 def get_trial_wait_s(step: StepRun) -> float:
