Give a task up at any ages of its runs once the evidence is overwhelming

A crash that another task caused came first, 0.15 to 0.2 s after the start, so the run seemed to have outlived the age of 18 ms at which the task crashed executors from then on: no two crashes matched, though the suspicion was 0.9992 after three.

Change: from a suspicion of 0.99, crashes count at any ages.

--- a/wasabiramp/scheduling/suspicion.py
+++ b/wasabiramp/scheduling/suspicion.py
@@ -44,8 +44,10 @@
 LEAST_SUSPICION: Final = ((2.0, 0.98), (3.0, 0.93))
 """Numbers of crashes at about the same age, and the suspicion from which a task is given up."""
 
-MANY_CRASHES: Final = (4.0, 0.9)
-"""The same for crashes at any ages."""
+ANY_AGES: Final = (2.0, 0.99)
+"""The same for crashes at any ages.
+
+A run that seems to have outlived an age may have been on an executor that did not run it yet."""
 
 UNCERTAIN_WEIGHT: Final = 0.5
 """Weight of a crash if the start was not answered, as the executor may have been gone before it, if
@@ -158,7 +160,7 @@
     count = _count_executors(matching)
     if any(count >= least and suspicion >= needed for least, needed in LEAST_SUSPICION):
         return True
-    least, needed = MANY_CRASHES
+    least, needed = ANY_AGES
     return _count_executors(proven) >= least and suspicion >= needed
 
 
