Check jobs shown as failed by the attempts of their tasks; schedules in which many runs fail

Why no check saw it: a single acknowledged failure of any task, or two crashes, excused any verdict, a cancel too; runs of schedules with lost contact never failed, and no outage of the store outlasted the leases of runs (7.5 s). Now: a task, or a gang as a whole, needs as many acknowledged failures as the queue allows, each acknowledged before the lease lapsed; crashes excuse only two under one task. New kinds of schedules fail 35% of the runs.

--- a/soak/record.py
+++ b/soak/record.py
@@ -33,12 +33,12 @@
         super().record_end(now, task, run, executor, how)
 
     def record_acknowledged_end(
-        self, now: float, task: str, how: str, ended_at: float, is_lease_expired: bool
+        self, now: float, task: str, run: int, how: str, ended_at: float, is_lease_expired: bool
     ) -> None:
         """Record and write that an end was acknowledged."""
         expired = ", the lease expired since" if is_lease_expired else ""
-        self._write(now, f"acknowledged {task} {how} at {ended_at:.3f}{expired}")
-        super().record_acknowledged_end(now, task, how, ended_at, is_lease_expired)
+        self._write(now, f"acknowledged {task} run {run} {how} at {ended_at:.3f}{expired}")
+        super().record_acknowledged_end(now, task, run, how, ended_at, is_lease_expired)
 
     def close(self) -> None:
         """Close the file."""
--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -7,6 +7,7 @@
 from wasabiramp.model.entry.kinds import run_kind
 from wasabiramp.model.entry.special import run_isolation_schedule, run_wide_schedule
 from wasabiramp.model.entry.world import World
+from wasabiramp.scheduling.model import FAILED
 
 SEEDS = range(1, 11)
 """Seeds of each kind that every test run covers."""
@@ -40,6 +41,28 @@
         check(run_kind("contact_and_store", seed))
 
 
+class TestFailedRuns:
+    """No job is shown as failed before a task has used up its attempts."""
+
+    # An end that was read counted as an attempt, though a lease lapsed before its acknowledgement.
+    @pytest.mark.parametrize("seed", range(1, 12))
+    def test_many_runs_fail(self, seed: int) -> None:
+        check(run_kind("failures", seed))
+
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 7, 12, 14])
+    def test_many_runs_fail_and_executors_crash(self, seed: int) -> None:
+        check(run_kind("failures_and_crashes", seed))
+
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 10, 12, 13])
+    def test_many_runs_fail_and_the_store_is_faulty(self, seed: int) -> None:
+        check(run_kind("failures_and_store", seed))
+
+    def test_jobs_use_up_their_attempts(self) -> None:
+        """The other tests say nothing if no job fails in their schedules."""
+        jobs = run_kind("failures", 3).checker.jobs.values()
+        assert sum(record.last_phase == FAILED for record in jobs) >= 2
+
+
 class TestSilentExecutors:
     """An executor that is cut off, drains or lost its entry may still run its tasks."""
 
--- a/wasabiramp/model/entry/checker.py
+++ b/wasabiramp/model/entry/checker.py
@@ -39,7 +39,8 @@
     """The recorded history of one job.
 
     `submit_attempts` counts the calls that submit the job, and `refusals` those that were refused.
-    `acknowledged_failures` counts the failed runs of each task whose end the owner acknowledged.
+    `acknowledged_failures` holds the failed runs of each task whose end the owner acknowledged
+    before the lease of the executor had expired; only those count as attempts.
     `is_cancel_waiting` is True while a caller waits for the answer to a cancel.
     """
 
@@ -65,7 +66,7 @@
         self.cancel_acked_at: float | None = None
         self.is_cancel_waiting = False
         self.last_phase: str = ""
-        self.acknowledged_failures: dict[str, int] = {}
+        self.acknowledged_failures: dict[str, set[int]] = {}
 
 
 class HistoryChecker:
@@ -81,8 +82,9 @@
     - ROUTE: a start on an executor without the label or with too many tasks of the step.
     - BUDGET: a start after the greatest number of failures, or of crashes by the task.
     - MIXED: a phase shown to a caller that contradicts an earlier one or the tasks.
-    - LOST: an accepted job that is unknown, does not end, or fails without a reason; a request
-      that a daemon does not answer while it lives.
+    - LOST: an accepted job that is unknown, does not end, or fails although no task has used up
+      its attempts or was on two executors that crashed; a request that a daemon does not answer
+      while it lives.
 
     The soak test adds STATUS (a call got an unexpected status) and STOP (a daemon did not exit).
     """
@@ -229,7 +231,8 @@
         if step.max_per_executor and same_step_count >= step.max_per_executor:
             self.report(f"ROUTE {where}: {same_step_count} tasks of the step already run there")
         limit = record.definition.queue.max_attempts
-        if record.acknowledged_failures.get(task, 0) >= limit and not step.is_lasting:
+        failures = record.acknowledged_failures.get(task, set())
+        if len(failures) >= limit and not step.is_lasting:
             self.report(f"BUDGET {where}: already failed {limit} times")
         if self.crashes.get(task, 0) >= MAX_CRASHES:
             starts = self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
@@ -262,10 +265,26 @@
         if how == DONE:
             self.done_at.setdefault(task, now)
 
+    def has_used_up_attempts(self, record: JobRecord) -> bool:
+        """Return whether a task, or a gang as a whole, has failed as often as its queue allows.
+
+        Several members of a gang may fail in one run of it, which is one attempt.
+        """
+        runs: dict[str, set[int]] = {}
+        for task, failures in record.acknowledged_failures.items():
+            parsed = parse_task(task)
+            step = record.definition.steps[parsed[2]] if parsed is not None else None
+            if step is None or step.is_lasting:
+                continue
+            key = task.rpartition(".")[0] if step.is_gang else task
+            runs.setdefault(key, set()).update(failures)
+        limit = record.definition.queue.max_attempts
+        return any(len(failures) >= limit for failures in runs.values())
+
     def record_acknowledged_end(
-        self, now: float, task: str, how: str, ended_at: float, is_lease_expired: bool
+        self, now: float, task: str, run: int, how: str, ended_at: float, is_lease_expired: bool
     ) -> None:
-        """Record that the owner acknowledged an end.
+        """Record that the owner acknowledged the end of a run.
 
         The end is ignored where the lease of the executor has expired since the run ended, as the
         owner may have started the task again after the expiry.
@@ -281,7 +300,7 @@
                 )
             self.acknowledged_done.add(task)
         elif how == FAILED:
-            record.acknowledged_failures[task] = record.acknowledged_failures.get(task, 0) + 1
+            record.acknowledged_failures.setdefault(task, set()).add(run)
 
     def check_shown(self, now: float, job_id: str, phase: str) -> None:
         """Check and record a phase that a caller is shown."""
@@ -291,9 +310,9 @@
         record.last_phase = phase
         if phase == DONE and not self.has_all_tasks_done(record):
             self.report(f"MIXED at {now:.3f} {job_id}: shown as done before all tasks were done")
-        has_cause = bool(record.acknowledged_failures) or self.may_be_given_up(job_id)
-        if phase == FAILED and not has_cause and record.cancel_asked_at is None:
-            self.report(f"LOST at {now:.3f} {job_id}: shown as failed without a failure or cancel")
+        has_cause = self.has_used_up_attempts(record) or self.may_be_given_up(job_id)
+        if phase == FAILED and not has_cause:
+            self.report(f"LOST at {now:.3f} {job_id}: shown as failed before its attempts are used")
 
     def has_all_tasks_done(self, record: JobRecord) -> bool:
         """Return whether all tasks of a job are done."""
--- a/wasabiramp/model/entry/contact.py
+++ b/wasabiramp/model/entry/contact.py
@@ -24,6 +24,9 @@
 LAPSING_OUTAGE_S: Final = (4.0, 5.5)
 """Range of the duration of an outage in which the entries of most executors lapse."""
 
+LONG_OUTAGE_S: Final = (7.0, 11.0)
+"""Range of the duration of an outage in which the leases of runs expire."""
+
 LATE_OWNER_S: Final = (0.5, 4.0)
 """Range of the time after an outage for which the store does not serve the earlier owner yet."""
 
@@ -35,6 +38,7 @@
 
 Fault = Callable[[World], Awaitable[None]]
 CONTACT_FAULTS: Final[dict[str, Fault]] = {}
+LONG_FAULTS: Final[dict[str, Fault]] = {}
 
 
 def contact_fault(action: Fault) -> Fault:
@@ -43,6 +47,12 @@
     return action
 
 
+def long_fault(action: Fault) -> Fault:
+    """Register a fault that most kinds of schedules leave out, as `contact_fault` does."""
+    LONG_FAULTS[action.__name__.removeprefix("async_")] = action
+    return action
+
+
 def draw_executors(world: World, most: int = 2) -> list[str]:
     """Draw one or more executors that are up, those that run something first."""
     fleet = world.executors.by_id
@@ -251,6 +261,13 @@
     await async_have_outage(world, duration_s, False, draw_owner_lateness_s(world))
 
 
+@long_fault
+async def async_have_long_outage(world: World) -> None:
+    """Let the store be down until the term of the owner is not proven any more."""
+    duration_s = world.random.uniform(*LONG_OUTAGE_S)
+    await async_have_outage(world, duration_s, world.random.random() < 0.5, 0.0)
+
+
 @contact_fault
 async def async_keep_writes(world: World) -> None:
     """Let the store be down, and apply half of the writes that it got after that."""
--- a/wasabiramp/model/entry/deadly.py
+++ b/wasabiramp/model/entry/deadly.py
@@ -109,7 +109,7 @@
     """Report each job that was given up although none of its tasks is deadly."""
     deadly_jobs = {task.partition(".")[0] for task in world.executors.deadly_tasks}
     for job_id, record in world.checker.jobs.items():
-        is_given_up = record.last_phase == FAILED and not record.acknowledged_failures
+        is_given_up = record.last_phase == FAILED and not world.checker.has_used_up_attempts(record)
         if is_given_up and job_id not in deadly_jobs:
             world.checker.report(f"LOST {job_id}: given up beside deadly tasks")
 
--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -272,7 +272,7 @@
             if end.number <= last_seen:
                 is_lease_expired = self.lease_expired_at >= ended_at
                 self.fleet.checker.record_acknowledged_end(
-                    now, end.task, end.how, ended_at, is_lease_expired
+                    now, end.task, end.run, end.how, ended_at, is_lease_expired
                 )
         self.ends = [(end, at) for end, at in self.ends if end.number > last_seen]
 
--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from wasabiramp.model.entry.checker import MAX_ANSWER_DELAY_S
-from wasabiramp.model.entry.contact import CONTACT_FAULTS, heal
+from wasabiramp.model.entry.contact import CONTACT_FAULTS, LONG_FAULTS, heal
 from wasabiramp.model.entry.liveness import (
     MAX_GAP_S,
     SETTLE_S,
@@ -22,6 +22,9 @@
 SCHEDULE_S: Final = 16.0
 """Time from the start within which jobs are submitted and faults begin."""
 
+FAILURE_SHARE: Final = 0.35
+"""Share of the runs that fail by themselves where many do, so that jobs use up their attempts."""
+
 PATIENT_TIMEOUT_S: Final = 30.0
 """Time for which a caller waits that keeps its connection open."""
 
@@ -153,7 +156,7 @@
 class ScheduleKind:
     """The jobs, callers and faults of one kind of schedule."""
 
-    __slots__ = ("async_call", "draw", "fault_count", "faults", "job_count")
+    __slots__ = ("async_call", "draw", "failure_share", "fault_count", "faults", "job_count")
 
     def __init__(
         self,
@@ -162,13 +165,18 @@
         fault_count: int = 2,
         job_count: int = 8,
         async_call: RunCaller = async_call_normally,
+        failure_share: float = 0.0,
     ) -> None:
-        """Draw `fault_count` of the faults with these names, in schedules of `job_count` jobs."""
+        """Draw `fault_count` of the faults with these names, in schedules of `job_count` jobs.
+
+        The share `failure_share` of the runs fail by themselves.
+        """
         self.draw = draw
         self.faults = faults
         self.fault_count = fault_count
         self.job_count = job_count
         self.async_call = async_call
+        self.failure_share = failure_share
 
 
 KINDS: Final = {
@@ -193,6 +201,33 @@
         8,
         14,
     ),
+    "failures": ScheduleKind(
+        draw_any_job,
+        [*sorted(CONTACT_FAULTS), "have_long_outage", "have_long_outage"],
+        6,
+        14,
+        failure_share=FAILURE_SHARE,
+    ),
+    "failures_and_crashes": ScheduleKind(
+        draw_any_job,
+        [
+            *(name for name in sorted(CONTACT_FAULTS) if "suspend" not in name),
+            *("apply_late", "crash_executor", "kill_owner", "stop_daemon"),
+        ],
+        8,
+        14,
+        failure_share=FAILURE_SHARE,
+    ),
+    "failures_and_store": ScheduleKind(
+        draw_any_job,
+        [
+            *(name for name in sorted(CONTACT_FAULTS) if "suspend" not in name),
+            *("compact", "have_long_outage", "kill_owner", "lose_answers", "store_slow"),
+        ],
+        8,
+        14,
+        failure_share=FAILURE_SHARE,
+    ),
     "outage": ScheduleKind(
         draw_long_job, ["have_outage_and_cut", "have_outage_and_cut", "lose_power"], 3
     ),
@@ -247,6 +282,7 @@
     """Run jobs under random faults, then wait until all jobs have ended."""
     await world.async_start()
     world.start_heartbeats()
+    world.executors.failure_share = kind.failure_share
     random = world.random
     callers = [
         world.loop.create_task(_async_run_caller(world, kind, n)) for n in range(kind.job_count)
@@ -280,7 +316,7 @@
 async def _async_run_fault(world: World, name: str, delay_s: float) -> None:
     """Inject one fault after a time."""
     await asyncio.sleep(delay_s)
-    await (CONTACT_FAULTS.get(name) or FAULTS[name])(world)
+    await (CONTACT_FAULTS | LONG_FAULTS | FAULTS)[name](world)
 
 
 def run_kind(name: str, seed: int) -> World:
--- a/wasabiramp/model/entry/waves.py
+++ b/wasabiramp/model/entry/waves.py
@@ -110,7 +110,7 @@
             job_id
             for job_id, record in checker.jobs.items()
             if record.last_phase == FAILED
-            and not record.acknowledged_failures
+            and not checker.has_used_up_attempts(record)
             and job_id not in deadly
         ]
 
