Count a failed run as an attempt only once its end is acknowledged within the lease

Cause: a failed run was counted when its end was read, and the job ended once that was stored. The acknowledgement went out with a later hold, and not at all to an executor without other runs while the store was slow. If the lease lapsed before it arrived (store out, owner cut off, suspended or replaced, executor cut off), the end counted for good all the same. The class: a fact is acted on before the other side has confirmed it. Now: scheduling/attempts.py keeps ends that were read apart from attempts, also in the stored progress. An end counts once a hold that acknowledged it is answered at a time at which the lease had not lapsed; until then a task that may have used up its attempts neither starts nor fails. It does not count after a lapse, or if the process is gone. The lease is renewed for such ends alone, and let go where it is not known whether it has lapsed, so that this becomes certain. An end that does not count is acknowledged only once that is stored, as the next owner counts one that is no longer listed. Ruled out: counting by the time of the read and the age of the lease alone, as an unanswered acknowledgement may have arrived; acknowledging doubtful ends, as what they were cannot be known later. Their harness now answers holds and starts with clocks and leases; tests of attempts acknowledge the ends.

--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -319,7 +319,7 @@
         async def run_scenario() -> None:
             journal = Journal(store, Tenure(1, 50), losses.append)
             job = JobRun(make_job(1), JobProgress(DONE), 0.0)
-            outcome.append(await journal.async_store(Changes([job], None, {})))
+            outcome.append(await journal.async_store(Changes([job], None, {}, {})))
 
         run(run_scenario())
         return outcome[0], losses
@@ -352,7 +352,7 @@
             journal = Journal(store, Tenure(1, 50), lambda reason: None)
             job = JobRun(make_job(1), JobProgress(DONE), 0.0)
             for _ in range(3):
-                await journal.async_store(Changes([job], None, {}))
+                await journal.async_store(Changes([job], None, {}, {}))
                 unanswered.append(journal.has_unanswered_commit)
 
         run(run_scenario())
--- a/tests/scheduling/helpers.py
+++ b/tests/scheduling/helpers.py
@@ -70,6 +70,8 @@
         self.running: dict[str, list[RunReport]] = {}
         self.incarnations: dict[str, int] = {}
         self.clock_lag_s = 5.0
+        self.holds: dict[str, HoldExecutor] = {}
+        self.end_counts: dict[str, int] = {}
         self.apply(ConfigChanged(CellConfig(1, QUEUES)))
         for number in range(executors):
             self.list_executor(f"e{number}", cpu)
@@ -101,7 +103,9 @@
 
     def apply(self, event: Any) -> None:
         """Apply an event and collect its effects."""
-        self.effects += self.scheduler.apply(event, self.now)
+        effects = self.scheduler.apply(event, self.now)
+        self.effects += effects
+        self.holds |= {e.executor: e for e in effects if isinstance(e, HoldExecutor)}
 
     def place(self) -> list[StartTask]:
         """Run a placement pass and return its starts."""
@@ -146,7 +150,22 @@
         if outcome == STARTED:
             run_report = RunReport(start.task, start.run, "", 100.0, 0.0)
             self.running.setdefault(start.executor, []).append(run_report)
-        self.apply(StartAnswered(start.executor, start.task, start.run, self.now, outcome))
+        clock_ms = self.read_clock_ms() if outcome == STARTED else None
+        self.apply(
+            StartAnswered(
+                start.executor,
+                start.task,
+                start.run,
+                self.now,
+                outcome,
+                clock_ms,
+                start.until_ms,
+            )
+        )
+
+    def read_clock_ms(self) -> int:
+        """Return the clock of the executors."""
+        return int((self.now - self.clock_lag_s) * 1000)
 
     def leave_unanswered(self, start: StartTask) -> None:
         """Report a start and its repeat as unanswered."""
@@ -167,17 +186,33 @@
             r for r in run_reports if (r.task, r.run) != (start.task, start.run)
         ]
         ends = self.ended.setdefault(start.executor, [])
-        ends.append(EndReport(len(ends) + 1, start.task, start.run, how, saved))
+        numbers = (self.end_counts.get(start.executor, 0), *(end.number for end in ends))
+        number = self.end_counts[start.executor] = max(numbers) + 1
+        ends.append(EndReport(number, start.task, start.run, how, saved))
 
     def answer_hold(self, name: str, sent_at: float | None = None) -> None:
-        """Answer a hold with the current runs and ends of an executor."""
+        """Answer the last hold with the current runs and ends of an executor.
+
+        Ends stay listed until they are acknowledged by `acknowledge_ends`.
+        """
         report = ExecutorReport(
-            int((self.now - self.clock_lag_s) * 1000),
+            self.read_clock_ms(),
             self.incarnations[name],
             tuple(self.running.get(name, ())),
             tuple(self.ended.get(name, ())),
         )
-        self.apply(HoldAnswered(name, self.now if sent_at is None else sent_at, report))
+        hold = self.holds.get(name)
+        last_seen, until_ms = (hold.last_seen, hold.until_ms) if hold is not None else (0, None)
+        sent_at = self.now if sent_at is None else sent_at
+        self.apply(HoldAnswered(name, sent_at, report, "", last_seen, until_ms))
+
+    def acknowledge_ends(self, name: str) -> None:
+        """Store the ends that were read, and answer the hold that acknowledges them."""
+        self.commit()
+        self.tick(0.05)
+        hold = self.holds[name]
+        self.ended[name] = [e for e in self.ended.get(name, []) if e.number > hold.last_seen]
+        self.answer_hold(name)
 
     def finish_run(self, start: StartTask, how: str = "done") -> None:
         """End a run and report it at once."""
@@ -188,6 +223,7 @@
         """Crash an executor: its open hold fails, and it answers nothing more."""
         self.running.pop(name, None)
         self.ended.pop(name, None)
+        self.end_counts.pop(name, None)
         self.apply(HoldFailed(name, self.now, NOT_SENT))
 
     def replace_executor(self, name: str, new_name: str, cpu: int = 4_000) -> None:
--- a/tests/scheduling/test_attribution.py
+++ b/tests/scheduling/test_attribution.py
@@ -182,8 +182,12 @@
     def test_failed_end_counts_as_an_attempt(self) -> None:
         harness = SchedulerHarness(executors=2)
         recover(harness)
+        report_run(harness, "e0", f"{JOB}.0.0.1")
+        harness.tick(0.1)
+        harness.answer_hold("e0")
         report_end(harness, "e0", f"{JOB}.0.0.0", "failed")
-        job = harness.submit(JOB, "batch", make_step(1))
+        job = harness.submit(JOB, "batch", make_step(2))
+        harness.acknowledge_ends("e0")
         assert job.progress.steps[(0, 0)].failed == {0: {1}}
 
     def test_end_of_a_run_that_was_linked_late_releases_it(self) -> None:
--- a/tests/scheduling/test_jobs.py
+++ b/tests/scheduling/test_jobs.py
@@ -103,9 +103,12 @@
         harness = SchedulerHarness()
         job = harness.submit("a" * 16, "urgent", make_step(1))
         for _ in range(2):
-            harness.tick(10.0)
+            assert not job.is_ended
             (start,) = harness.place_and_start()
             harness.finish_run(start, "failed")
+            harness.acknowledge_ends(start.executor)
+            harness.tick(10.0)
+            harness.answer_hold(start.executor)
         assert job.progress.phase == FAILED
         assert harness.place() == []
 
@@ -116,6 +119,7 @@
         harness.finish_run(start, "failed")
         harness.scheduler.state.executors[start.executor].last_read_end = 0
         harness.answer_hold(start.executor)
+        harness.acknowledge_ends(start.executor)
         assert job.progress.steps[(0, 0)].failed == {0: {start.run}}
         assert not job.is_ended
 
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -92,7 +92,13 @@
         self._metrics.record_value("start_seconds", self._loop.time() - sent_at, {})
         self._reduce(
             StartAnswered(
-                effect.executor, effect.task, effect.run, sent_at, answer.outcome, answer.clock_ms
+                effect.executor,
+                effect.task,
+                effect.run,
+                sent_at,
+                answer.outcome,
+                answer.clock_ms,
+                effect.until_ms,
             )
         )
 
@@ -117,7 +123,16 @@
             self._executors.async_hold(effect, self._get_fencing_token()), UNKNOWN
         )
         if isinstance(report, ExecutorReport):
-            self._reduce(HoldAnswered(effect.executor, sent_at, report, effect.address))
+            self._reduce(
+                HoldAnswered(
+                    effect.executor,
+                    sent_at,
+                    report,
+                    effect.address,
+                    effect.last_seen,
+                    effect.until_ms,
+                )
+            )
         else:
             self._reduce(HoldFailed(effect.executor, sent_at, report, effect.address))
 
--- a/wasabiramp/scheduling/attribution.py
+++ b/wasabiramp/scheduling/attribution.py
@@ -60,12 +60,16 @@
     """Process the end of a run, or keep it while its job may become known."""
     run = executor.runs.get((end.task, end.run))
     step = run.step if run is not None else find_step(state, end.task)[0]
+    is_covered = executor.is_lease_continuous or (
+        run is not None and run.lease_gaps == executor.lease_gaps
+    )
+    lease_gaps = executor.lease_gaps if is_covered else None
     if step is None and may_become_known(state, end.task, state.now):
-        executor.unattributed_ends[end.number] = (end, state.now)
+        executor.unattributed_ends[end.number] = (end, state.now, lease_gaps)
         state.log_decision(
             "end_unattributed", task=end.task, run=end.run, executor=executor.id, how=end.how
         )
-    handle_run_end(state, executor, end)
+    handle_run_end(state, executor, end, lease_gaps)
 
 
 def get_last_attributed_end(executor: ExecutorState) -> int:
@@ -96,7 +100,7 @@
 
     Those of unreadable jobs are dropped too if too many others wait behind them.
     """
-    for number, (end, read_at) in sorted(executor.unattributed_ends.items()):
+    for number, (end, read_at, _gaps) in sorted(executor.unattributed_ends.items()):
         is_unreadable = parse_job_id(end.task) in state.unreadable_jobs
         is_in_the_way = is_unreadable and is_blocked_by_ends(executor)
         if is_in_the_way or not may_become_known(state, end.task, read_at):
@@ -138,10 +142,10 @@
         return
     state.unreadable_jobs.discard(job_id)
     for executor in state.executors.values():
-        for number, (end, _read_at) in sorted(executor.unattributed_ends.items()):
+        for number, (end, _read_at, lease_gaps) in sorted(executor.unattributed_ends.items()):
             if parse_job_id(end.task) == job_id:
                 del executor.unattributed_ends[number]
-                handle_run_end(state, executor, end)
+                handle_run_end(state, executor, end, lease_gaps)
         for run in list(executor.runs.values()):
             if run.step is None and parse_job_id(run.task) == job_id:
                 _attribute_run(state, executor, run)
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -137,13 +137,16 @@
 class HoldAnswered:
     """An executor answered a hold that was sent at `sent_at`.
 
-    `address` is that of the hold; if it is empty, the last hold was answered.
+    `address` is that of the hold; if it is empty, the last hold was answered. The hold acknowledged
+    the ends up to `last_seen`, and renewed the lease until `until_ms`, unless that is None.
     """
 
     executor: str
     sent_at: float
     report: ExecutorReport
     address: str = ""
+    last_seen: int = 0
+    until_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -163,7 +166,7 @@
 class StartAnswered:
     """A start was answered, or its answer was lost (`UNKNOWN`).
 
-    `clock_ms` is the executor's clock, if the answer had it.
+    `clock_ms` is the executor's clock, if the answer had it, and `until_ms` the lease of the order.
     """
 
     executor: str
@@ -172,6 +175,7 @@
     sent_at: float
     outcome: str
     clock_ms: int | None = None
+    until_ms: int | None = None
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -7,6 +7,12 @@
 from wasabiramp.core.registry import handles
 from wasabiramp.policy.switches import switchable
 from wasabiramp.scheduling.advice import forget_verdicts
+from wasabiramp.scheduling.attempts import (
+    has_uncovered_end,
+    settle_ends,
+    settle_silent_ends,
+    withdraw_ends,
+)
 from wasabiramp.scheduling.attribution import (
     get_last_attributed_end,
     is_blocked_by_ends,
@@ -40,9 +46,10 @@
     is_replaced,
     release_unlisted_runs,
 )
-from wasabiramp.scheduling.leases import calculate_longest_hold_s, has_old_clock
+from wasabiramp.scheduling.holds import send_hold
+from wasabiramp.scheduling.leases import calculate_longest_hold_s, confirm_lease, has_old_clock
 from wasabiramp.scheduling.model import ExecutorReport
-from wasabiramp.scheduling.orders import send_hold, send_stop, stop_run
+from wasabiramp.scheduling.orders import send_stop, stop_run
 from wasabiramp.scheduling.progress import measure_speed, update_slowness
 from wasabiramp.scheduling.runs import give_up_ownership, reconcile_listed_run
 from wasabiramp.scheduling.sharing import SHARED_HOLD_WAIT_S, adjust_paces, is_shared
@@ -75,6 +82,9 @@
 UNSTORED_ENDS_DELAY_S: Final = 0.5
 """Delay between holds while ends that were read are not stored yet, as with a slow store."""
 
+UNCONFIRMED_ENDS_DELAY_S: Final = 0.25
+"""Delay between holds while ends are not acknowledged until it is known whether they count."""
+
 MAX_ORDER_DELAY_S: Final = 13.0
 """Maximum delay with which an unanswered order may still reach the executor."""
 
@@ -147,6 +157,7 @@
     state.log_decision("executor_reborn", executor=executor.id, runs=len(executor.runs))
     note_silence(state, executor)
     confirm_crash(state, executor)
+    withdraw_ends(state, executor, "executor process is gone")
     forget_verdicts(state, executor)
     _begin_incarnation(state, executor, born_ms)
 
@@ -167,8 +178,10 @@
     executor.reset(born_ms)
     executor.born_known_at = state.now
     executor.lease_expiry_floor = state.now + state.lease_limit_s
+    for end in executor.unconfirmed_ends.values():
+        end.lease_gaps = None
     for run in executor.runs.values():
-        run.stop_sent_at = run.stop_confirmed_at = None
+        run.stop_sent_at = run.stop_confirmed_at = run.lease_gaps = None
     _stop_late_starts(state, executor)
 
 
@@ -237,14 +250,41 @@
         state.log_decision("executor_answers", executor=executor.id)
         executor.silent_since = None
         _stop_expired_starts(state, executor)
+    executor.lapse_noticed_at = None
     if executor.tasks_at_silence:
         settle_silence(state, executor, report.born_ms)
+    _note_lease(executor, report, event.until_ms)
     listed = _process_report(state, executor, report, event.sent_at)
+    executor.is_lease_continuous = False
     if is_complete(report):
+        executor.reported_lease_gaps = executor.lease_gaps
         release_unlisted_runs(state, executor, listed, event.sent_at)
+    settle_ends(state, executor, event)
     schedule_next_hold(state, executor)
 
 
+def _note_lease(executor: ExecutorState, report: ExecutorReport, until_ms: int | None) -> None:
+    """Note whether the lease may have lapsed since the last complete report.
+
+    A run that was known before a possible gap, and still runs, shows that it has not. So does any
+    run in the first report, as earlier owners started none before the ends were acknowledged.
+    """
+    confirm_lease(executor, report.clock_ms, until_ms)
+    last_gaps = executor.reported_lease_gaps
+    known = [executor.runs.get((row.task, row.run)) for row in report.running]
+    if last_gaps is None:
+        is_continuous = bool(report.running)
+    else:
+        is_continuous = executor.lease_gaps == last_gaps or any(
+            run is not None and run.lease_gaps is not None and run.lease_gaps <= last_gaps
+            for run in known
+        )
+    executor.is_lease_continuous = is_continuous
+    for end in executor.unconfirmed_ends.values():
+        if is_continuous and end.lease_gaps == last_gaps:
+            end.lease_gaps = executor.lease_gaps
+
+
 def _note_address(state: SchedulerState, executor: ExecutorState, address: str) -> None:
     """Note at which address an executor answered, which the next owner has to know."""
     if address == executor.reached_at:
@@ -295,6 +335,8 @@
         executor.next_hold_at = state.now + (
             get_ends_batch_delay_s() if executor.has_new_ends else UNSTORED_ENDS_DELAY_S
         )
+    elif executor.unconfirmed_ends:
+        executor.next_hold_at = state.now + UNCONFIRMED_ENDS_DELAY_S
     else:
         executor.next_hold_at = state.now
 
@@ -325,6 +367,7 @@
     if is_replaced(executor, event):
         expire_runs(state, executor, "executor process was replaced")
         confirm_crash(state, executor)
+        withdraw_ends(state, executor, "executor process was replaced")
         forget_verdicts(state, executor)
         executor.must_answer = False
 
@@ -337,6 +380,8 @@
         is_silent = executor.silent_since is not None
         if executor.runs and has_lease_ended(state, executor):
             expire_runs(state, executor, "lease expired")
+        if executor.unconfirmed_ends:
+            settle_silent_ends(state, executor)
         if not executor.has_open_hold and state.now >= executor.next_hold_at:
             _hold_if_needed(state, executor)
         elif executor.must_answer and not is_silent and _is_overdue(state, executor):
@@ -362,26 +407,21 @@
     """Send a hold if the executor has to be polled or ends have to be acknowledged.
 
     It is polled while it has runs, is silent, is unlisted, has not answered yet, may receive a
-    late start, or has not told its clock for long. It is not while ends that were read are still to
-    be stored and it has no runs.
+    late start, has ends that may count as attempts, or has not told its clock for long. It is not
+    while ends that were read are still to be stored and it has neither runs nor such ends.
     """
-    if get_last_attributed_end(executor) > executor.last_seen and not executor.runs:
+    has_work = bool(executor.runs or executor.unconfirmed_ends)
+    if get_last_attributed_end(executor) > executor.last_seen and not has_work:
         return
     if not executor.has_accepted_fence or has_old_clock(state, executor):
         send_hold(state, executor, 0.0)
-    elif (
-        executor.runs
-        or executor.silent_since is not None
-        or _may_receive_late_start(state, executor)
-    ):
+    elif has_work or executor.silent_since is not None or _may_receive_late_start(state, executor):
         can_wait = executor.last_read_end <= executor.last_seen and executor.silent_since is None
+        can_wait &= not executor.unconfirmed_ends
         wait_s = min(choose_hold_wait_s(executor), calculate_longest_hold_s(state, executor))
         send_hold(state, executor, wait_s if can_wait else 0.0)
     elif executor.last_seen > executor.acknowledged_end or not executor.is_listed:
         send_hold(state, executor, 0.0)
-    else:
-        return
-    executor.acknowledged_end = executor.last_seen
 
 
 @switchable(
@@ -414,7 +454,7 @@
 
 def _remove_if_gone(state: SchedulerState, executor: ExecutorState) -> None:
     """Remove an executor that is unlisted, silent and without runs."""
-    if executor.is_listed or executor.runs or executor.must_answer:
+    if executor.is_listed or executor.runs or executor.must_answer or executor.unconfirmed_ends:
         return
     if state.now > executor.unlisted_at + RELIST_GRACE_S and executor.silent_since is not None:
         confirm_crash(state, executor, is_certain=False)
@@ -440,6 +480,8 @@
     # The entry of an earlier incarnation may show another capacity and other labels.
     if executor.entry.born_ms and executor.entry.born_ms != executor.born_ms:
         return False
+    if has_uncovered_end(executor):
+        return False
     # The resources that a run of an unknown job occupies are unknown until it ends.
     if any(run.step is None for run in executor.runs.values()) or is_blocked_by_ends(executor):
         return False
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -16,7 +16,6 @@
 from wasabiramp.scheduling.model import (
     CANCELLED,
     DONE,
-    FAILED,
     ExecutorEntry,
     JobProgress,
     Resources,
@@ -220,19 +219,6 @@
         end_job(state, job, DONE, "all tasks succeeded")
 
 
-def record_failed_run(state: SchedulerState, step: StepRun, index: int, run: int) -> None:
-    """Record a failed run; the job fails once a task has used up its attempts."""
-    key = 0 if step.spec.is_gang else index
-    runs = step.progress.failed.setdefault(key, set())
-    if run in runs:
-        return
-    runs.add(run)
-    mark_job_dirty(step.job)
-    queue = state.find_queue(step.job)
-    if not step.spec.is_lasting and len(runs) >= queue.max_attempts:
-        end_job(state, step.job, FAILED, f"{step.build_task_name(index)} failed {len(runs)} times")
-
-
 def end_job(state: SchedulerState, job: JobRun, phase: str, reason: str) -> None:
     """End a job and stop its runs; the phase is shown to callers once it is stored."""
     job.progress.phase = phase
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -109,9 +109,29 @@
         return None
     expiry_ms = clock_ms + int(lease_s * 1000)
     executor.lease_until_ms = max(executor.lease_until_ms, expiry_ms)
+    executor.lapse_certain_at = None
     return expiry_ms
 
 
+def confirm_lease(executor: ExecutorState, clock_ms: int, until_ms: int | None) -> None:
+    """Note that an order or a hold was answered at a time on the executor's clock.
+
+    If no earlier answer shows that the lease lasted until then, it may have lapsed before.
+    """
+    if clock_ms > executor.lease_confirmed_ms:
+        executor.lease_gaps += 1
+    if until_ms is not None:
+        executor.lease_confirmed_ms = max(executor.lease_confirmed_ms, until_ms)
+
+
+def estimate_confirmed_lease_s(state: SchedulerState, executor: ExecutorState) -> float:
+    """Return how long the lease of an executor still lasts at least, by its answers."""
+    if executor.clock_ms is None:
+        return 0.0
+    left_s = (executor.lease_confirmed_ms - executor.clock_ms) / 1000
+    return left_s - (state.now - executor.clock_at)
+
+
 def calculate_lease_expiry(state: SchedulerState, executor: ExecutorState) -> float:
     """Return the time on our clock at which the executor's latest lease has certainly expired.
 
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -201,12 +201,18 @@
     figure: float
 
 
+END_DONE: Final = "done"
+END_FAILED: Final = "failed"
+END_LAPSED: Final = "lapsed"
+"""Ways in which a run ends: by itself, with success or not, or with the lease of its executor."""
+
+
 @dataclass(slots=True, frozen=True)
 class EndReport:
     """The end of a run, numbered by the executor within its incarnation.
 
-    `how` is "done" or "failed"; any other value counts no attempt, and the task is started again
-    if it is still needed.
+    Only a failed run may count as an attempt; after any other end but success, the task is started
+    again if it is still needed.
     """
 
     number: int
@@ -245,18 +251,33 @@
     survived_s: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class FailedEnd:
+    """The end of a failed run of which it is not known yet whether it counts as an attempt.
+
+    `number` is that of the end, in the incarnation of the executor that `born_ms` identifies.
+    """
+
+    run: int
+    executor: str
+    born_ms: int
+    number: int
+
+
 @dataclass(slots=True)
 class StepProgress:
     """Stored progress of one step, by task index.
 
-    It holds the succeeded tasks, their failed runs, their saved state, and the crashes of executors
-    under tasks that have not been cleared of them.
+    It holds the succeeded tasks, their failed runs that count as attempts, their saved state, the
+    crashes of executors under tasks that have not been cleared of them, and the failed runs that
+    may count. What fails of a gang is held under the index 0.
     """
 
     done: set[int] = field(default_factory=set)
     failed: dict[int, set[int]] = field(default_factory=dict)
     saved: dict[int, str] = field(default_factory=dict)
     crashes: dict[int, list[Crash]] = field(default_factory=dict)
+    unconfirmed: dict[int, list[FailedEnd]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -1,4 +1,4 @@
-"""Send orders to executors: starts, stops and holds."""
+"""Send orders to executors: starts and stops."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import Final
 
 from wasabiramp.policy.switches import switchable
-from wasabiramp.scheduling.effects import HoldExecutor, StartTask, StopTask
+from wasabiramp.scheduling.effects import StartTask, StopTask
 from wasabiramp.scheduling.leases import extend_lease
 from wasabiramp.scheduling.state import (
     ExecutorState,
@@ -107,19 +107,3 @@
     task = step.tasks[run.index]
     if run in task.runs:
         task.runs.remove(run)
-
-
-def send_hold(state: SchedulerState, executor: ExecutorState, wait_s: float) -> None:
-    """Send a hold, which reads running and ended runs and renews the lease.
-
-    The lease of a silent executor is not renewed: if the hold arrived but its answer was lost, it
-    would delay the time from which the tasks may run elsewhere.
-    """
-    executor.has_open_hold = True
-    executor.hold_sent_at = state.now
-    executor.hold_address = executor.entry.address
-    is_renewed = bool(executor.runs) and executor.silent_since is None
-    expiry_ms = extend_lease(state, executor) if is_renewed else None
-    state.effects.append(
-        HoldExecutor(executor.id, executor.entry.address, expiry_ms, executor.last_seen, wait_s)
-    )
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -16,6 +16,7 @@
     VOID,
     AdvicePolicy,
     Crash,
+    FailedEnd,
     JobDefinition,
     JobProgress,
     Queue,
@@ -207,21 +208,26 @@
     steps = [
         (occurrence, index, *_encode_step_progress(step))
         for (occurrence, index), step in progress.steps.items()
-        if step.done or step.failed or step.saved or step.crashes
+        if step.done or step.failed or step.saved or step.crashes or step.unconfirmed
     ]
     return msgpack.packb((FORMAT, progress.phase, steps))
 
 
 def _encode_step_progress(step: StepProgress) -> tuple[Any, ...]:
-    """Return the fields of a step's progress; the crashes are left out if there are none."""
+    """Return the fields of a step's progress; the last ones are left out if they are empty."""
     failed = {number: sorted(runs) for number, runs in step.failed.items()}
     fields = (sorted(step.done), failed, step.saved)
-    if not step.crashes:
+    if not step.crashes and not step.unconfirmed:
         return fields
     crashes = {
         number: [astuple(crash) for crash in crashes] for number, crashes in step.crashes.items()
     }
-    return (*fields, crashes)
+    if not step.unconfirmed:
+        return (*fields, crashes)
+    unconfirmed = {
+        number: [astuple(end) for end in ends] for number, ends in step.unconfirmed.items()
+    }
+    return (*fields, crashes, unconfirmed)
 
 
 def encode_void() -> bytes:
@@ -242,15 +248,16 @@
                 _check_whole_number(occurrence, "occurrence"),
                 _check_whole_number(index, "step"),
             )
-            progress.steps[key] = _decode_step_progress(
-                done, failed, saved, rest[0] if rest else {}
-            )
+            crashes, unconfirmed = (*rest[:2], *({},) * (2 - len(rest[:2])))
+            progress.steps[key] = _decode_step_progress(done, failed, saved, crashes, unconfirmed)
         return progress
     except (ValueError, TypeError) as err:
         raise DecodeError(f"progress record cannot be decoded: {err}") from err
 
 
-def _decode_step_progress(done: Any, failed: Any, saved: Any, crashes: Any) -> StepProgress:
+def _decode_step_progress(
+    done: Any, failed: Any, saved: Any, crashes: Any, unconfirmed: Any
+) -> StepProgress:
     """Decode the progress of one step."""
     return StepProgress(
         _decode_numbers(done, "done"),
@@ -263,6 +270,10 @@
             number: [_decode_crash(row) for row in _check_list(rows, "crashes", MAX_ROWS)]
             for number, rows in _check_map(crashes, "crashes").items()
         },
+        {
+            number: [_decode_failed_end(row) for row in _check_list(rows, "unconfirmed", MAX_ROWS)]
+            for number, rows in _check_map(unconfirmed, "unconfirmed").items()
+        },
     )
 
 
@@ -286,6 +297,17 @@
     return crash
 
 
+def _decode_failed_end(row: Any) -> FailedEnd:
+    """Decode the end of a failed run that may count as an attempt."""
+    run, executor, born_ms, number = _check_list(row, "unconfirmed", 4, 4)
+    return FailedEnd(
+        _check_whole_number(run, "unconfirmed"),
+        _check_text(executor, "unconfirmed"),
+        _check_whole_number(born_ms, "unconfirmed"),
+        _check_whole_number(number, "unconfirmed"),
+    )
+
+
 def check_progress(definition: JobDefinition, progress: JobProgress) -> None:
     """Raise DecodeError if the progress names steps or tasks that the job does not have."""
     occurrences = max(1, definition.repeat_count)
@@ -293,7 +315,6 @@
         if occurrence >= occurrences or index >= len(definition.steps):
             raise DecodeError("progress: unexpected step")
         count = definition.steps[index].count
-        if any(
-            number >= count for number in (*step.done, *step.failed, *step.saved, *step.crashes)
-        ):
+        by_task = (step.done, step.failed, step.saved, step.crashes, step.unconfirmed)
+        if any(number >= count for numbers in by_task for number in numbers):
             raise DecodeError("progress: unexpected task")
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -6,6 +6,7 @@
 
 from wasabiramp.core.registry import handles
 from wasabiramp.policy.switches import do_nothing, switchable
+from wasabiramp.scheduling.attempts import record_failed_run
 from wasabiramp.scheduling.crashes import clear_task, withdraw_run
 from wasabiramp.scheduling.effects import GiveUpOwnership
 from wasabiramp.scheduling.events import (
@@ -27,9 +28,9 @@
     find_or_prepare_step,
     finish_task,
     mark_job_dirty,
-    record_failed_run,
 )
-from wasabiramp.scheduling.model import EndReport, RunReport, parse_task
+from wasabiramp.scheduling.leases import confirm_lease
+from wasabiramp.scheduling.model import END_DONE, END_FAILED, EndReport, RunReport, parse_task
 from wasabiramp.scheduling.orders import release_run, resend_start, send_stop, stop_run
 from wasabiramp.scheduling.state import (
     ExecutorState,
@@ -39,9 +40,6 @@
     is_wanted,
 )
 
-END_DONE: Final = "done"
-END_FAILED: Final = "failed"
-
 COOLDOWN_FAILING_STEPS: Final = 2
 """Number of different steps that fail without a success in between before a cooldown."""
 
@@ -77,8 +75,11 @@
         executor.answered_at = state.now
     if event.clock_ms is not None and event.outcome != OTHER_INCARNATION:
         executor.clock_ms, executor.clock_at = event.clock_ms, state.now
+        is_renewed = event.outcome in (STARTED, REFUSED_OLD, REFUSED_ROOM)
+        confirm_lease(executor, event.clock_ms, event.until_ms if is_renewed else None)
     if event.outcome == STARTED:
         run.confirmed_at = state.now
+        run.lease_gaps = executor.lease_gaps
         return
     state.log_decision(
         "start_refused", task=event.task, run=event.run, executor=event.executor, why=event.outcome
@@ -151,6 +152,7 @@
         run = adopt_run(state, executor, run_report)
     if run.confirmed_at is None:
         run.confirmed_at = sent_at
+    run.lease_gaps = executor.lease_gaps
     if run.step is not None and run_report.saved:
         run.step.tasks[run.index].saved = run_report.saved
     if run.step is not None and not is_wanted(run) and not _ends_with_gang(run):
@@ -205,8 +207,13 @@
     return step, number
 
 
-def handle_run_end(state: SchedulerState, executor: ExecutorState, end: EndReport) -> None:
-    """Process the end of a run: release it and record success or failure of its task."""
+def handle_run_end(
+    state: SchedulerState, executor: ExecutorState, end: EndReport, lease_gaps: int | None
+) -> None:
+    """Process the end of a run: release it and record success or failure of its task.
+
+    `lease_gaps` is as in `UnconfirmedEnd`.
+    """
     run = executor.runs.get((end.task, end.run))
     step, index = (run.step, run.index) if run is not None else find_step(state, end.task)
     if run is not None:
@@ -233,7 +240,7 @@
         if index not in step.progress.done and not step.spec.is_lasting:
             finish_task(state, step, index)
     elif end.how == END_FAILED:
-        record_failed_run(state, step, index, end.run)
+        record_failed_run(state, executor, step, index, end, lease_gaps)
     if step.spec.is_gang and not step.is_done and run is not None:
         stop_other_members(state, run)
 
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 from wasabiramp.core.registry import EVENT_HANDLERS, handles
 from wasabiramp.scheduling import (
     advice,
+    attempts,
     attribution,
     crashes,
     evidence,
@@ -24,6 +25,7 @@
 
 EVENT_HANDLER_MODULES: Final = (
     advice,
+    attempts,
     attribution,
     crashes,
     evidence,
@@ -41,22 +43,25 @@
 class Changes:
     """Changes to store before phases may be shown to callers and ends acknowledged."""
 
-    __slots__ = ("jobs", "roster", "read_ends")
+    __slots__ = ("jobs", "roster", "read_ends", "withdrawals")
 
     def __init__(
         self,
         jobs: list[JobRun],
         roster: list[tuple[str, str]] | None,
         read_ends: dict[str, tuple[int, int]],
+        withdrawals: dict[str, set[int]],
     ) -> None:
         """Create a set of changes.
 
         `roster` is None if unchanged; `read_ends` maps an executor to its start time and the number
-        of the last end that may be acknowledged.
+        of the last end that may be acknowledged, and `withdrawals` to the numbers of ends that the
+        jobs no longer hold as possible attempts.
         """
         self.jobs = jobs
         self.roster = roster
         self.read_ends = read_ends
+        self.withdrawals = withdrawals
 
     @property
     def is_empty(self) -> bool:
@@ -121,7 +126,12 @@
         for job in dirty:
             job.is_dirty = False
         self._pending_phases = {job.definition.id: job.progress.phase for job in dirty}
-        self._pending_changes = Changes(dirty, roster, read_ends)
+        withdrawals = {
+            e.id: set(e.unstored_withdrawals)
+            for e in state.executors.values()
+            if e.unstored_withdrawals
+        }
+        self._pending_changes = Changes(dirty, roster, read_ends, withdrawals)
         return self._pending_changes
 
     @property
@@ -158,6 +168,9 @@
             if executor is not None and executor.born_ms == born_ms:
                 executor.last_seen = max(executor.last_seen, number)
                 executor.next_hold_at = self.state.now
+        for executor_id, numbers in changes.withdrawals.items():
+            if executor_id in self.state.executors:
+                self.state.executors[executor_id].unstored_withdrawals -= numbers
         if changes.roster is not None:
             for executor_id, address in changes.roster:
                 executor = self.state.executors.get(executor_id)
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -16,6 +16,7 @@
     Crash,
     EndReport,
     ExecutorEntry,
+    FailedEnd,
     JobDefinition,
     JobProgress,
     Queue,
@@ -35,7 +36,8 @@
 class Run:
     """One attempt to run a task on an executor, from the start order until its end is certain.
 
-    `percent` is its progress at the last speed sample, and `pace` is None if unknown.
+    `percent` is its progress at the last speed sample, and `pace` is None if unknown. `lease_gaps`
+    is the number of gaps in the lease of its executor when it was last known to run, or None.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "executor",
         "index",
         "is_uncertain",
+        "lease_gaps",
         "sampled_at",
         "sampled_clock_ms",
         "number",
@@ -76,6 +79,7 @@
         self.pace: int | None = FULL_PACE_PERCENT if step is not None else None
         self.confirmed_at: float | None = None
         self.is_uncertain = False
+        self.lease_gaps: int | None = None
         self.wants_stop = False
         self.stop_sent_at: float | None = None
         self.stop_confirmed_at: float | None = None
@@ -139,6 +143,32 @@
         self.saved = saved
 
 
+class UnconfirmedEnd:
+    """The end of a failed run that was read, until it is known whether it counts as an attempt.
+
+    `key` is the index of the task, or 0 for a gang. `lease_gaps` is the number of gaps in the lease
+    of the executor since which it has certainly not lapsed after the end, or None if unknown.
+    """
+
+    __slots__ = (
+        "failed_end",
+        "is_acknowledgement_sent",
+        "key",
+        "lease_gaps",
+        "read_at",
+        "step",
+    )
+
+    def __init__(self, step: StepRun, key: int, failed_end: FailedEnd, now: float) -> None:
+        """Create the end of a run of a task that the owner has not acknowledged."""
+        self.step = step
+        self.key = key
+        self.failed_end = failed_end
+        self.read_at = now
+        self.lease_gaps: int | None = None
+        self.is_acknowledgement_sent = False
+
+
 class Ticket:
     """The adviser's permission to run a step on one incarnation of an executor."""
 
@@ -160,7 +190,8 @@
     `suspects` are the indexes of the tasks that may have crashed executors, and `trial_due_at` is
     the time until which they wait for an executor without other work. Since `closed_out_since`, the
     step fits only on executors that are closed to it by suspects of others. At
-    `released_at` a run was last released without a listed end.
+    `released_at` a run was last released without a listed end. `undecided` are the indexes of the
+    tasks that may have used up their attempts, which are not started.
     """
 
     __slots__ = (
@@ -185,6 +216,7 @@
         "tickets",
         "trial_due_at",
         "trial_executor",
+        "undecided",
         "verdicts",
     )
 
@@ -211,6 +243,7 @@
         self.verdicts: dict[tuple[str, int], bool] = {}
         self.finished_runs: list[str] = []
         self.suspects: set[int] = set()
+        self.undecided: set[int] = set()
         self.trial_due_at: float | None = None
         self.trial_executor = ""
         self.closed_out_since: float | None = None
@@ -222,9 +255,13 @@
         return len(self.progress.done) >= self.spec.count
 
     def find_waiting_tasks(self) -> list[TaskState]:
-        """Return the tasks that have not succeeded and have no run that may be active."""
-        done = self.progress.done
-        return [task for task in self.tasks if not task.runs and task.index not in done]
+        """Return the tasks that may be started: not done, undecided, or with an active run."""
+        done, undecided = self.progress.done, self.undecided
+        return [
+            task
+            for task in self.tasks
+            if not task.runs and task.index not in done and task.index not in undecided
+        ]
 
     def iter_runs(self) -> Iterator[Run]:
         """Iterate over all runs that may be active."""
@@ -306,13 +343,23 @@
     that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `unattributed_ends` are ends of unknown jobs by number, with the time
-    at which each was read. `hold_address` is the address to which the last hold was sent, and
+    at which each was read, and `lease_gaps` as in `UnconfirmedEnd`.
+    `hold_address` is the address to which the last hold was sent, and
     `reached_at` the one from which the executor answered last. `reported_at` is the time of the
     last report, which unlike other answers tells the incarnation. `born_known_at` is the time since
     which its start time `born_ms` is known. `has_invalid_entry` is set while the platform lists an
     entry that cannot be used. `slowness` is 1 at the estimated
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering, of which `loss` tells when.
+
+    By its answers, its lease lasts until `lease_confirmed_ms` on its clock at least. `lease_gaps`
+    counts how often the lease may have lapsed; `reported_lease_gaps` is that count at the last
+    complete report, and `is_lease_continuous` is set while a report is processed before which the
+    lease cannot have lapsed since the one before. It has certainly lapsed if a hold is answered
+    that was sent at `lapse_certain_at` or later. `lapse_noticed_at` is the time at which it was
+    noticed that the lease of an executor that does not answer has ended. `lease_before_hold_ms` is
+    its latest end before the last hold. `unconfirmed_ends` are the ends by number that may count as
+    attempts, and `unstored_withdrawals` the numbers of those that do not, until that is stored.
     """
 
     __slots__ = (
@@ -336,13 +383,20 @@
         "is_gone",
         "is_listed",
         "is_in_stored_roster",
+        "is_lease_continuous",
+        "lapse_certain_at",
+        "lapse_noticed_at",
         "last_seen",
+        "lease_before_hold_ms",
+        "lease_confirmed_ms",
         "lease_expiry_floor",
         "expired_runs",
+        "lease_gaps",
         "lease_until_ms",
         "loss",
         "must_answer",
         "reached_at",
+        "reported_lease_gaps",
         "has_new_ends",
         "acknowledged_end",
         "last_read_end",
@@ -354,7 +408,9 @@
         "slowness",
         "tasks_at_silence",
         "unattributed_ends",
+        "unconfirmed_ends",
         "unlisted_at",
+        "unstored_withdrawals",
         "used",
     )
 
@@ -376,6 +432,7 @@
         self.unanswered_starts: dict[tuple[str, int], float] = {}
         self.cooldown_s = 0.0
         self.slowness = 1.0
+        self.unconfirmed_ends: dict[int, UnconfirmedEnd] = {}
         self.reset(entry.born_ms)
 
     def reset(self, born_ms: int) -> None:
@@ -393,6 +450,13 @@
         self.clock_ms: int | None = None
         self.clock_at = 0.0
         self.lease_until_ms = 0
+        self.lease_before_hold_ms = 0
+        self.lease_confirmed_ms = 0
+        self.lease_gaps = 0
+        self.reported_lease_gaps: int | None = None
+        self.is_lease_continuous = False
+        self.lapse_certain_at: float | None = None
+        self.lapse_noticed_at: float | None = None
         self.last_seen = 0
         self.acknowledged_end = 0
         self.last_read_end = 0
@@ -403,7 +467,8 @@
         self.loss: Loss | None = None
         self.tasks_at_silence: list[TaskAtCrash] = []
         self.expired_runs: set[tuple[str, int]] = set()
-        self.unattributed_ends: dict[int, tuple[EndReport, float]] = {}
+        self.unstored_withdrawals: set[int] = set()
+        self.unattributed_ends: dict[int, tuple[EndReport, float, int | None]] = {}
 
     def add_run(self, run: Run) -> None:
         """Add a run and occupy its resources."""
