--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -79,6 +79,8 @@
     indexes = range(step.spec.count) if step.spec.is_gang else (key,)
     count = len(runs | step.progress.failed.get(key, set()))
     if runs and count >= state.find_queue(step.job).max_attempts:
+        if key not in step.undecided:
+            state.log_decision("attempts_undecided", task=step.build_task_name(key), failed=count)
         step.undecided.update(indexes)
     else:
         step.undecided.difference_update(indexes)
@@ -169,8 +171,12 @@
     runs = step.progress.failed.setdefault(key, set())
     runs.add(end.failed_end.run)
     _forget_failed_end(state, step, key, end.failed_end)
+    name = step.build_task_name(key)
+    state.log_decision(
+        "attempt_counted", task=name, run=end.failed_end.run, executor=executor.id, count=len(runs)
+    )
     if len(runs) >= state.find_queue(step.job).max_attempts:
-        end_job(state, step.job, FAILED, f"{step.build_task_name(key)} failed {len(runs)} times")
+        end_job(state, step.job, FAILED, f"{name} failed {len(runs)} times")
 
 
 def _forget_failed_end(
