Do not start a gang while it is open whether its attempts are used up

What callers saw: nothing yet; a gang is started once more than its queue allows (BUDGET). Cause: a step is ready if tasks of it wait, which leaves out those whose attempts may be used up. A gang is ready if none of its members runs, which did not. So a gang whose last attempt had been read, but was not acknowledged, started again in the next placement pass.

--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -757,6 +757,71 @@
         check_failed(taken, start.run)
 
 
+class TestGangs:
+    """Members of a gang that fail in one run are one attempt."""
+
+    GANG = make_step(2, cpu=3_000, is_gang=True)
+
+    def fail_gang(self, harness: SchedulerHarness) -> list[StartTask]:
+        """Start the gang, let both members fail, and read both ends."""
+        starts = harness.place_and_start()
+        assert len(starts) == 2
+        harness.tick(TICK_S)
+        for start in starts:
+            harness.finish_run(start, "failed")
+        return starts
+
+    def test_members_of_one_run_are_one_attempt(self) -> None:
+        harness = make_harness(attempts=2)
+        job = harness.submit(JOB, "gangs", self.GANG)
+        first = self.fail_gang(harness)
+        for start in first:
+            harness.acknowledge_ends(start.executor)
+        assert get_attempts(job) == {0: {first[0].run}}
+        assert not job.is_ended
+        second = self.fail_gang(harness)
+        for start in second:
+            harness.acknowledge_ends(start.executor)
+        check_failed(job, first[0].run, second[0].run)
+
+    def test_gang_with_attempts_left_starts_at_once(self) -> None:
+        harness = make_harness(attempts=2)
+        job = harness.submit(JOB, "gangs", self.GANG)
+        self.fail_gang(harness)
+        assert get_attempts(job) == {}
+        assert len(harness.place()) == 2
+
+    def test_gang_that_may_have_used_up_its_attempts_does_not_start(self) -> None:
+        harness = make_harness()
+        job = harness.submit(JOB, "gangs", self.GANG)
+        first, second = harness.place_and_start()
+        harness.tick(TICK_S)
+        harness.finish_run(first, "broken")
+        harness.finish_run(second, "failed")
+        check_waiting(harness, job)
+        harness.acknowledge_ends(second.executor)
+        check_failed(job, first.run)
+
+    def test_one_acknowledged_member_is_enough(self) -> None:
+        harness = make_harness(executors=4)
+        job = harness.submit(JOB, "gangs", self.GANG)
+        lost, other = self.fail_gang(harness)
+        harness.apply(HoldFailed(lost.executor, harness.now, OTHER_INCARNATION))
+        check_waiting(harness, job)
+        harness.acknowledge_ends(other.executor)
+        check_failed(job, other.run)
+
+    def test_gang_starts_again_if_no_member_counts(self) -> None:
+        harness = make_harness(executors=4)
+        job = harness.submit(JOB, "gangs", self.GANG)
+        starts = self.fail_gang(harness)
+        for start in starts:
+            check_waiting(harness, job)
+            harness.apply(HoldFailed(start.executor, harness.now, OTHER_INCARNATION))
+        assert len(harness.place()) == 2
+        assert get_attempts(job) == {}
+
+
 class TestLastingTasks:
     """Tasks that last have no limit of attempts."""
 
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -296,7 +296,7 @@
             continue
         is_waiting = bool(step.find_waiting_tasks())
         if step.spec.is_gang:
-            is_waiting = not any(task.runs for task in step.tasks)
+            is_waiting = not step.undecided and not any(task.runs for task in step.tasks)
         if is_waiting:
             ready.append((state.find_queue(job), step))
     ready.sort(key=lambda item: get_sort_key(*item))
