Test the records of ends that may count as attempts

Now: round trips with and without crashes, records of an earlier build, the unchanged form of records without such ends, invalid values, each refused with the name of the field, and indexes that the job does not have.

--- a/tests/scheduling/test_records.py
+++ b/tests/scheduling/test_records.py
@@ -14,6 +14,7 @@
     RUNNING,
     AdvicePolicy,
     Crash,
+    FailedEnd,
     JobDefinition,
     JobProgress,
     Queue,
@@ -42,6 +43,17 @@
         (1, 1): StepProgress({0}, {}, {}, {}),
     },
 )
+CRASHES = {1: [Crash("i-1", 5, 0.5, 0.25)]}
+UNCONFIRMED = {0: [FailedEnd(100_002, "i-1", 5, 7), FailedEnd(100_003, "i-2", 6, 1)], 2: []}
+OPEN_PROGRESS = JobProgress(
+    RUNNING,
+    {
+        (0, 0): StepProgress({0, 2}, {1: {100_001}}, {1: "x"}, CRASHES, UNCONFIRMED),
+        (1, 1): StepProgress({0}, unconfirmed={0: [FailedEnd(1, "i-1", 5, 1)]}),
+    },
+)
+"""Progress with ends that may count as attempts."""
+
 ODD_BYTES = [
     b"",
     b"\xc1",
@@ -101,6 +113,92 @@
         check_progress(JOB, progress)
 
 
+class TestUnconfirmedEnds:
+    """Ends that may count as attempts are stored, and may be missing from earlier records."""
+
+    @pytest.mark.parametrize("crashes", [{}, CRASHES], ids=["without", "with"])
+    @pytest.mark.parametrize("done", [set(), {0}])
+    def test_round_trip_with_and_without_crashes(
+        self, done: set[int], crashes: dict[int, list[Crash]]
+    ) -> None:
+        step = StepProgress(done, {}, {}, crashes, {1: [FailedEnd(100_002, "i-1", 5, 7)]})
+        progress = JobProgress(RUNNING, {(0, 0): step})
+        decoded = decode_progress(encode_progress(progress))
+        assert decoded == progress
+        check_progress(JOB, decoded)
+
+    def test_round_trip_of_several_steps(self) -> None:
+        progress = decode_progress(encode_progress(OPEN_PROGRESS))
+        assert progress == OPEN_PROGRESS
+        check_progress(JOB, progress)
+
+    # An earlier build stores crashes or nothing after the saved states.
+    @pytest.mark.parametrize("rest", [(), ({1: [["i-1", 5, 0.5, 0.25, True, False, 0.0]]},)])
+    def test_record_of_an_earlier_build(self, rest: tuple[Any, ...]) -> None:
+        data = msgpack.packb((1, RUNNING, [(0, 0, [0], {1: [100_001]}, {1: "x"}, *rest)]))
+        step = decode_progress(data).steps[(0, 0)]
+        assert step.unconfirmed == {}
+        assert step.crashes == (CRASHES if rest else {})
+        assert (step.done, step.failed, step.saved) == ({0}, {1: {100_001}}, {1: "x"})
+
+    def test_record_without_such_ends_has_its_earlier_form(self) -> None:
+        rows = msgpack.unpackb(encode_progress(PROGRESS), strict_map_key=False)[2]
+        assert [len(row) for row in rows] == [6, 5]
+
+    @pytest.mark.parametrize(
+        "rows",
+        [
+            None,
+            5,
+            "x",
+            [],
+            [[1, "i-1", 5, 7]],
+            {"a": []},
+            {-1: []},
+            {1: None},
+            {1: 5},
+            {1: [5]},
+            {1: [[]]},
+            {1: [[1, "i-1", 5]]},
+            {1: [[1, "i-1", 5, 7, 8]]},
+            {1: [["1", "i-1", 5, 7]]},
+            {1: [[1, 1, 5, 7]]},
+            {1: [[1, "i-1", 5.5, 7]]},
+            {1: [[1, "i-1", 5, None]]},
+            {1: [[True, "i-1", 5, 7]]},
+            {1: [[-1, "i-1", 5, 7]]},
+            {1: [[1, "i-1", -5, 7]]},
+            {1: [[1, "i-1", 5, 2**53]]},
+        ],
+        ids=ascii,
+    )
+    def test_invalid_value_is_refused_by_its_name(self, rows: Any) -> None:
+        data = msgpack.packb((1, RUNNING, [(0, 0, [], {}, {}, {}, rows)]))
+        with pytest.raises(DecodeError, match="unconfirmed"):
+            decode_progress(data)
+
+    @pytest.mark.parametrize("value", ODD_VALUES, ids=ascii)
+    def test_any_part_may_be_odd(self, value: Any) -> None:
+        row = msgpack.unpackb(encode_progress(OPEN_PROGRESS), strict_map_key=False)
+        rows = replace_parts(row, value)
+        assert len(rows) > 40
+        for changed in rows:
+            try:
+                progress = decode_progress(msgpack.packb(changed))
+            except DecodeError as err:
+                assert len(str(err)) < 200
+                continue
+            assert decode_progress(encode_progress(progress)) == progress
+
+    @pytest.mark.parametrize(("step", "index"), [(0, 3), (1, 2), (0, 2**40)])
+    def test_index_out_of_range_is_refused(self, step: int, index: int) -> None:
+        ends = {index: [FailedEnd(1, "i-1", 5, 1)]}
+        progress = JobProgress(RUNNING, {(0, step): StepProgress(unconfirmed=ends)})
+        decoded = decode_progress(encode_progress(progress))
+        with pytest.raises(DecodeError, match="unexpected task"):
+            check_progress(JOB, decoded)
+
+
 class TestOddRecords:
     """A record of another form raises DecodeError, and whatever decodes can be used."""
 
