Model: let patient callers notice that their daemon is gone

Cause: a fault of the model. A killed daemon never answered, and a caller with a timeout of 30 s waited for it all the time, though its connection is broken, or dead, by then. Now: an open call ends 3 s after its daemon was killed, and the caller calls another daemon. That is no shorter than the timeout of all other calls, so only patient callers draw other schedules. No check changes; those of waiting and of acknowledged cancels now see the cancel get through.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -45,7 +45,8 @@
     """No job is shown as failed before a task has used up its attempts."""
 
     # An end that was read counted as an attempt, though a lease lapsed before its acknowledgement.
-    @pytest.mark.parametrize("seed", range(1, 12))
+    # Seed 1012: as seed 27 below, where all daemons lost power.
+    @pytest.mark.parametrize("seed", [*range(1, 12), 1012])
     def test_many_runs_fail(self, seed: int) -> None:
         check(run_kind("failures", seed))
 
@@ -53,7 +54,8 @@
     def test_many_runs_fail_and_executors_crash(self, seed: int) -> None:
         check(run_kind("failures_and_crashes", seed))
 
-    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 10, 12, 13])
+    # Seed 27: a patient caller waited for 28 s for a daemon that was killed before it cancelled.
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 10, 12, 13, 27])
     def test_many_runs_fail_and_the_store_is_faulty(self, seed: int) -> None:
         check(run_kind("failures_and_store", seed))
 
--- a/tests/model/entry/test_platform.py
+++ b/tests/model/entry/test_platform.py
@@ -19,6 +19,7 @@
 from wasabiramp.model.entry.checker import CANCEL_WAIT_S, CONTACT_S, HistoryChecker, JobRecord
 from wasabiramp.model.entry.clock import async_run_on_node
 from wasabiramp.model.entry.heartbeats import ENTRY_TTL_S
+from wasabiramp.model.entry.kinds import PATIENT_TIMEOUT_S
 from wasabiramp.model.entry.liveness import (
     async_check_standstill,
     check_lasting_tasks,
@@ -26,7 +27,7 @@
 )
 from wasabiramp.model.entry.network import STORE, ModelPeers
 from wasabiramp.model.entry.store import ModelStoreClient
-from wasabiramp.model.entry.world import World
+from wasabiramp.model.entry.world import LOSS_NOTICE_S, World
 from wasabiramp.scheduling.effects import HoldExecutor
 from wasabiramp.scheduling.events import NOT_SENT, UNKNOWN
 from wasabiramp.scheduling.model import ExecutorReport, JobDefinition, Resources, Step
@@ -309,6 +310,24 @@
         checker.check_answers({"a": (12.0, 8.0)})
         assert len(checker.breaches) == 1
 
+    def test_patient_caller_calls_again_after_the_daemon_ended(self) -> None:
+        async def main(world: World) -> None:
+            job = make_job(world, Step(1, Resources(100, 100, 0), 1.0, is_lasting=True))
+            assert await world.async_submit(job)
+            node = world.node_names["entry-0"]
+            world.network.add_partition(node, STORE)
+            cancel = asyncio.create_task(world.async_cancel(job.id, PATIENT_TIMEOUT_S))
+            await asyncio.sleep(0.5)
+            record = world.checker.jobs[job.id]
+            assert record.is_cancel_waiting
+            world.kill_daemon("entry-0")
+            await world.async_start_daemon("entry-0")
+            await asyncio.sleep(LOSS_NOTICE_S + CONTACT_LIMIT_S)
+            assert record.cancel_acked_at is not None
+            assert cancel.done()
+
+        run_world(main)
+
 
 class TestWaitingCancels:
     """A job is not started while its cancel waits for an answer for long in a calm cell."""
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -59,6 +59,9 @@
 
 CALL_TIMEOUT_S: Final = 3.0
 
+LOSS_NOTICE_S: Final = 3.0
+"""Time after which a caller that keeps its connection open notices that its daemon is gone."""
+
 
 class ModelCodec:
     """Codec for the values in the simulated store, which are indexes into a list of objects."""
@@ -154,6 +157,8 @@
         self.daemons: dict[str, EntryDaemon] = {}
         self.clients: dict[str, ModelStoreClient] = {}
         self.node_names: dict[str, str] = {}
+        # By node, the limits of the calls of callers that wait for its answer.
+        self._open_calls: dict[str, set[asyncio.Timeout]] = {}
         self._incarnations = 0
         self.codec = ModelCodec()
         self.queues = (
@@ -301,6 +306,8 @@
         self.network.listeners.pop(node, None)
         for task in list(self._tasks.get(node, ())):
             task.cancel()
+        for limit in self._open_calls.pop(node, ()):
+            limit.reschedule(self.loop.time() + LOSS_NOTICE_S)
 
     async def async_stop_daemon(self, name: str) -> None:
         """Shut a daemon down gracefully."""
@@ -367,7 +374,14 @@
                 self.checker.record_answer(request)
 
         self.check_answers()
-        return await self.network.async_call(CALLER, node, timeout_s, serve)
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._open_calls.setdefault(node, set()).add(limit)
+                return await self.network.async_call(CALLER, node, timeout_s, serve)
+        except TimeoutError as err:
+            raise NoAnswerError(f"{node} is gone") from err
+        finally:
+            self._open_calls.get(node, set()).discard(limit)
 
     def check_answers(self) -> None:
         """Check that the daemons have answered in time all requests that are due."""
