Start nothing on an executor until ends that do not count are acknowledged

Cause: an owner withdraws a failed end after a lapse, and may then start a run on the same executor while the end is still listed, as the store is out. The next owner takes any run in an executor's first report for proof that the lease has lasted, and counts the ends listed beside it. Its premise, that earlier owners start nothing before ends are acknowledged, held only for ends that were still undecided. The same holds for a failed end of a run that was released as its lease had expired, which was never undecided. Now: an executor gets no start until such ends are acknowledged, or a complete later report does not list them. Ruled out: storing what does not count, as the executor's order of ends and runs would still mislead an owner that takes over before that is stored. Not covered, by reading: a start that is delayed beyond a lapse and sets a lease of its own hides the lapse just so.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -50,7 +50,8 @@
     def test_many_runs_fail(self, seed: int) -> None:
         check(run_kind("failures", seed))
 
-    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 7, 12, 14])
+    # Seed 1006: a run that was started after a lapse hid the lapse from the next owner.
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 7, 12, 14, 1006])
     def test_many_runs_fail_and_executors_crash(self, seed: int) -> None:
         check(run_kind("failures_and_crashes", seed))
 
--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -60,6 +60,7 @@
     if step.spec.is_lasting or end.run in step.progress.failed.get(key, ()):
         return
     if (end.task, end.run) in executor.expired_runs:
+        note_uncounted_end(state, executor, end.number)
         _log_verdict(state, step, key, end.run, "lease expired")
         return
     failed_end = FailedEnd(end.run, executor.id, executor.born_ms, end.number)
@@ -107,6 +108,23 @@
         end.is_acknowledgement_sent |= number <= last_seen
 
 
+def note_uncounted_end(state: SchedulerState, executor: ExecutorState, number: int) -> None:
+    """Start nothing on an executor until an end that does not count is acknowledged.
+
+    The next owner takes a run beside a listed end for proof that the lease has not lapsed.
+    """
+    executor.uncounted_ends[number] = state.now
+
+
+def _forget_acknowledged_ends(executor: ExecutorState, event: HoldAnswered) -> None:
+    """Forget the ends that do not count and that an executor does not list any more."""
+    listed = {end.number for end in event.report.ended}
+    for number, decided_at in list(executor.uncounted_ends.items()):
+        is_unlisted = is_complete(event.report) and number not in listed
+        if number <= event.last_seen or (is_unlisted and event.sent_at >= decided_at):
+            del executor.uncounted_ends[number]
+
+
 def has_uncovered_end(executor: ExecutorState) -> bool:
     """Return whether the lease may have lapsed since an end that may count; it is not renewed."""
     return any(end.lease_gaps != executor.lease_gaps for end in executor.unconfirmed_ends.values())
@@ -114,6 +132,7 @@
 
 def settle_ends(state: SchedulerState, executor: ExecutorState, event: HoldAnswered) -> None:
     """Decide which of an executor's ends count as attempts, by its answer to a hold."""
+    _forget_acknowledged_ends(executor, event)
     lapsed_at = executor.lapse_certain_at
     is_lapsed = lapsed_at is not None and event.sent_at >= lapsed_at
     listed = {end.number for end in event.report.ended}
@@ -156,6 +175,8 @@
     """Do not count a failed run as an attempt."""
     end = executor.unconfirmed_ends.pop(number)
     executor.unstored_withdrawals.add(number)
+    if end.failed_end.born_ms == executor.born_ms:
+        note_uncounted_end(state, executor, number)
     _forget_failed_end(state, end.step, end.key, end.failed_end)
     _log_verdict(state, end.step, end.key, end.failed_end.run, why)
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -480,7 +480,7 @@
     # The entry of an earlier incarnation may show another capacity and other labels.
     if executor.entry.born_ms and executor.entry.born_ms != executor.born_ms:
         return False
-    if has_uncovered_end(executor):
+    if has_uncovered_end(executor) or executor.uncounted_ends:
         return False
     # The resources that a run of an unknown job occupies are unknown until it ends.
     if any(run.step is None for run in executor.runs.values()) or is_blocked_by_ends(executor):
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -6,7 +6,7 @@
 
 from wasabiramp.core.registry import handles
 from wasabiramp.policy.switches import do_nothing, switchable
-from wasabiramp.scheduling.attempts import record_failed_run
+from wasabiramp.scheduling.attempts import note_uncounted_end, record_failed_run
 from wasabiramp.scheduling.crashes import clear_task, withdraw_run
 from wasabiramp.scheduling.effects import GiveUpOwnership
 from wasabiramp.scheduling.events import (
@@ -221,6 +221,8 @@
     if step is None:
         return
     if (end.task, end.run) in executor.expired_runs and step.tasks[index].runs:
+        if end.how == END_FAILED and not step.spec.is_lasting:
+            note_uncounted_end(state, executor, end.number)
         state.log_decision(
             "end_ignored", task=end.task, run=end.run, how=end.how, why="lease expired"
         )
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -360,6 +360,7 @@
     noticed that the lease of an executor that does not answer has ended. `lease_before_hold_ms` is
     its latest end before the last hold. `unconfirmed_ends` are the ends by number that may count as
     attempts, and `unstored_withdrawals` the numbers of those that do not, until that is stored.
+    `uncounted_ends` are those that the executor may still list, with the time of the decision.
     """
 
     __slots__ = (
@@ -409,6 +410,7 @@
         "tasks_at_silence",
         "unattributed_ends",
         "unconfirmed_ends",
+        "uncounted_ends",
         "unlisted_at",
         "unstored_withdrawals",
         "used",
@@ -468,6 +470,7 @@
         self.tasks_at_silence: list[TaskAtCrash] = []
         self.expired_runs: set[tuple[str, int]] = set()
         self.unstored_withdrawals: set[int] = set()
+        self.uncounted_ends: dict[int, float] = {}
         self.unattributed_ends: dict[int, tuple[EndReport, float, int | None]] = {}
 
     def add_run(self, run: Run) -> None:
