--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -18,6 +18,9 @@
 from wasabiramp.scheduling.attempts import MIN_ACKNOWLEDGING_LEASE_S, UNANSWERED_WAIT_S
 from wasabiramp.scheduling.events import (
     OTHER_INCARNATION,
+    REFUSED_BUSY,
+    REFUSED_OLD,
+    REFUSED_ROOM,
     UNKNOWN,
     CancelAsked,
     Committed,
@@ -25,8 +28,10 @@
     ExecutorUnlisted,
     HoldFailed,
     JobsRecovered,
+    StartAnswered,
     StoredJob,
 )
+from wasabiramp.scheduling.executors import UNCONFIRMED_ENDS_DELAY_S
 from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S, convert_lease_s
 from wasabiramp.scheduling.model import (
     CANCELLED,
@@ -142,7 +147,10 @@
 
 
 def take_over(
-    *unconfirmed: FailedEnd, tasks: int = 1, names: tuple[str, ...] = ("e0", "e1")
+    *unconfirmed: FailedEnd,
+    tasks: int = 1,
+    names: tuple[str, ...] = ("e0", "e1"),
+    born_ms: int = 1,
 ) -> tuple[SchedulerHarness, JobRun]:
     """Take over a job of one attempt, whose first task has ends that may count, and executors."""
     harness = SchedulerHarness(executors=0, lease_s=LEASE_S)
@@ -154,6 +162,7 @@
     roster = [(name, name) for name in names]
     harness.apply(JobsRecovered([stored], roster, LEASE_LEFT_S, 60))
     for name in names:
+        harness.incarnations[name] = born_ms
         harness.list_executor(name)
     return harness, harness.scheduler.state.jobs[JOB]
 
@@ -293,10 +302,30 @@
         harness.finish_run(done)
         fail_task(harness)
         harness.scheduler.limit_leases(harness.now)
-        pass_time(harness, LEASE_S)
+        assert {hold.last_seen for hold in pass_time(harness, LEASE_S)} == {0}
         harness.commit()
         assert {hold.last_seen for hold in pass_time(harness, 1.0)} == {1}
 
+    # A refused start renews the lease only if the executor would have had no room, or a later run.
+    @pytest.mark.parametrize(
+        ("outcome", "last_seen"), [(REFUSED_BUSY, 0), (REFUSED_ROOM, 1), (REFUSED_OLD, 1)]
+    )
+    def test_refused_start_may_renew_the_lease(self, outcome: str, last_seen: int) -> None:
+        harness = make_harness(executors=1)
+        fail_task(harness)
+        harness.now += LEASE_S - 1.0
+        harness.submit(OTHER_JOB, "batch", make_step())
+        (start,) = harness.place()
+        clock_ms, until_ms = harness.read_clock_ms(), start.until_ms
+        harness.apply(
+            StartAnswered("e0", start.task, start.run, harness.now, outcome, clock_ms, until_ms)
+        )
+        harness.now += 0.7
+        harness.commit()
+        harness.tick()
+        (hold,) = harness.take_effects(HoldExecutor)
+        assert hold.last_seen == last_seen
+
 
 class TestPhases:
     """A job fails when the acknowledgement is answered, and is shown as failed once stored."""
@@ -445,7 +474,9 @@
         harness.take_effects(HoldExecutor)
         pass_time(harness, 2 * LEASE_S, [start.executor])
         harness.end_run(start, "failed")
-        pass_time(harness, 1.0)
+        sent_at = harness.now
+        harness.now += TICK_S
+        harness.answer_hold(start.executor, sent_at)
         check_restarted(harness, job)
 
 
@@ -516,6 +547,16 @@
         answer(harness, harness.holds[start.executor])
         check_waiting(harness, job)
 
+    def test_incomplete_report_answers_its_own_acknowledgement(self) -> None:
+        harness = make_harness()
+        job, start = fail_task(harness)
+        hold = send_acknowledgement(harness, start.executor)
+        harness.ended[start.executor] = [
+            EndReport(number, f"{OTHER_JOB}.0.0.0", number, "done", "") for number in range(2, 502)
+        ]
+        answer(harness, hold)
+        check_failed(job, start.run)
+
     # Guards against an answer that was under way while a later hold read the end.
     def test_report_that_was_requested_before_the_read_decides_nothing(self) -> None:
         harness = make_harness()
@@ -578,12 +619,14 @@
     def test_lease_is_let_go_until_it_has_certainly_lapsed(self) -> None:
         harness, job = take_over()
         list_failed_end(harness)
-        pass_time(harness, 2 * TICK_S)
+        holds = pass_time(harness, 2 * TICK_S)
         harness.submit(OTHER_JOB, "batch", make_step(8))
         assert {start.executor for start in harness.place_and_start()} == {"e1"}
         harness.commit()
-        holds = [hold for hold in pass_time(harness, LEASE_LEFT_S - 0.2) if hold.executor == "e0"]
+        holds += pass_time(harness, LEASE_LEFT_S - 0.2)
+        holds = [hold for hold in holds if hold.executor == "e0"]
         assert {(hold.until_ms, hold.last_seen) for hold in holds} == {(None, 0)}
+        assert len(holds) <= 2 + LEASE_LEFT_S / UNCONFIRMED_ENDS_DELAY_S
         check_waiting(harness, job)
         pass_time(harness, 1.0)
         starts = harness.place_and_start()
@@ -591,6 +634,34 @@
         assert "e0" in {start.executor for start in starts}
         assert get_attempts(job) == {}
 
+    def test_report_that_was_requested_before_the_lapse_decides_nothing(self) -> None:
+        harness, job = take_over()
+        list_failed_end(harness)
+        pass_time(harness, LEASE_LEFT_S - 0.2)
+        sent_at = harness.now
+        harness.commit()
+        harness.tick(1.0)
+        harness.answer_hold("e0", sent_at)
+        check_waiting(harness, job)
+        harness.answer_hold("e0")
+        check_restarted(harness, job)
+
+    def test_end_of_a_job_that_is_known_later(self) -> None:
+        harness = SchedulerHarness(executors=0)
+        allow_attempts(harness, 1)
+        harness.apply(JobsRecovered([], [("e0", "e0"), ("e1", "e1")], LEASE_LEFT_S, 60))
+        for name in ("e0", "e1"):
+            harness.list_executor(name)
+        list_failed_end(harness)
+        pass_time(harness, 2 * TICK_S)
+        job = harness.submit(JOB, "urgent", make_step())
+        check_waiting(harness, job)
+        harness.commit()
+        holds = [hold for hold in pass_time(harness, 0.5) if hold.executor == "e0"]
+        assert (holds[0].until_ms, holds[0].last_seen) == (None, 0)
+        pass_time(harness, LEASE_LEFT_S)
+        check_restarted(harness, job)
+
     def test_end_counts_beside_a_run_that_goes_on(self) -> None:
         harness, job = take_over(tasks=2)
         list_failed_end(harness, f"{JOB}.0.0.1")
@@ -618,6 +689,22 @@
         pass_time(harness, 1.0)
         check_failed(job, start.run)
 
+    # Guards against LOST: an owner that was suspended started a run before it called again.
+    def test_run_that_was_started_after_the_gap_covers_nothing(self) -> None:
+        harness = make_harness(executors=1)
+        job, _ = fail_task(harness)
+        harness.commit()
+        harness.now += LEASE_S + 1.0
+        harness.submit(OTHER_JOB, "batch", make_step())
+        (other,) = harness.place_and_start()
+        pass_time(harness, 1.0)
+        assert not job.is_ended
+        assert get_attempts(job) == {}
+        assert [end.number for end in harness.ended["e0"]] == [1]
+        harness.finish_run(other, "lapsed")
+        assert not job.is_ended
+        assert get_attempts(job) == {}
+
     def test_run_of_another_job_that_began_after_the_gap_covers_nothing(self) -> None:
         harness = make_harness(executors=1)
         job, start = fail_task(harness)
@@ -675,6 +762,24 @@
         pass_time(harness, 1.0)
         assert harness.ended[start.executor] == []
 
+    def test_commit_of_an_earlier_end_does_not_do(self) -> None:
+        harness = make_harness(executors=1)
+        job, name = self.withdraw_end(harness)
+        (second,) = harness.place_and_start()
+        harness.tick(TICK_S)
+        harness.finish_run(second, "failed")
+        assert harness.scheduler.take_changes() is not None
+        harness.now += 2 * LEASE_S
+        pass_time(harness, 2 * LEASE_S)
+        assert not job.progress.steps[(0, 0)].unconfirmed
+        harness.apply(Committed())
+        pass_time(harness, 1.0)
+        assert [end.number for end in harness.ended[name]] == [2]
+        harness.commit()
+        pass_time(harness, 1.0)
+        assert harness.ended[name] == []
+        check_restarted(harness, job)
+
     def test_failed_commit_does_not_do(self) -> None:
         harness = make_harness()
         job, name = self.withdraw_end(harness)
@@ -722,6 +827,12 @@
         check_restarted(harness, job)
 
     def test_another_process_answers(self) -> None:
+        harness, job = take_over(FAILED_END, born_ms=2)
+        check_waiting(harness, job)
+        pass_time(harness, 2 * TICK_S)
+        check_restarted(harness, job)
+
+    def test_process_is_replaced_after_the_takeover(self) -> None:
         harness, job = take_over(FAILED_END)
         harness.incarnations["e0"] = 2
         harness.list_executor("e0")
@@ -811,6 +922,16 @@
         harness.acknowledge_ends(other.executor)
         check_failed(job, other.run)
 
+    def test_end_of_a_run_that_counts_already_is_not_kept(self) -> None:
+        harness = make_harness(attempts=2)
+        job = harness.submit(JOB, "gangs", self.GANG)
+        first, second = harness.place_and_start()
+        harness.finish_run(first, "failed")
+        harness.acknowledge_ends(first.executor)
+        harness.finish_run(second, "failed")
+        assert get_attempts(job) == {0: {first.run}}
+        assert job.progress.steps[(0, 0)].unconfirmed == {}
+
     def test_gang_starts_again_if_no_member_counts(self) -> None:
         harness = make_harness(executors=4)
         job = harness.submit(JOB, "gangs", self.GANG)
@@ -854,6 +975,18 @@
         harness.acknowledge_ends(start.executor)
         check_failed(job, start.run)
 
+    def test_task_is_not_held_up_if_fewer_attempts_are_used_up_already(self) -> None:
+        harness = make_harness(attempts=3)
+        job, first = fail_task(harness)
+        harness.acknowledge_ends(first.executor)
+        (second,) = harness.place_and_start()
+        harness.finish_run(second, "failed")
+        allow_attempts(harness, 1)
+        assert harness.place() == []
+        harness.apply(HoldFailed(second.executor, harness.now, OTHER_INCARNATION))
+        assert get_attempts(job) == {0: {first.run}}
+        assert job.is_ended or harness.place()
+
 
 class TestUnlistedExecutors:
     """An executor with ends that may count is kept while it has no entry."""
