Keep apart open ends with the same number of two processes of an executor

What callers saw: nothing yet; a task is held up for good after a takeover (LOST), as it stays open whether its attempts are used up. Cause: open ends are held by executor and number, and the numbers start anew with each process. An end that an earlier owner stored was replaced by one with the same number of a later process: by its first report, which is processed before ends of other processes are withdrawn, or by another stored end. The replaced end was never decided on. Now: ends of other processes are withdrawn before a report is processed. Of two stored ends with the same number, the one of the earlier process does not count, and one that is stored twice is kept once. Ruled out: a key of start time and number; the ends that may be acknowledged are those of one process.

--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -151,13 +151,17 @@
     tasks: int = 1,
     names: tuple[str, ...] = ("e0", "e1"),
     born_ms: int = 1,
+    ends: dict[int, list[FailedEnd]] | None = None,
 ) -> tuple[SchedulerHarness, JobRun]:
-    """Take over a job of one attempt, whose first task has ends that may count, and executors."""
+    """Take over a job of one attempt, whose first task has ends that may count, and executors.
+
+    `ends` are those of other tasks too, by task index.
+    """
     harness = SchedulerHarness(executors=0, lease_s=LEASE_S)
     allow_attempts(harness, 1)
     queue = harness.scheduler.state.config.find("urgent")
     definition = JobDefinition(JOB, queue, "spec", (make_step(tasks),))
-    progress = StepProgress(unconfirmed={0: list(unconfirmed)} if unconfirmed else {})
+    progress = StepProgress(unconfirmed=ends or ({0: [*unconfirmed]} if unconfirmed else {}))
     stored = StoredJob(definition, harness.now, 50, JobProgress(RUNNING, {(0, 0): progress}))
     roster = [(name, name) for name in names]
     harness.apply(JobsRecovered([stored], roster, LEASE_LEFT_S, 60))
@@ -832,6 +836,33 @@
         pass_time(harness, 2 * TICK_S)
         check_restarted(harness, job)
 
+    # Guards against a task that is held up for good: the end of another task replaced its end,
+    # which had the same number in an earlier process.
+    @pytest.mark.parametrize("is_stored", [False, True])
+    @pytest.mark.parametrize("tasks", [(0, 1), (1, 0)])
+    def test_two_processes_number_their_ends_alike(
+        self, tasks: tuple[int, int], is_stored: bool
+    ) -> None:
+        gone, present = tasks
+        ends = {gone: [FAILED_END]}
+        if is_stored:
+            ends[present] = [FailedEnd(1, "e0", 2, 1)]
+        harness, job = take_over(ends=ends, tasks=2, born_ms=2)
+        task = f"{JOB}.0.0.{present}"
+        harness.ended["e0"] = [EndReport(1, task, 1, "failed", "")]
+        pass_time(harness, 2 * TICK_S)
+        assert [start.task for start in harness.place_and_start()] == [f"{JOB}.0.0.{gone}"]
+        assert list(job.progress.steps[(0, 0)].unconfirmed) == [present]
+        pass_time(harness, 2 * LEASE_LEFT_S)
+        assert [start.task for start in harness.place()] == [task]
+        assert get_attempts(job) == {}
+
+    def test_end_that_is_stored_twice_holds_nothing_up(self) -> None:
+        harness, job = take_over(ends={0: [FAILED_END], 1: [FAILED_END]}, tasks=2)
+        pass_time(harness, 2 * TICK_S)
+        check_failed(job, 1)
+        assert not job.progress.steps[(0, 0)].unconfirmed
+
     def test_process_is_replaced_after_the_takeover(self) -> None:
         harness, job = take_over(FAILED_END)
         harness.incarnations["e0"] = 2
--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -120,11 +120,9 @@
     last_lapsed = max((e.number for e in event.report.ended if e.how == END_LAPSED), default=0)
     has_all_listed = is_complete(event.report)
     for number, end in list(executor.unconfirmed_ends.items()):
-        if end.failed_end.born_ms != executor.born_ms:
-            withdraw_end(state, executor, number, "executor process is gone")
-        elif event.sent_at < end.read_at:
+        if event.sent_at < end.read_at:
             continue
-        elif number <= event.last_seen and event.report.clock_ms > executor.lease_before_hold_ms:
+        if number <= event.last_seen and event.report.clock_ms > executor.lease_before_hold_ms:
             withdraw_end(state, executor, number, "lease lapsed")
         elif number <= event.last_seen or (has_all_listed and number not in listed):
             _confirm_end(state, executor, number)
@@ -152,6 +150,16 @@
         withdraw_end(state, executor, number, why)
 
 
+def withdraw_ends_of_others(state: SchedulerState, executor: ExecutorState) -> None:
+    """Count no ends of other processes than the one that answers as attempts.
+
+    They are withdrawn before its report is processed, as its ends may have the same numbers.
+    """
+    for number, end in list(executor.unconfirmed_ends.items()):
+        if end.failed_end.born_ms != executor.born_ms:
+            withdraw_end(state, executor, number, "executor process is gone")
+
+
 def withdraw_end(state: SchedulerState, executor: ExecutorState, number: int, why: str) -> None:
     """Do not count a failed run as an attempt."""
     end = executor.unconfirmed_ends.pop(number)
@@ -219,6 +227,13 @@
         _forget_failed_end(state, step, key, failed_end)
         _log_verdict(state, step, key, failed_end.run, "executor is gone")
         return
+    known = executor.unconfirmed_ends.get(failed_end.number)
+    if known is not None and known.failed_end.born_ms >= failed_end.born_ms:
+        _forget_failed_end(state, step, key, failed_end)
+        _log_verdict(state, step, key, failed_end.run, "executor process is gone")
+        return
+    if known is not None:
+        withdraw_end(state, executor, failed_end.number, "executor process is gone")
     end = UnconfirmedEnd(step, key, failed_end, state.now)
     end.is_acknowledgement_sent = True
     executor.unconfirmed_ends[failed_end.number] = end
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -12,6 +12,7 @@
     settle_ends,
     settle_silent_ends,
     withdraw_ends,
+    withdraw_ends_of_others,
 )
 from wasabiramp.scheduling.attribution import (
     get_last_attributed_end,
@@ -253,6 +254,7 @@
     executor.lapse_noticed_at = None
     if executor.tasks_at_silence:
         settle_silence(state, executor, report.born_ms)
+    withdraw_ends_of_others(state, executor)
     _note_lease(executor, report, event.until_ms)
     listed = _process_report(state, executor, report, event.sent_at)
     executor.is_lease_continuous = False
