--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -174,7 +174,10 @@
 
 
 def withdraw_earlier_ends(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
-    """Count none of the ends of earlier processes of an executor, as another one answers."""
+    """Count none of the ends of other processes than the one that answers.
+
+    This comes before its report is processed, as its ends may have the same numbers.
+    """
     for number, end in list(executor.unconfirmed_ends.items()):
         if end.failed_end.born_ms != born_ms:
             withdraw_end(state, executor, number, "executor process is gone")
@@ -259,6 +262,13 @@
         _forget_failed_end(state, step, key, failed_end)
         _log_verdict(state, step, key, failed_end.run, "executor is gone")
         return
+    known = executor.unconfirmed_ends.get(failed_end.number)
+    if known is not None and known.failed_end.born_ms >= failed_end.born_ms:
+        _forget_failed_end(state, step, key, failed_end)
+        _log_verdict(state, step, key, failed_end.run, "executor process is gone")
+        return
+    if known is not None:
+        withdraw_end(state, executor, failed_end.number, "executor process is gone")
     end = UnconfirmedEnd(step, key, failed_end, state.now)
     end.is_acknowledgement_sent = True
     executor.unconfirmed_ends[failed_end.number] = end
