Record a crash for a run only with the process it was lost with

Cause: a run that is lost with a process is kept until its stop is confirmed. When the next process of the executor fell silent in its turn, the run was recorded again, at an age that it never had. The class: state of one process is taken for that of the next. Now: a run is recorded with the process that it was lost with; with a later one only if that answered its start or lists it. The starts of earlier processes no longer tell when a later one crashed either.

--- a/tests/model/entry/test_waves.py
+++ b/tests/model/entry/test_waves.py
@@ -11,7 +11,8 @@
 
 REGRESSION_SEEDS = {
     260: "starts that a crashed executor never got counted against their tasks",
-    507: "an answer of the new process counted as survival, so a task was never given up",
+    507: "a run of an earlier process counted at each later silence, at ages that it never had",
+    845: "given up after two crashes by others; a start that never arrived counted as a third",
 }
 """Seeds that failed before, each with its cause."""
 
--- a/tests/scheduling/test_crash_waves.py
+++ b/tests/scheduling/test_crash_waves.py
@@ -8,6 +8,7 @@
 
 from tests.scheduling.deadly_cell import DOWNTIME_S, DeadlyCell, make_job_id
 from tests.scheduling.helpers import SchedulerHarness, make_step
+from wasabiramp.scheduling.events import UNKNOWN, HoldFailed
 from wasabiramp.scheduling.model import DONE, FAILED
 from wasabiramp.scheduling.state import JobRun
 
@@ -102,6 +103,62 @@
         (crash,) = job.progress.steps[(0, 0)].crashes[0]
         assert (crash.survived_s, crash.age_s) == (0.0, 1.5)
 
+    # Guards against BUDGET and LOST: a run that was lost with one process, and was kept as its stop
+    # was not confirmed, counted again at each later silence, at an age that it never had.
+    @pytest.mark.parametrize("does_answer", [False, True])
+    def test_run_of_an_earlier_process_is_recorded_once(self, does_answer: bool) -> None:
+        harness = SchedulerHarness(executors=2, cpu=1_000)
+        job = harness.submit(make_job_id(0), "gangs", make_step(2, is_gang=True))
+        first, second = harness.place_and_start()
+        harness.tick(0.3)
+        harness.end_run(second, "broken")
+        harness.answer_hold(second.executor)
+        harness.commit()
+        for incarnation in (2, 3):
+            harness.tick(0.5)
+            harness.running[first.executor] = []
+            harness.incarnations[first.executor] = incarnation
+            harness.list_executor(first.executor, cpu=1_000)
+            if does_answer:
+                harness.answer_hold(first.executor)
+        harness.tick(0.5)
+        harness.apply(HoldFailed(first.executor, harness.now, UNKNOWN))
+        index = int(first.task.rpartition(".")[2])
+        assert len(job.progress.steps[(0, 0)].crashes[index]) == 1
+
+    # Guards against LOST by the same: one start that was not answered counted as two crashes at
+    # one age.
+    def test_unanswered_start_is_recorded_once(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        job = harness.submit(make_job_id(0), "batch", make_step(1))
+        (start,) = harness.place()
+        harness.tick(0.3)
+        harness.crash_executor("e0")
+        harness.answer_start(start, UNKNOWN)
+        harness.answer_start(start, UNKNOWN)
+        harness.tick(0.5)
+        harness.incarnations["e0"] = 2
+        harness.list_executor("e0")
+        harness.answer_hold("e0")
+        harness.tick(0.5)
+        harness.apply(HoldFailed("e0", harness.now, UNKNOWN))
+        assert len(job.progress.steps[(0, 0)].crashes[0]) == 1
+
+    def test_run_that_the_new_process_lists_is_recorded_with_its_crash(self) -> None:
+        """A start may reach the new process, as one that is sent again does."""
+        harness = SchedulerHarness(executors=1)
+        job = harness.submit(make_job_id(0), "batch", make_step(1))
+        harness.place_and_start()
+        harness.tick(0.5)
+        harness.incarnations["e0"] = 2
+        harness.list_executor("e0")
+        harness.tick(0.5)
+        harness.answer_hold("e0")
+        assert harness.running["e0"]
+        harness.tick(0.5)
+        harness.apply(HoldFailed("e0", harness.now, UNKNOWN))
+        assert len(job.progress.steps[(0, 0)].crashes[0]) == 2
+
 
 class TestCrashedExecutors:
     """Several executors must have crashed under a task that is given up."""
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -78,8 +78,9 @@
     was_silent = executor.silent_since is not None and executor.silent_since < state.now
     if executor.entry.is_draining or executor.tasks_at_silence or was_silent:
         return
-    crashed_by = _find_latest_crash(state, executor)
-    for run in executor.runs.values():
+    runs = [run for run in executor.runs.values() if not _is_of_earlier_process(executor, run)]
+    crashed_by = _find_latest_crash(state, executor, runs)
+    for run in runs:
         if run.step is not None and run.sent_at <= crashed_by:
             _record_crash(state, executor, run, crashed_by)
     note_loss(state, executor, _explain_loss(executor))
@@ -89,6 +90,17 @@
     _add_risk(state, executor, 1)
 
 
+def _is_of_earlier_process(executor: ExecutorState, run: Run) -> bool:
+    """Return whether a run was lost with an earlier process of its executor.
+
+    Such a run is tracked until its stop is confirmed. It is on the present process only if that
+    answers its start or lists it.
+    """
+    if run.lease_gaps is not None:
+        return False
+    return run.confirmed_at is not None or run.lost_with not in (None, executor.born_ms)
+
+
 def _record_crash(
     state: SchedulerState, executor: ExecutorState, run: Run, crashed_by: float
 ) -> None:
@@ -111,6 +123,7 @@
         exposed_s = max(exposed_s, crashed_by - executor.answered_at)
     crash = Crash(executor.id, executor.born_ms, round(age_s, 3), 0.0, is_certain=has_started)
     crash.survived_s = round(survived_s, 3)
+    run.lost_with = executor.born_ms
     task = TaskAtCrash(step, run.index, crash)
     task.mass = measure_mass(low, high) * (1.0 if has_started else UNCERTAIN_WEIGHT)
     task.chance = exposed_s * measure_crash_rate(state)
@@ -122,14 +135,14 @@
     executor.tasks_at_silence.append(task)
 
 
-def _find_latest_crash(state: SchedulerState, executor: ExecutorState) -> float:
+def _find_latest_crash(state: SchedulerState, executor: ExecutorState, runs: list[Run]) -> float:
     """Return the time by which an executor that does not answer has crashed.
 
     Starts sent after the first one that it left unanswered met an executor that was gone.
     """
     unanswered = [
         run.sent_at
-        for run in executor.runs.values()
+        for run in runs
         if run.confirmed_at is None and run.sent_at >= executor.answered_at
     ]
     return min(min(unanswered, default=math.inf) + MIN_AGE_S, state.now)
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -38,6 +38,7 @@
 
     `percent` is its progress at the last speed sample, and `pace` is None if unknown. `lease_gaps`
     is the number of gaps in the lease of its executor when it was last known to run, or None.
+    `lost_with` is the start time of the executor's process with which it may have been lost.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "index",
         "is_uncertain",
         "lease_gaps",
+        "lost_with",
         "sampled_at",
         "sampled_clock_ms",
         "number",
@@ -80,6 +82,7 @@
         self.confirmed_at: float | None = None
         self.is_uncertain = False
         self.lease_gaps: int | None = None
+        self.lost_with: int | None = None
         self.wants_stop = False
         self.stop_sent_at: float | None = None
         self.stop_confirmed_at: float | None = None
