Soak: a mix in which a third of the runs fail while leases of runs lapse

Why the soak missed it: 3% of its runs failed, and its outages of the store ended before leases of runs lapse. Now: the mix `failures` of gangs, short and repeated jobs fails a third of the runs, as a field of the plan, with cuts of executors, kills and pauses of the owner, and two new faults: the store is down for 7 to 11 s, with executors cut off meanwhile or not. The full mix plays the new faults too, so its seeds draw other faults than before; plain seeds draw as before. An unknown mix is refused; it was played as `plain`.

--- a/soak/outages.py
+++ b/soak/outages.py
@@ -14,6 +14,9 @@
 OUTAGE_S: Final = (1.5, 5.0)
 """Range of the time for which the store is down; leases and entries of executors run out or not."""
 
+LONG_OUTAGE_S: Final = (7.0, 11.0)
+"""Range of the time of an outage in which leases of runs lapse, as no term is proven."""
+
 HAND_OVER_OUTAGE_S: Final = 4.5
 CUT_LEAD_S: Final = 0.3
 HAND_OVER_CUT_S: Final = 3.5
@@ -49,6 +52,25 @@
     await async_hold_outage(cell, random.uniform(*OUTAGE_S), False, random.random() < 0.5)
 
 
+@hand_over_fault
+async def async_long_outage(cell: Cell, random: Random) -> None:
+    """Let the store be down until leases of runs lapse; those at the store run out or pause."""
+    await async_hold_outage(
+        cell, random.uniform(*LONG_OUTAGE_S), random.random() < 0.5, random.random() < 0.5
+    )
+
+
+@hand_over_fault
+async def async_long_outage_cut(cell: Cell, random: Random) -> None:
+    """Cut executors off while the store is down until leases of runs lapse."""
+    executors = draw_busy_executors(cell, random, 2)
+    duration_s = random.uniform(*LONG_OUTAGE_S)
+    await asyncio.gather(
+        async_hold_outage(cell, duration_s, random.random() < 0.5, random.random() < 0.5),
+        _async_cut_after(cell, executors, duration_s * random.random(), draw_mode(random)),
+    )
+
+
 @hand_over_fault
 async def async_outage_cut(cell: Cell, random: Random) -> None:
     """Cut executors off while the store is down and leases run out."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,26 +12,53 @@
 
 PLAIN: Final = "plain"
 FULL: Final = "full"
-MIXES: Final = (PLAIN, FULL)
+FAILURES: Final = "failures"
+MIXES: Final = (PLAIN, FULL, FAILURES)
 JOBS_PER_S: Final = 6.0
-FAULTS_PER_RUN: Final = 5
-SERIES_PER_RUN: Final = 4
+FAULTS_PER_RUN: Final = {PLAIN: 5, FULL: 4, FAILURES: 2}
+"""Number of the faults of each mix, or of their series where there are series."""
+
 SERIES_SIZES: Final = (1, 3)
 """Range of the number of faults in a series."""
 
 SERIES_SPAN_S: Final = 1.5
 """Time within which the faults of a series begin."""
 
+FAILURE_SHARE: Final = 0.03
+HIGH_FAILURE_SHARE: Final = 0.33
+"""Shares of the runs that fail by themselves: in most mixes, and in that of failures."""
+
 ALL_FAULTS: Final[dict[str, Fault]] = {**FAULTS, **HAND_OVER_FAULTS}
+MIX_FAULTS: Final = {
+    PLAIN: sorted(FAULTS),
+    FULL: sorted(ALL_FAULTS),
+    # Between the read of an end and its acknowledgement, each of them may let a lease lapse.
+    FAILURES: [
+        "cut_executors",
+        "cut_executors_from_owner",
+        "cut_owner_and_executor",
+        "kill_owner",
+        "long_outage",
+        "long_outage_cut",
+        "pause_owner",
+    ],
+}
+MIX_KINDS: Final = {
+    PLAIN: [PLAIN],
+    FULL: sorted(JOB_KINDS),
+    # With several attempts, jobs of long tasks would outlast the wait for their end.
+    FAILURES: ["gangs", "plain", "repeated"],
+}
 
 
 class Plan:
     """What a seed plays: names of job kinds and faults, and how many of them.
 
-    With `is_series`, faults begin in series, and overlap.
+    With `is_series`, faults begin in series, and overlap. The share `failure_share` of the runs
+    fail by themselves.
     """
 
-    __slots__ = ("fault_count", "faults", "is_series", "job_kinds", "jobs_per_s")
+    __slots__ = ("failure_share", "fault_count", "faults", "is_series", "job_kinds", "jobs_per_s")
 
     def __init__(
         self,
@@ -40,6 +67,7 @@
         fault_count: int,
         jobs_per_s: float,
         is_series: bool,
+        failure_share: float = FAILURE_SHARE,
     ) -> None:
         """Describe a plan; `fault_count` counts series, if there are any."""
         self.job_kinds = job_kinds
@@ -47,6 +75,7 @@
         self.fault_count = fault_count
         self.jobs_per_s = jobs_per_s
         self.is_series = is_series
+        self.failure_share = failure_share
 
     def draw_faults(self, random: Random, seconds: float) -> list[tuple[float, str]]:
         """Draw when each fault begins, and its name."""
@@ -71,11 +100,14 @@
 
     Raises ValueError for a name that is not known.
     """
-    is_full = mix == FULL
-    fault_names = _parse_names(faults, ALL_FAULTS) or sorted(ALL_FAULTS if is_full else FAULTS)
-    kinds = _parse_names(jobs, JOB_KINDS) or (sorted(JOB_KINDS) if is_full else [PLAIN])
-    count = (SERIES_PER_RUN if is_full else FAULTS_PER_RUN) if fault_count is None else fault_count
-    return Plan(kinds, fault_names, count, jobs_per_s, is_full)
+    _parse_names(mix, MIXES)
+    fault_names = _parse_names(faults, ALL_FAULTS) or MIX_FAULTS[mix]
+    kinds = _parse_names(jobs, JOB_KINDS) or MIX_KINDS[mix]
+    is_series = mix != PLAIN
+    if fault_count is None:
+        fault_count = FAULTS_PER_RUN[mix]
+    failure_share = HIGH_FAILURE_SHARE if mix == FAILURES else FAILURE_SHARE
+    return Plan(kinds, fault_names, fault_count, jobs_per_s, is_series, failure_share)
 
 
 def _parse_names(text: str, known: Iterable[str]) -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -34,9 +34,6 @@
 WARM_UP_S: Final = 3.0
 """Time from the start of the cell until the traffic begins."""
 
-FAILURE_SHARE: Final = 0.03
-"""Share of the runs that fail by themselves."""
-
 
 async def async_soak(
     seed: int, seconds: float, daemons: int, executors: int, plan: Plan | None = None
@@ -50,7 +47,7 @@
     try:
         await asyncio.sleep(WARM_UP_S)
         await cell.async_wait_until_ready()
-        cell.platform.executors.failure_share = FAILURE_SHARE
+        cell.platform.executors.failure_share = plan.failure_share
         callers = [Caller(cell, checker, random) for _ in range(CALLER_COUNT)]
         jobs = [
             _async_run_after(
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -11,10 +11,12 @@
 from soak.cell import make_routes
 from soak.faults import FAULTS
 from soak.jobs import JOB_KINDS
-from soak.plan import ALL_FAULTS, FULL, PLAIN, SERIES_SPAN_S, make_plan
+from soak.outages import LONG_OUTAGE_S
+from soak.plan import ALL_FAULTS, FAILURES, FULL, MIXES, PLAIN, SERIES_SPAN_S, make_plan
 from stand_ins.platform import COMMON_LABEL_COUNT
 from wasabiramp.model.entry.executors import MAX_REPORTED_ENDS
 from wasabiramp.platform.wire import decode_config, decode_job
+from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S
 
 SEEDS = range(50)
 
@@ -34,6 +36,21 @@
         assert set(plan.faults) == set(ALL_FAULTS)
         assert set(plan.job_kinds) == set(JOB_KINDS)
 
+    def test_mix_of_failures_fails_a_third_of_the_runs_while_leases_lapse(self) -> None:
+        # Guards against a soak that can't show jobs failed by ends that don't count (LOST).
+        plan = make_plan(FAILURES)
+        assert 0.3 <= plan.failure_share <= 0.4
+        assert {"cut_executors", "kill_owner", "long_outage", "pause_owner"} <= set(plan.faults)
+        assert set(plan.faults) <= set(ALL_FAULTS)
+        assert {"gangs", "plain"} <= set(plan.job_kinds) <= set(JOB_KINDS)
+
+    def test_long_outage_lets_most_leases_of_runs_lapse(self) -> None:
+        assert sum(LONG_OUTAGE_S) / 2 > MAX_UNCONFIRMED_S
+
+    @pytest.mark.parametrize("mix", sorted(set(MIXES) - {FAILURES}))
+    def test_runs_rarely_fail_in_other_mixes(self, mix: str) -> None:
+        assert make_plan(mix).failure_share < 0.05
+
     def test_faults_of_a_series_begin_close_together(self) -> None:
         plan = make_plan(FULL, fault_count=1)
         for seed in SEEDS:
@@ -46,6 +63,14 @@
         assert names <= {"kill_owner", "revoke"}
         assert plan.job_kinds == ["wide"]
 
+    def test_names_keep_the_share_of_failing_runs(self) -> None:
+        plan = make_plan(FAILURES, "kill_owner", "long")
+        assert plan.failure_share == make_plan(FAILURES).failure_share
+
+    def test_unknown_mix_is_refused(self) -> None:
+        with pytest.raises(ValueError, match="no_such_mix"):
+            make_plan("no_such_mix")
+
     def test_unknown_name_is_refused(self) -> None:
         with pytest.raises(ValueError, match="no_such_fault"):
             make_plan(FULL, "no_such_fault")
