--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -17,7 +17,7 @@
 
 from soak.callers import Caller, async_wait_for_jobs
 from soak.cell import Cell, DaemonProcess
-from soak.plan import FULL, PLAIN, make_plan
+from soak.plan import FAILURES, FULL, PLAIN, make_plan
 from soak.run import async_soak
 from tests.core.test_records import nest_records
 from wasabiramp.entry.keys import (
@@ -41,6 +41,13 @@
         assert cell.platform.checker.breaches == []
         assert cell.platform.checker.starts > 50
 
+    def test_outage_with_failing_runs_fails_no_job_without_cause(self) -> None:
+        # Guards against attempts that count though the lease lapsed before their acknowledgement.
+        plan = make_plan(FAILURES, "long_outage", "plain", 1)
+        cell = asyncio.run(async_soak(4118, seconds=8.0, daemons=3, executors=6, plan=plan))
+        assert cell.platform.checker.breaches == []
+        assert cell.platform.checker.starts > 30
+
 
 class TestHandOver:
     """Another daemon becomes the owner, and no work is lost or runs twice."""
