Let ends be acknowledged by the hold whose answer shows the lapse

An end that is withdrawn in the answer to the very hold that acknowledged it was noted as still listed. As the executor had no runs, no further hold was due, so it got no work for good. Now: ends up to the last_seen of the answered hold are forgotten after all verdicts by that answer.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -51,7 +51,8 @@
         check(run_kind("failures", seed))
 
     # Seed 1006: a run that was started after a lapse hid the lapse from the next owner.
-    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 7, 12, 14, 1006])
+    # Seed 1054: an executor got no work after a lapse while a hold acknowledged an end.
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 7, 12, 14, 1006, 1054])
     def test_many_runs_fail_and_executors_crash(self, seed: int) -> None:
         check(run_kind("failures_and_crashes", seed))
 
--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -38,3 +38,23 @@
         harness.acknowledge_ends("e0")
         harness.acknowledge_ends("e0")
         assert [s.task for s in harness.place()] == [start.task]
+
+    # The executor got no work for good, as no further hold was due.
+    def test_start_after_a_lapse_that_the_acknowledging_hold_met(self) -> None:
+        harness = SchedulerHarness(1)
+        harness.submit(JOB, "urgent", make_step())
+        [start] = harness.place_and_start()
+        harness.end_run(start, "failed")
+        harness.answer_hold("e0")
+        harness.commit()
+        harness.tick(0.05)
+        hold = harness.holds["e0"]
+        assert hold.last_seen == 1
+        sent_at = harness.now
+        harness.ended["e0"].clear()
+        harness.now += LAPSE_S
+        harness.answer_hold("e0", sent_at)
+        assert harness.find_decisions("attempt_not_counted")
+        harness.commit()
+        harness.tick(0.05)
+        assert [s.task for s in harness.place()] == [start.task]
--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -132,7 +132,6 @@
 
 def settle_ends(state: SchedulerState, executor: ExecutorState, event: HoldAnswered) -> None:
     """Decide which of an executor's ends count as attempts, by its answer to a hold."""
-    _forget_acknowledged_ends(executor, event)
     lapsed_at = executor.lapse_certain_at
     is_lapsed = lapsed_at is not None and event.sent_at >= lapsed_at
     listed = {end.number for end in event.report.ended}
@@ -149,6 +148,8 @@
             _confirm_end(state, executor, number)
         elif number in listed and (is_lapsed or number < last_lapsed):
             withdraw_end(state, executor, number, "lease lapsed")
+    # Also those withdrawn just now: this hold may have acknowledged them.
+    _forget_acknowledged_ends(executor, event)
 
 
 def settle_silent_ends(state: SchedulerState, executor: ExecutorState) -> None:
