--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -156,6 +156,7 @@
             _confirm_end(state, executor, number)
         elif number in listed and (is_lapsed or number < last_lapsed):
             withdraw_end(state, executor, number, "lease lapsed")
+    # Also those withdrawn just now: this hold may have acknowledged them.
     _forget_acknowledged_ends(executor, event)
 
 
