Do not count a failed end if the answer that acknowledges it shows a lapse

What callers saw: nothing yet; a job may be shown as failed too early (LOST), in a rare order of events. Cause: an acknowledgement that is answered counts if the clock of the answer is not past the latest lease that was given. That lease may be one of a start that has not arrived. Then the lease has lapsed before the acknowledgement, and the answer lists a run that lapsed after the end, but the end counted all the same. Now: such an answer withdraws the end, if no other hold acknowledged it; an earlier one may have arrived in time. Ruled out: withdrawing it also after an earlier acknowledgement without an answer, as that may have been in time (BUDGET).

--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -455,6 +455,30 @@
         assert get_attempts(job) == {}
         assert {start.task for start in harness.place()} == {first.task, second.task}
 
+    # Guards against LOST: a start that was under way might have renewed the lease, but did not.
+    def test_answer_to_the_acknowledgement_lists_a_run_that_lapsed(self) -> None:
+        harness = make_harness(executors=1)
+        job = harness.submit(JOB, "urgent", make_step(2))
+        first, second = harness.place_and_start()
+        harness.tick(TICK_S)
+        harness.finish_run(first, "failed")
+        harness.commit()
+        harness.now += LEASE_S - 0.6
+        harness.submit(OTHER_JOB, "batch", make_step())
+        (late,) = harness.place()
+        harness.tick()
+        hold = harness.holds["e0"]
+        assert hold.last_seen == 1
+        sent_at = harness.now
+        harness.now += 1.0
+        assert harness.read_clock_ms() < late.until_ms
+        harness.end_run(second, "lapsed")
+        harness.ended["e0"].pop(0)
+        harness.answer_hold("e0", sent_at)
+        assert get_attempts(job) == {}
+        assert not job.is_ended
+        assert first.task in {start.task for start in harness.place()}
+
     def test_end_after_one_that_lapsed_counts(self) -> None:
         harness = make_harness(executors=1)
         job = harness.submit(JOB, "urgent", make_step())
--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -6,7 +6,8 @@
 not failed either. It is known from one of these:
 
 - the executor answers a hold that acknowledged the end, at a time on its clock at which the lease
-  may have lasted: it counts, and after that it does not;
+  may have lasted: it counts, and after that it does not, nor if the answer lists the end of a run
+  that lapsed after it and no other hold acknowledged the end;
 - a complete report no longer lists the end, as a hold whose answer was lost acknowledged it: it
   counts;
 - a report lists the end, and either lists the end of a run that lapsed after it, or was requested
@@ -104,7 +105,7 @@
 def note_acknowledgements(executor: ExecutorState, last_seen: int) -> None:
     """Note that a hold which acknowledges ends up to a number is sent."""
     for number, end in executor.unconfirmed_ends.items():
-        end.is_acknowledgement_sent |= number <= last_seen
+        end.acknowledgements += number <= last_seen
 
 
 def has_uncovered_end(executor: ExecutorState) -> bool:
@@ -122,7 +123,9 @@
     for number, end in list(executor.unconfirmed_ends.items()):
         if event.sent_at < end.read_at:
             continue
-        if number <= event.last_seen and event.report.clock_ms > executor.lease_before_hold_ms:
+        is_late = event.report.clock_ms > executor.lease_before_hold_ms
+        is_late |= number < last_lapsed and end.acknowledgements == 1
+        if number <= event.last_seen and is_late:
             withdraw_end(state, executor, number, "lease lapsed")
         elif number <= event.last_seen or (has_all_listed and number not in listed):
             _confirm_end(state, executor, number)
@@ -138,7 +141,7 @@
         executor.lapse_noticed_at = state.now
     is_overdue = state.now > executor.lapse_noticed_at + UNANSWERED_WAIT_S
     for number, end in list(executor.unconfirmed_ends.items()):
-        if not end.is_acknowledgement_sent:
+        if not end.acknowledgements:
             withdraw_end(state, executor, number, "lease expired")
         elif is_overdue:
             withdraw_end(state, executor, number, "executor does not answer")
@@ -235,6 +238,6 @@
     if known is not None:
         withdraw_end(state, executor, failed_end.number, "executor process is gone")
     end = UnconfirmedEnd(step, key, failed_end, state.now)
-    end.is_acknowledgement_sent = True
+    end.acknowledgements = 1
     executor.unconfirmed_ends[failed_end.number] = end
     update_undecided(state, step, key)
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -148,11 +148,12 @@
 
     `key` is the index of the task, or 0 for a gang. `lease_gaps` is the number of gaps in the lease
     of the executor since which it has certainly not lapsed after the end, or None if unknown.
+    `acknowledgements` is the number of holds that were sent and acknowledge the end.
     """
 
     __slots__ = (
+        "acknowledgements",
         "failed_end",
-        "is_acknowledgement_sent",
         "key",
         "lease_gaps",
         "read_at",
@@ -166,7 +167,7 @@
         self.failed_end = failed_end
         self.read_at = now
         self.lease_gaps: int | None = None
-        self.is_acknowledgement_sent = False
+        self.acknowledgements = 0
 
 
 class Ticket:
