Test that a lapse after an earlier acknowledgement does not withdraw an end

Cause: the mutant of settle_ends that leaves out whether another hold acknowledged the end passed all tests. Evidence: it fails the new test; without it, tests/scheduling/test_attempts.py: 91 passed.

--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -479,6 +479,29 @@
         assert not job.is_ended
         assert first.task in {start.task for start in harness.place()}
 
+    # Guards against BUDGET: the first of two acknowledgements was in time, and its answer was lost.
+    def test_lapse_after_an_earlier_acknowledgement_does_not_withdraw_the_end(self) -> None:
+        harness = make_harness(executors=1)
+        job = harness.submit(JOB, "urgent", make_step(2))
+        first, second = harness.place_and_start()
+        harness.tick(TICK_S)
+        harness.finish_run(first, "failed")
+        harness.take_effects(HoldExecutor)
+        in_time = send_acknowledgement(harness, "e0")
+        harness.now += 0.3
+        harness.submit(OTHER_JOB, "batch", make_step())
+        (late,) = harness.place()
+        harness.apply(HoldFailed("e0", harness.now, UNKNOWN))
+        harness.tick()
+        sent_at = harness.now
+        assert harness.holds["e0"].last_seen == 1
+        harness.now += LEASE_S - 0.2
+        assert (in_time.until_ms or 0) < harness.read_clock_ms() < late.until_ms
+        harness.end_run(second, "lapsed")
+        harness.ended["e0"].pop(0)
+        harness.answer_hold("e0", sent_at)
+        check_failed(job, first.run)
+
     def test_end_after_one_that_lapsed_counts(self) -> None:
         harness = make_harness(executors=1)
         job = harness.submit(JOB, "urgent", make_step())
