--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -275,7 +275,7 @@
     """Note whether the lease may have lapsed since the last complete report.
 
     A run that was known before a possible gap, and still runs, shows that it has not. So does any
-    run in the first report, as earlier owners started none before the ends were acknowledged.
+    run in the first report, as owners start none beside ends from before a lapse (`is_usable`).
     """
     confirm_lease(executor, report.clock_ms, until_ms)
     last_gaps = executor.reported_lease_gaps
