--- a/tests/model/entry/test_waves.py
+++ b/tests/model/entry/test_waves.py
@@ -12,6 +12,7 @@
 REGRESSION_SEEDS = {
     260: "starts that a crashed executor never got counted against their tasks",
     507: "a run of an earlier process counted at each later silence, at ages that it never had",
+    815: "given up beside a deadly gang, as both were tried on one executor five times",
     845: "given up after two crashes by others; a start that never arrived counted as a third",
 }
 """Seeds that failed before, each with its cause."""
