Let the load model answer with clocks and leases; a late answer does not confirm a run

So no lease counted as confirmed, and executors with runs got no work. Beside it: the late answer of an earlier process to a start still marked the run as known to the present one; the assertion of test_late_answer_of_an_earlier_process_to_a_start failed before, and passes now.

--- a/tests/scheduling/test_attempts_edges.py
+++ b/tests/scheduling/test_attempts_edges.py
@@ -116,6 +116,9 @@
         harness.apply(
             StartAnswered("e0", late.task, late.run, sent_at, STARTED, until_ms - 3000, until_ms)
         )
+        executor = find_executor(harness)
+        assert executor.lease_confirmed_ms < until_ms
+        assert executor.runs[(late.task, late.run)].lease_gaps is None
         for other in run_for(harness, 2.0):
             harness.finish_run(other, "done")
         run_for(harness, 1.0)
--- a/wasabiramp/bench/load.py
+++ b/wasabiramp/bench/load.py
@@ -369,8 +369,18 @@
         else:
             outcome = REFUSED_OLD
         if not is_late:
-            answer = StartAnswered(effect.executor, effect.task, effect.run, self.now, outcome)
-            self.apply(answer)
+            clock_ms = self._read_clock_ms()
+            self.apply(
+                StartAnswered(
+                    effect.executor,
+                    effect.task,
+                    effect.run,
+                    self.now,
+                    outcome,
+                    clock_ms,
+                    effect.until_ms,
+                )
+            )
 
     def _start_run(self, simulated: SimulatedExecutor, effect: StartTask) -> None:
         """Start a run, and schedule its end or that of its gang once the gang is complete."""
@@ -452,7 +462,7 @@
         if simulated is None:
             return
         simulated.ends = [end for end in simulated.ends if end.number > effect.last_seen]
-        simulated.holds.append(self.now)
+        simulated.holds.append((self.now, effect))
         if simulated.ends or effect.wait_s <= 0:
             self._answer_holds(simulated)
             return
@@ -461,12 +471,18 @@
     def _answer_holds(self, simulated: SimulatedExecutor) -> None:
         """Answer all pending holds of an executor."""
         holds, simulated.holds = simulated.holds, []
-        for sent_at in holds:
+        for sent_at, effect in holds:
             reports = tuple(
                 self._build_run_report(simulated_run) for simulated_run in simulated.runs.values()
             )
-            report = ExecutorReport(int(self.now * 1000), 1, reports, tuple(simulated.ends))
-            self.apply(HoldAnswered(simulated.name, sent_at, report))
+            report = ExecutorReport(self._read_clock_ms(), 1, reports, tuple(simulated.ends))
+            self.apply(
+                HoldAnswered(simulated.name, sent_at, report, "", effect.last_seen, effect.until_ms)
+            )
+
+    def _read_clock_ms(self) -> int:
+        """Return the time on the clock of all simulated executors."""
+        return int(self.now * 1000)
 
     def _build_run_report(self, simulated_run: SimulatedRun) -> RunReport:
         """Return the report of a run with its progress in percent, at most 99 before its end."""
--- a/wasabiramp/bench/simulated.py
+++ b/wasabiramp/bench/simulated.py
@@ -4,7 +4,7 @@
 
 import math
 
-from wasabiramp.scheduling.effects import StartTask
+from wasabiramp.scheduling.effects import HoldExecutor, StartTask
 from wasabiramp.scheduling.model import EndReport
 
 
@@ -49,5 +49,5 @@
         self.runs: dict[str, SimulatedRun] = {}
         self.ends: list[EndReport] = []
         self.next_end = 1
-        self.holds: list[float] = []
+        self.holds: list[tuple[float, HoldExecutor]] = []
         self.last_closed_run: dict[str, int] = {}
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -492,9 +492,8 @@
         return False
     # A start would renew a lease that may have lapsed, and hide that from the next report.
     is_leased = any(run.confirmed_at is not None for run in executor.runs.values())
-    if (is_leased or executor.unconfirmed_ends) and estimate_confirmed_lease_s(
-        state, executor
-    ) <= 0:
+    has_lease = is_leased or bool(executor.unconfirmed_ends)
+    if has_lease and estimate_confirmed_lease_s(state, executor) <= 0:
         return False
     # The resources that a run of an unknown job occupies are unknown until it ends.
     if any(run.step is None for run in executor.runs.values()) or is_blocked_by_ends(executor):
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -81,7 +81,8 @@
         confirm_lease(executor, event.clock_ms, event.until_ms if is_renewed else None)
     if event.outcome == STARTED:
         run.confirmed_at = state.now
-        run.lease_gaps = executor.lease_gaps
+        if is_same_process:
+            run.lease_gaps = executor.lease_gaps
         return
     state.log_decision(
         "start_refused", task=event.task, run=event.run, executor=event.executor, why=event.outcome
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -347,20 +347,19 @@
     that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
     as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `unattributed_ends` are ends of unknown jobs by number, with the time
-    at which each was read, and `lease_gaps` as in `UnconfirmedEnd`.
-    `hold_address` is the address to which the last hold was sent, and
-    `reached_at` the one from which the executor answered last. `reported_at` is the time of the
-    last report, which unlike other answers tells the incarnation. `born_known_at` is the time since
-    which its start time `born_ms` is known. `has_invalid_entry` is set while the platform lists an
-    entry that cannot be used. `slowness` is 1 at the estimated
+    at which each was read, and `lease_gaps` as in `UnconfirmedEnd`. `hold_address` is the address
+    to which the last hold was sent, and `reached_at` the one from which the executor answered last.
+    `reported_at` is the time of the last report, which unlike other answers tells the incarnation.
+    `born_known_at` is the time since which its start time `born_ms` is known. `has_invalid_entry`
+    is set while the platform lists an entry that cannot be used. `slowness` is 1 at the estimated
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering, of which `loss` tells when.
 
     Its clock showed `clock_ms` between `clock_asked_at` and `clock_at`. By its answers, its lease
-    lasts until `lease_confirmed_ms` on that clock at least. `lease_gaps`
-    counts how often the lease may have lapsed; `reported_lease_gaps` is that count at the last
-    complete report, and `is_lease_continuous` is set while a report is processed before which the
-    lease cannot have lapsed since the one before. It has certainly lapsed if a hold is answered
+    lasts until `lease_confirmed_ms` on that clock at least. `lease_gaps` counts how often it may
+    have lapsed; `reported_lease_gaps` is that count at the last complete report, or None before the
+    first, and `is_lease_continuous` is set while a report is processed before which the lease
+    cannot have lapsed since the one before. It has certainly lapsed if a hold is answered
     that was sent at `lapse_certain_at` or later. `lapse_noticed_at` is the time at which it was
     noticed that the lease of an executor that does not answer has ended. `lease_before_hold_ms` is
     its latest end before the last hold. `unconfirmed_ends` are the ends by number that may count as
