--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -472,6 +472,17 @@
         state.log_decision("executor_forgotten", executor=executor.id)
 
 
+def may_hide_lapse(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Return whether a start may renew a lease that has lapsed under runs or ends that may count.
+
+    The next report would not show that lapse.
+    """
+    if estimate_confirmed_lease_s(state, executor) > 0:
+        return False
+    has_known_run = any(run.confirmed_at is not None for run in executor.runs.values())
+    return has_known_run or bool(executor.unconfirmed_ends)
+
+
 def is_usable(state: SchedulerState, executor: ExecutorState) -> bool:
     """Return whether an executor may get new work now."""
     if (
@@ -488,12 +499,9 @@
     # The entry of an earlier incarnation may show another capacity and other labels.
     if executor.entry.born_ms and executor.entry.born_ms != executor.born_ms:
         return False
-    if has_uncovered_end(executor) or executor.uncounted_ends:
+    if executor.uncounted_ends or (executor.unconfirmed_ends and has_uncovered_end(executor)):
         return False
-    # A start would renew a lease that may have lapsed, and hide that from the next report.
-    is_leased = any(run.confirmed_at is not None for run in executor.runs.values())
-    has_lease = is_leased or bool(executor.unconfirmed_ends)
-    if has_lease and estimate_confirmed_lease_s(state, executor) <= 0:
+    if may_hide_lapse(state, executor):
         return False
     # The resources that a run of an unknown job occupies are unknown until it ends.
     if any(run.step is None for run in executor.runs.values()) or is_blocked_by_ends(executor):
