--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
+from wasabiramp.scheduling.crash_evidence import get_lease_left_s, note_lease
 from wasabiramp.scheduling.events import JobsRecovered
 from wasabiramp.scheduling.isolation import add_risk
 from wasabiramp.scheduling.jobs import end_job, mark_job_dirty
@@ -51,6 +52,9 @@
 MAX_LOGGED_TASKS: Final = 4
 """Number of the most suspect tasks that the log line of a crash names."""
 
+MAX_LOGGED_S: Final = 60.0
+"""Longest time for which that line tells that a lease may have ended."""
+
 
 def find_proven_crashes(step: StepRun, index: int) -> list[Crash]:
     """Return the recorded crashes of a task whose executors' processes are gone."""
@@ -125,6 +129,7 @@
     crash.survived_s = round(survived_s, 3)
     run.lost_with = executor.born_ms
     task = TaskAtCrash(step, run.index, crash)
+    note_lease(state, executor, run, task)
     task.mass = measure_mass(low, high) * (1.0 if has_started else UNCERTAIN_WEIGHT)
     task.chance = exposed_s * measure_crash_rate(state)
     task.age_share = min(1.0, (high - low) / max(MIN_AGE_S, age_s, step.spec.estimate_s))
@@ -276,6 +281,7 @@
         blame=tasks[0].crash.blame,
         suspicion=round(suspicion, 4),
         suspects_ms=rows,
+        lease_left_ms=round(1000 * max(-MAX_LOGGED_S, get_lease_left_s(state, tasks[0]))),
     )
     for task in tasks:
         task.crash.is_proven = True
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -98,10 +98,22 @@
 
     `mass` is the probability that a deadly task crashes its executor at such an age, and `weight`
     that this task did. `chance` is the probability that the executor crashed in that time anyway,
-    and `age_share` that a sound run is at such an age at any time.
+    and `age_share` that a sound run is at such an age at any time. By answers up to one that was
+    asked for at `answer_asked_at`, the run was there under a lease that lasts at least until
+    `lease_ends_at`, which is in the past if that is not known.
     """
 
-    __slots__ = ("age_share", "chance", "crash", "index", "mass", "step", "weight")
+    __slots__ = (
+        "age_share",
+        "answer_asked_at",
+        "chance",
+        "crash",
+        "index",
+        "lease_ends_at",
+        "mass",
+        "step",
+        "weight",
+    )
 
     def __init__(self, step: StepRun, index: int, crash: Crash) -> None:
         """Create a reference to a crash in the progress of a step."""
@@ -112,6 +124,8 @@
         self.chance = 0.0
         self.age_share = 0.0
         self.weight = 0.0
+        self.answer_asked_at = -math.inf
+        self.lease_ends_at = -math.inf
 
 
 class Loss:
