Reproduce jobs that are given up though their runs only lapsed

Three kinds of schedules cut executors off until their runs have lapsed and crash them after that, which no kind played: crash_behind_cut cuts for 3 s at most, all others crash executors in touch.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -67,6 +67,24 @@
         assert sum(record.last_phase == FAILED for record in jobs) >= 2
 
 
+class TestLapsedRuns:
+    """An executor that crashes after its runs have lapsed has not crashed under their tasks."""
+
+    # A job was given up though its runs had lapsed behind cuts: the loss of contact counted as a
+    # crash, as the executors had crashed when they were seen again (LOST).
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 17])
+    def test_crashes_after_cuts(self, seed: int) -> None:
+        check(run_kind("lapses", seed))
+
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 16, 51])
+    def test_with_outages_of_the_store(self, seed: int) -> None:
+        check(run_kind("lapses_and_store", seed))
+
+    @pytest.mark.parametrize("seed", FEW_SEEDS)
+    def test_with_owners_that_are_lost(self, seed: int) -> None:
+        check(run_kind("lapses_and_owners", seed))
+
+
 class TestSilentExecutors:
     """An executor that is cut off, drains or lost its entry may still run its tasks."""
 
--- a/wasabiramp/model/entry/contact.py
+++ b/wasabiramp/model/entry/contact.py
@@ -30,6 +30,18 @@
 LATE_OWNER_S: Final = (0.5, 4.0)
 """Range of the time after an outage for which the store does not serve the earlier owner yet."""
 
+LAPSING_CUT_S: Final = (5.0, 12.0)
+"""Range of the duration of a cut behind which the leases of runs expire."""
+
+LAPSE_S: Final = (2.0, 4.0)
+LAPSE_POLL_S: Final = 0.1
+MAX_LAPSE_S: Final = 10.0
+"""Range of the time from a cut until an executor may crash behind it, the interval at which it is
+checked whether its runs have lapsed, and the longest wait for that."""
+
+DOWNTIME_S: Final = (0.1, 3.0)
+"""Range of the time from a crash behind a cut until the executor is back."""
+
 SUSPENSION_S: Final = (0.5, 6.0)
 """Range of the time for which a machine is suspended."""
 
@@ -268,6 +280,27 @@
     await async_have_outage(world, duration_s, world.random.random() < 0.5, 0.0)
 
 
+async def _async_crash_when_idle(world: World, name: str) -> None:
+    """Crash and restart an executor that is cut off, once its runs have lapsed."""
+    executor = world.executors.by_id[name]
+    await asyncio.sleep(world.random.uniform(*LAPSE_S))
+    for _ in range(round(MAX_LAPSE_S / LAPSE_POLL_S)):
+        if not executor.is_up or not executor.runs:
+            break
+        await asyncio.sleep(LAPSE_POLL_S)
+    if executor.is_up and not executor.runs:
+        number = int(name.removeprefix("i-"))
+        await world.async_crash_executor(number, world.random.uniform(*DOWNTIME_S), True)
+
+
+@long_fault
+async def async_crash_after_lapse(world: World) -> None:
+    """Cut executors off, and crash each once its runs have lapsed, so that none is on it."""
+    chosen = draw_executors(world, 2)
+    cut = async_isolate(world, chosen, world.random.uniform(*LAPSING_CUT_S), False)
+    await asyncio.gather(cut, *(_async_crash_when_idle(world, name) for name in chosen))
+
+
 @contact_fault
 async def async_keep_writes(world: World) -> None:
     """Let the store be down, and apply half of the writes that it got after that."""
--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -250,6 +250,24 @@
         10,
         async_cancel_patiently,
     ),
+    "lapses": ScheduleKind(
+        draw_long_job,
+        [*4 * ("crash_after_lapse",), "cut_long_from_all", "crash_executor"],
+        10,
+        14,
+    ),
+    "lapses_and_store": ScheduleKind(
+        draw_any_job,
+        [*4 * ("crash_after_lapse",), "have_long_outage", "have_outage_and_cut"],
+        10,
+        14,
+    ),
+    "lapses_and_owners": ScheduleKind(
+        draw_lasting_job,
+        [*4 * ("crash_after_lapse",), "kill_owner", "cut_owner_off", "crash_executor"],
+        10,
+        14,
+    ),
     "late_write": ScheduleKind(
         draw_short_chain_job, ["keep_writes"], 3, 60, async_cancel_unconfirmed
     ),
