Count a crash only if an answer shows that a run was on the executor

Cause: the moment when contact was lost was taken for that of a crash. A record was made at the first silence, and became proven and certain once another process was seen, at whatever time. In between the executor could live on behind a cut, let its runs lapse, and crash after that for any cause. Three such losses at like ages convicted a sound task. The class is a fact that is concluded from silence.

Now a crash convicts only if it is witnessed (scheduling/crash_evidence.py): that process had answered the start or listed the run, and another process answers while the lease lasts at least, by answers alone. No other fact does: entries, refused connections, start times, records of earlier owners and answers from before a suspension of the machine show nothing. A task is given up after witnessed crashes of two executors and a suspicion of 0.98. Suspects get the longest lease, which outlasts a restart, so that a trial tells; the next owner is told to wait while such leases last.

Gone: three of four least suspicions, and the weights of losses by their number (find_matching_crashes, ANY_AGES, half counts).

--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -9,7 +9,7 @@
 
 from wasabiramp.entry.authority import Authority
 from wasabiramp.entry.owner import MAX_PROOF_AGE_S, PROOF_INTERVAL_S, RUN_LEASE_S
-from wasabiramp.entry.peers import FAILED, EndTenure
+from wasabiramp.entry.peers import FAILED, LATER, OK, EndTenure
 from wasabiramp.model.entry.network import STORE
 from wasabiramp.model.entry.schedule import find_owner
 from wasabiramp.model.entry.world import ModelCodec, World
@@ -156,6 +156,29 @@
         world.run(run_scenario())
         assert answers == [FAILED]
 
+    # Guards against TWICE: the next owner waits for a lease of the usual length only.
+    def test_owner_that_gave_longer_leases_asks_to_wait(self) -> None:
+        world = World(3)
+        answers: list[str] = []
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            name = find_owner(world)
+            assert name is not None
+            daemon = world.daemons[name]
+            owner = daemon.owner
+            assert owner is not None
+            usual_s = convert_lease_s(RUN_LEASE_S)
+            owner.scheduler.state.long_leases_end_at = world.loop.time() + usual_s + 2.0
+            message = EndTenure(owner.tenure.term)
+            for delay_s in (1.9, 0.2):
+                answers.append((await daemon._async_serve_peer(message)).outcome)
+                await asyncio.sleep(delay_s)
+            answers.append((await daemon._async_serve_peer(message)).outcome)
+
+        world.run(run_scenario())
+        assert answers == [LATER, LATER, OK]
+
 
 class TestOutages:
     """Work outlasts a short outage of the store, and starts again after a long one."""
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -18,6 +18,7 @@
 from wasabiramp.entry.owner import Owner, OwnerStoppedError
 from wasabiramp.entry.peers import (
     FAILED,
+    LATER,
     OK,
     AskAdviser,
     EndTenure,
@@ -121,7 +122,8 @@
             settings, store, self._begin_tenure, self._end_tenure, read_uptime
         )
         self._owner: Owner | None = None
-        self._completed_terms: set[int] = set()
+        # By term, the time from which its leases end as early as the next owner expects.
+        self._completed_terms: dict[int, float] = {}
         self.request_handler = RequestHandler(
             store, self._membership, peers, self._get_owner, self.metrics, read_wall
         )
@@ -323,14 +325,18 @@
             return
         owner.stop()
         if owner.has_heard_all():
-            self._completed_terms.add(owner.tenure.term)
+            self._completed_terms[owner.tenure.term] = owner.get_usual_leases_from()
 
     def _serve_end_tenure(self, message: EndTenure) -> PeerAnswer:
         """End the tenure of a term that another daemon has replaced by a later one."""
         tenure = self._membership.tenure
         if tenure is not None and tenure.term <= message.term:
             self._membership.end_tenure("another daemon told of a later term")
-        return PeerAnswer(OK if message.term in self._completed_terms else FAILED)
+        usual_leases_from = self._completed_terms.get(message.term)
+        if usual_leases_from is None:
+            return PeerAnswer(FAILED)
+        now = asyncio.get_running_loop().time()
+        return PeerAnswer(OK if now >= usual_leases_from else LATER)
 
     def _list_peers(self) -> list[str]:
         """Return the addresses of the other daemons."""
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -22,7 +22,7 @@
 )
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Tenure
-from wasabiramp.entry.peers import OK, EndTenure, Peers
+from wasabiramp.entry.peers import LATER, OK, EndTenure, Peers
 from wasabiramp.entry.ports import (
     Codec,
     Executors,
@@ -364,7 +364,9 @@
 
     def _limit_leases(self) -> None:
         """Let no lease end later than the last proof of the term allows."""
-        self.scheduler.limit_leases(self._loop.time() + self.authority.get_left_s())
+        now = self._loop.time()
+        self.scheduler.note_suspension(now, self._read_uptime() - now)
+        self.scheduler.limit_leases(now + self.authority.get_left_s())
 
     def _place(self) -> None:
         """Run a placement pass; a skipped one is scheduled again by the next event or tick."""
@@ -497,11 +499,18 @@
             except NoAnswerError:
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            if answer.outcome == LATER:
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             if answer.outcome == OK:
                 self._predecessor_ended_at = self._read_uptime()
                 self._reduce(PredecessorEnded(self._measure_predecessor_lease_s()))
             return
 
+    def get_usual_leases_from(self) -> float:
+        """Return the time from which no lease lasts longer than a usual one that is given then."""
+        return self.scheduler.state.long_leases_end_at - convert_lease_s(self._lease_s)
+
     def has_heard_all(self) -> bool:
         """Return whether it is known of all executors what earlier owners left on them."""
         return self.is_recovered and not self.scheduler.state.is_recovering
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -29,6 +29,8 @@
 
 OK: Final = "ok"
 NOT_OWNER: Final = "not-owner"
+LATER: Final = "later"
+"""The answer changes soon: ask again."""
 
 UNCONFIRMED: Final = "unconfirmed"
 """The owner's lease may have ended, or the job's end is not stored yet: a final phase in the store
@@ -108,7 +110,7 @@
     """Tell the owner of a term that another daemon has claimed a later one.
 
     The answer is OK if the process was the owner in that term, knew what all executors ran, and
-    gives no more orders.
+    gives no more orders. It is `LATER` while leases that it gave last longer than usual.
     """
 
     term: int
--- a/wasabiramp/scheduling/crash_evidence.py
+++ b/wasabiramp/scheduling/crash_evidence.py
@@ -8,6 +8,9 @@
 
 from __future__ import annotations
 
+import math
+
+from wasabiramp.scheduling.jobs import mark_job_dirty
 from wasabiramp.scheduling.leases import estimate_confirmed_lease_s
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState, TaskAtCrash
 
@@ -16,10 +19,12 @@
     """Note until when the lease of a run lasts at least, by the answers of its executor.
 
     It is not known if the process did not answer the start, if the lease may have lapsed since the
-    run was last known, or if the run was told to stop.
+    run was last known, if the run was told to stop, or if another member of its gang may have
+    ended before, which ends it too.
     """
     is_known = run.lease_gaps is not None and run.lease_gaps == executor.lease_gaps
-    if not is_known or run.wants_stop:
+    may_have_ended = run.wants_stop and not run.may_have_broken_gang
+    if not is_known or may_have_ended or _is_gang_lost(state, run):
         return
     task.answer_asked_at = executor.clock_asked_at
     task.lease_ends_at = state.now + estimate_confirmed_lease_s(state, executor)
@@ -28,3 +33,41 @@
 def get_lease_left_s(state: SchedulerState, task: TaskAtCrash) -> float:
     """Return for how long the lease of a run still lasts at least; negative if it may be over."""
     return task.lease_ends_at - state.now
+
+
+def _is_gang_lost(state: SchedulerState, run: Run) -> bool:
+    """Return whether contact was lost with the executor of another member of a run's gang.
+
+    It is not known which member ended first then, so this is no crash under the others either.
+    """
+    if run.step is None or not run.step.spec.is_gang:
+        return False
+    others = {other.executor for other in run.step.iter_runs() if other.executor != run.executor}
+    lost = [e for e in map(state.executors.get, others) if e is None or e.silent_since is not None]
+    for executor in lost:
+        for task in executor.tasks_at_silence if executor is not None else ():
+            if task.step is run.step:
+                task.lease_ends_at = -math.inf
+    return bool(lost)
+
+
+def witness_crashes(state: SchedulerState, executor: ExecutorState, born_ms: int | None) -> None:
+    """Record which open crashes of an executor an answer of another process has witnessed.
+
+    `born_ms` is the start time of that process, or None if it is another executor's. What was
+    answered before a suspension of our machine does not tell when a lease ended.
+    """
+    tasks, executor.open_crashes = executor.open_crashes, []
+    for task in tasks:
+        left_s = get_lease_left_s(state, task)
+        is_later = born_ms is None or born_ms > task.crash.born_ms
+        if not is_later or left_s < 0 or task.answer_asked_at <= state.resumed_at:
+            continue
+        task.crash.is_witnessed = True
+        mark_job_dirty(task.step.job)
+        state.log_decision(
+            "crash_witnessed",
+            task=task.step.build_task_name(task.index),
+            executor=executor.id,
+            lease_left_ms=round(1000 * left_s),
+        )
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -12,7 +12,11 @@
 from typing import Final
 
 from wasabiramp.core.registry import handles
-from wasabiramp.scheduling.crash_evidence import get_lease_left_s, note_lease
+from wasabiramp.scheduling.crash_evidence import (
+    get_lease_left_s,
+    note_lease,
+    witness_crashes,
+)
 from wasabiramp.scheduling.events import JobsRecovered
 from wasabiramp.scheduling.isolation import add_risk
 from wasabiramp.scheduling.jobs import end_job, mark_job_dirty
@@ -237,6 +241,9 @@
 
 def withdraw_crashes(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
     """Withdraw the crashes that were recorded for an incarnation that answers again."""
+    for task in executor.open_crashes:
+        if task.crash.born_ms == born_ms:
+            _remove_crash(state, task)
     for run in executor.runs.values():
         crashes = run.step.progress.crashes.get(run.index, []) if run.step is not None else []
         for crash in list(crashes):
@@ -258,7 +265,7 @@
 
 
 def confirm_crash(state: SchedulerState, executor: ExecutorState, is_certain: bool = True) -> None:
-    """Record that the process of an executor is gone, and give up the task that caused it.
+    """Record that the process of an executor is gone.
 
     It is not certain that it crashed if only its entry was removed, as after a long partition.
     """
@@ -289,6 +296,20 @@
         if not task.step.job.is_ended:
             mark_job_dirty(task.step.job)
             update_suspect(state, task.step, task.index)
+    executor.open_crashes += tasks
+
+
+def handle_answer_of_successor(
+    state: SchedulerState, executor: ExecutorState, born_ms: int | None
+) -> None:
+    """Give up the tasks under which a process crashed, as another one answers in its place.
+
+    `born_ms` is the start time of that process, or None if it is another executor's.
+    """
+    tasks = executor.open_crashes
+    if not tasks:
+        return
+    witness_crashes(state, executor, born_ms)
     for task in tasks:
         give_up_if_guilty(state, task.step, task.index)
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -25,6 +25,7 @@
 from wasabiramp.scheduling.crashes import (
     clear_if_alive,
     confirm_crash,
+    handle_answer_of_successor,
     note_silence,
     settle_silence,
     withdraw_crashes,
@@ -244,6 +245,7 @@
             record_new_incarnation(state, executor, report.born_ms)
         executor.born_ms = report.born_ms
         executor.born_known_at = state.now
+    handle_answer_of_successor(state, executor, report.born_ms)
     executor.has_open_hold = False
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
@@ -375,6 +377,7 @@
     if is_replaced(executor, event):
         expire_runs(state, executor, "executor process was replaced")
         confirm_crash(state, executor)
+        handle_answer_of_successor(state, executor, None)
         withdraw_ends(state, executor, "executor process was replaced")
         forget_verdicts(state, executor)
         executor.must_answer = False
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -49,6 +49,10 @@
 The estimate is by then up to 0.6 s behind, which shortens the leases by as much."""
 
 
+MIN_SUSPENSION_S: Final = 0.01
+"""Shortest suspension of the machine that is told from the inaccuracy of reading two clocks."""
+
+
 def convert_lease_s(lease_s: float) -> float:
     """Return the longest time for which a lease lasts by our clock."""
     return lease_s / (1 - MAX_CLOCK_DRIFT_SHARE) + LEASE_EXPIRY_MARGIN_S
@@ -68,9 +72,27 @@
     return state.now + MIN_START_LEASE_S <= state.leases_end_by
 
 
+def note_suspension(state: SchedulerState, now: float, suspended_s: float) -> None:
+    """Note the total time for which the machine was suspended, which our clock does not count."""
+    known_s, state.suspended_s = state.suspended_s, suspended_s
+    if known_s is not None and suspended_s > known_s + MIN_SUSPENSION_S:
+        state.resumed_at = now
+
+
+def has_suspect(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Return whether a task that may crash executors runs on an executor."""
+    return bool(state.suspect_steps) and any(
+        run.step is not None and run.index in run.step.suspects for run in executor.runs.values()
+    )
+
+
 def calculate_lease_s(state: SchedulerState, executor: ExecutorState) -> float:
-    """Return the length of a lease that is given now; it is negative if none may be given."""
-    wanted_s = state.lease_s
+    """Return the length of a lease that is given now; it is negative if none may be given.
+
+    Suspects get the longest lease: it should outlast the time until another process answers after
+    a crash, as only that tells a crash from lost contact.
+    """
+    wanted_s = state.lease_limit_s if has_suspect(state, executor) else state.lease_s
     if executor.entry.is_draining:
         wanted_s = min(wanted_s, DRAINING_LEASE_S)
     return min(wanted_s, state.leases_end_by - state.now)
@@ -110,6 +132,9 @@
     expiry_ms = clock_ms + int(lease_s * 1000)
     executor.lease_until_ms = max(executor.lease_until_ms, expiry_ms)
     executor.lapse_certain_at = None
+    if lease_s > state.lease_s:
+        ends_at = state.now + convert_lease_s(lease_s)
+        state.long_leases_end_at = max(state.long_leases_end_at, ends_at)
     return expiry_ms
 
 
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -203,6 +203,7 @@
 
 END_DONE: Final = "done"
 END_FAILED: Final = "failed"
+END_BROKEN: Final = "broken"
 END_LAPSED: Final = "lapsed"
 """Ways in which a run ends: by itself, with success or not, or with the lease of its executor."""
 
@@ -239,7 +240,8 @@
     `born_ms` identifies its incarnation, and `age_s` is the time since the start order. The run was
     known to be alive at the age of `survived_s`. `blame` is the probability that its task caused
     the crash, from 0 to 1, without regard to its other crashes. `is_proven` is set once the process
-    is gone, and `is_certain` if it certainly crashed with the run on it.
+    is gone. `is_certain` is set if the executor had answered the start and was lost alone, and
+    `is_witnessed` if its process ended while the run was on it, so that it certainly crashed.
     """
 
     executor: str
@@ -249,6 +251,7 @@
     is_certain: bool = True
     is_proven: bool = False
     survived_s: float = 0.0
+    is_witnessed: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -33,14 +33,15 @@
     number: int,
 ) -> Run:
     """Send a start and occupy its resources from now on; return the new run."""
+    run = Run(step, task.index, step.build_task_name(task.index), executor.id, number, state.now)
+    executor.add_run(run)
     expiry_ms = extend_lease(state, executor)
     if expiry_ms is None:
+        executor.remove_run(run)
         raise ValueError(f"executor {executor.id} cannot get a lease")
-    run = Run(step, task.index, step.build_task_name(task.index), executor.id, number, state.now)
     task.last_run = number
     task.runs.append(run)
     step.job.has_started = True
-    executor.add_run(run)
     ticket = step.tickets.get(executor.id)
     run.start_order = StartTask(
         executor.id,
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -220,7 +220,8 @@
     if not step.crashes and not step.unconfirmed:
         return fields
     crashes = {
-        number: [astuple(crash) for crash in crashes] for number, crashes in step.crashes.items()
+        number: [_encode_crash(crash) for crash in crashes]
+        for number, crashes in step.crashes.items()
     }
     if not step.unconfirmed:
         return (*fields, crashes)
@@ -230,6 +231,12 @@
     return (*fields, crashes, unconfirmed)
 
 
+def _encode_crash(crash: Crash) -> tuple[Any, ...]:
+    """Return the fields of a crash; the last one is left out if it is not set."""
+    fields = astuple(crash)
+    return fields if crash.is_witnessed else fields[:-1]
+
+
 def encode_void() -> bytes:
     """Encode the record of an id that was cancelled before its job was stored."""
     return encode_progress(JobProgress(VOID))
@@ -284,7 +291,7 @@
 
 def _decode_crash(row: Any) -> Crash:
     """Decode a crash of an executor under a task."""
-    executor, born_ms, age_s, blame, *more = _check_list(row, "crash", 7, 4)
+    executor, born_ms, age_s, blame, *more = _check_list(row, "crash", 8, 4)
     crash = Crash(
         _check_text(executor, "crash"),
         _check_whole_number(born_ms, "crash"),
@@ -294,6 +301,8 @@
     )
     if len(more) > 2:
         crash.survived_s = _check_number(more[2], "crash")
+    if len(more) > 3:
+        crash.is_witnessed = _check_flag(more[3], "crash")
     return crash
 
 
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -30,7 +30,14 @@
     mark_job_dirty,
 )
 from wasabiramp.scheduling.leases import confirm_lease
-from wasabiramp.scheduling.model import END_DONE, END_FAILED, EndReport, RunReport, parse_task
+from wasabiramp.scheduling.model import (
+    END_BROKEN,
+    END_DONE,
+    END_FAILED,
+    EndReport,
+    RunReport,
+    parse_task,
+)
 from wasabiramp.scheduling.orders import release_run, resend_start, send_stop, stop_run
 from wasabiramp.scheduling.state import (
     ExecutorState,
@@ -119,13 +126,21 @@
     executor.next_hold_at = state.now
 
 
-def stop_other_members(state: SchedulerState, run: Run) -> None:
-    """Stop the other members of a gang after one of them did not start or ended."""
+def stop_other_members(state: SchedulerState, run: Run, is_broken: bool = False) -> None:
+    """Stop the other members of a gang after one of them did not start or ended.
+
+    `is_broken` is set if it ended because another one did.
+    """
     step = run.step
     if step is None or not step.spec.is_gang:
         return
     for other in step.iter_runs():
-        if other is not run and other.number == run.number and not other.wants_stop:
+        if other is run or other.number != run.number:
+            continue
+        other.may_have_broken_gang = is_broken and (
+            other.may_have_broken_gang or not other.wants_stop
+        )
+        if not other.wants_stop:
             stop_run(state, other)
 
 
@@ -247,7 +262,7 @@
     elif end.how == END_FAILED:
         record_failed_run(state, executor, step, index, end, lease_gaps)
     if step.spec.is_gang and not step.is_done and run is not None:
-        stop_other_members(state, run)
+        stop_other_members(state, run, end.how == END_BROKEN)
 
 
 def _log_end(
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -19,6 +19,7 @@
 from wasabiramp.scheduling.attribution import get_last_attributed_end
 from wasabiramp.scheduling.effects import Effect
 from wasabiramp.scheduling.events import Committed
+from wasabiramp.scheduling.leases import note_suspension
 from wasabiramp.scheduling.model import FINAL_PHASES
 from wasabiramp.scheduling.placement import place_work
 from wasabiramp.scheduling.state import JobRun, SchedulerState
@@ -90,6 +91,10 @@
         """Let no lease that is given from now on end after a time on the event loop's clock."""
         self.state.leases_end_by = end_by
 
+    def note_suspension(self, now: float, suspended_s: float) -> None:
+        """Note the total time for which the machine was suspended, in seconds."""
+        note_suspension(self.state, now, suspended_s)
+
     def apply(self, event: Any, now: float) -> list[Effect]:
         """Reduce one event and return its effects."""
         self.state.now = now
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -39,6 +39,8 @@
     `percent` is its progress at the last speed sample, and `pace` is None if unknown. `lease_gaps`
     is the number of gaps in the lease of its executor when it was last known to run, or None.
     `lost_with` is the start time of the executor's process with which it may have been lost.
+    `may_have_broken_gang` is set if it is to be stopped only because other members of its gang
+    ended, and these ended because another one did.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "is_uncertain",
         "lease_gaps",
         "lost_with",
+        "may_have_broken_gang",
         "sampled_at",
         "sampled_clock_ms",
         "number",
@@ -83,6 +86,7 @@
         self.is_uncertain = False
         self.lease_gaps: int | None = None
         self.lost_with: int | None = None
+        self.may_have_broken_gang = False
         self.wants_stop = False
         self.stop_sent_at: float | None = None
         self.stop_confirmed_at: float | None = None
@@ -368,6 +372,7 @@
     is set while the platform lists an entry that cannot be used. `slowness` is 1 at the estimated
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering, of which `loss` tells when.
+    `open_crashes` are the crashes of earlier processes that an answer of this one may witness.
 
     Its clock showed `clock_ms` between `clock_asked_at` and `clock_at`. By its answers, its lease
     lasts until `lease_confirmed_ms` on that clock at least. `lease_gaps` counts how often it may
@@ -415,6 +420,7 @@
         "lease_until_ms",
         "loss",
         "must_answer",
+        "open_crashes",
         "reached_at",
         "reported_lease_gaps",
         "has_new_ends",
@@ -454,6 +460,7 @@
         self.cooldown_s = 0.0
         self.slowness = 1.0
         self.unconfirmed_ends: dict[int, UnconfirmedEnd] = {}
+        self.open_crashes: list[TaskAtCrash] = []
         self.reset(entry.born_ms)
 
     def reset(self, born_ms: int) -> None:
@@ -519,7 +526,9 @@
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
     share of its greatest capacity to which an executor has shrunk. No lease may end later than
-    `leases_end_by`, which follows from the last proof of the owner's term.
+    `leases_end_by`, which follows from the last proof of the owner's term. Those that are longer
+    than usual have ended by `long_leases_end_at`. The machine was suspended for `suspended_s` in
+    all, at `resumed_at` for the last time.
     """
 
     __slots__ = (
@@ -540,14 +549,17 @@
         "losses",
         "leases_end_by",
         "list_age_s",
+        "long_leases_end_at",
         "smallest_capacity_share",
         "executor_list_version",
         "now",
         "open_steps",
         "predecessor_leases_end_at",
         "recovered_revision",
+        "resumed_at",
         "risk_by_queue",
         "suspect_steps",
+        "suspended_s",
         "term",
         "unexplained_at",
         "unexplained_crashes",
@@ -563,6 +575,9 @@
         self.lease_s = lease_s
         self.lease_limit_s = lease_limit_s
         self.leases_end_by = math.inf
+        self.long_leases_end_at = -math.inf
+        self.suspended_s: float | None = None
+        self.resumed_at = -math.inf
         self.wall_offset_s = wall_offset_s
         self.config = CellConfig(0, ())
         self.executors: dict[str, ExecutorState] = {}
--- a/wasabiramp/scheduling/suspicion.py
+++ b/wasabiramp/scheduling/suspicion.py
@@ -11,8 +11,9 @@
   same moment (`scheduling/losses.py`), and other suspicious runs on the executor;
 - a crash at an earlier age had another cause.
 
-So crashes at ages that differ, and those in a wave of crashes, hardly count against a task. It is
-given up only for crashes of several executors (`is_convicting`).
+So crashes at ages that differ, and those in a wave of crashes, hardly count against a task. A
+suspicion decides which tasks are tried apart. It convicts none: that takes crashes of several
+executors that were witnessed (`is_convicting`, `scheduling/crash_evidence.py`).
 """
 
 from __future__ import annotations
@@ -41,18 +42,11 @@
 MIN_SUSPICION: Final = 0.05
 """Suspicion from which a task runs apart from other work."""
 
-LEAST_SUSPICION: Final = ((2.0, 0.98), (3.0, 0.93))
-"""Numbers of crashes at about the same age, and the suspicion from which a task is given up."""
-
-ANY_AGES: Final = (2.0, 0.99)
-"""The same for crashes at any ages.
-
-A run that seems to have outlived an age may have been on an executor that did not run it yet."""
+LEAST_SUSPICION: Final = 0.98
+"""Suspicion from which a task is given up, if it has witnessed crashes enough."""
 
 UNCERTAIN_WEIGHT: Final = 0.5
-"""Weight of a crash if the start was not answered, as the executor may have been gone before it, if
-the executor only vanished, if others were lost in the same moment, or if it had crashed under the
-task before."""
+"""Weight of a crash if the start was not answered, as the executor may have been gone before it."""
 
 MIN_EXECUTORS: Final = 2
 MAX_REPEATED_CRASHES: Final = 3
@@ -117,17 +111,6 @@
     return odds / (1 + odds)
 
 
-def find_matching_crashes(crashes: list[Crash]) -> list[Crash]:
-    """Return the crashes at the age at which the task most likely crashes its executors."""
-    age_s, _ratio = max(_weigh_ages(crashes), key=lambda row: row[1], default=(-1.0, 0.0))
-    matching = []
-    for crash in crashes:
-        youngest_s, oldest_s = widen_window(crash.survived_s, crash.age_s)
-        if youngest_s <= age_s < oldest_s:
-            matching.append(crash)
-    return matching
-
-
 def _weigh_ages(crashes: list[Crash]) -> list[tuple[float, float]]:
     """Return ages at which a task may crash its executors, each with its likelihood.
 
@@ -152,28 +135,13 @@
 def is_convicting(crashes: list[Crash]) -> bool:
     """Return whether the recorded crashes of a task are evidence enough to give it up.
 
-    Only crashes of executors whose processes are gone count.
+    Two executors must certainly have crashed while a run of the task was on them; losses of contact
+    do not count, however many there are. One executor is enough if it crashed more often, as only
+    that one may be able to run the task.
     """
+    witnessed = [crash for crash in crashes if crash.is_witnessed]
+    executors = {crash.executor for crash in witnessed}
+    if len(executors) < MIN_EXECUTORS and len(witnessed) < MAX_REPEATED_CRASHES:
+        return False
     proven = [crash for crash in crashes if crash.is_proven]
-    matching = find_matching_crashes(proven)
-    suspicion = measure_suspicion(proven)
-    count = _count_executors(matching)
-    if any(count >= least and suspicion >= needed for least, needed in LEAST_SUSPICION):
-        return True
-    least, needed = ANY_AGES
-    return _count_executors(proven) >= least and suspicion >= needed
-
-
-def _count_executors(crashes: list[Crash]) -> float:
-    """Return how many executors have crashed, those that are not certain counting less.
-
-    The executors of few crashes must be different, as one of them may have a fault of its own.
-    """
-    executors: set[str] = set()
-    count = 0.0
-    for crash in crashes:
-        is_full = crash.is_certain and crash.executor not in executors
-        count += 1.0 if is_full else UNCERTAIN_WEIGHT
-        executors.add(crash.executor)
-    is_enough = len(executors) >= MIN_EXECUTORS or len(crashes) >= MAX_REPEATED_CRASHES
-    return count if is_enough else 0.0
+    return measure_suspicion(proven) >= LEAST_SUSPICION
