Give a task up at less suspicion from the third witnessed crash on

Callers lose executors to a deadly task; the rule allows two starts after three crashes.

So 0.85: a sound job that is given up then has met three crashes, which the rule allows, while a sixth start breaks it.

--- a/wasabiramp/scheduling/suspicion.py
+++ b/wasabiramp/scheduling/suspicion.py
@@ -42,8 +42,8 @@
 MIN_SUSPICION: Final = 0.05
 """Suspicion from which a task runs apart from other work."""
 
-LEAST_SUSPICION: Final = 0.98
-"""Suspicion from which a task is given up, if it has witnessed crashes enough."""
+LEAST_SUSPICION: Final = ((2, 0.98), (3, 0.85))
+"""Numbers of witnessed crashes, and the suspicion from which a task is given up by them."""
 
 UNCERTAIN_WEIGHT: Final = 0.5
 """Weight of a crash if the start was not answered, as the executor may have been gone before it."""
@@ -143,5 +143,5 @@
     executors = {crash.executor for crash in witnessed}
     if len(executors) < MIN_EXECUTORS and len(witnessed) < MAX_REPEATED_CRASHES:
         return False
-    proven = [crash for crash in crashes if crash.is_proven]
-    return measure_suspicion(proven) >= LEAST_SUSPICION
+    suspicion = measure_suspicion([crash for crash in crashes if crash.is_proven])
+    return any(len(witnessed) >= least and suspicion >= needed for least, needed in LEAST_SUSPICION)
