Let the next owner wait for longer leases of the owner before the last one as well

What callers would see: TWICE. Owner A gives a suspect a lease of 6 s and dies; B claims, hears all executors and ends within 4 s; C asks B, is told that leases are usual, and waits 3.8 s. An executor that was cut off after it had answered B goes on under A's lease for up to 2.5 s longer.

Cause: since suspects get the longest lease, B knew only until when its own long leases last, but executors that answer a new owner keep the lease that they have.

--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -179,6 +179,30 @@
         world.run(run_scenario())
         assert answers == [LATER, LATER, OK]
 
+    # Guards against TWICE: an owner that is followed soon after it took over tells that leases are
+    # usual, though an executor that answered it still has a longer one of the owner before.
+    def test_owner_that_took_over_from_one_with_longer_leases_asks_to_wait(self) -> None:
+        world = World(3)
+        answers: list[str] = []
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            name = find_owner(world)
+            assert name is not None
+            daemon = world.daemons[name]
+            owner = daemon.owner
+            assert owner is not None
+            usual_s = convert_lease_s(RUN_LEASE_S)
+            owner.scheduler.state.predecessor_leases_end_at = world.loop.time() + usual_s + 2.0
+            message = EndTenure(owner.tenure.term)
+            for delay_s in (1.9, 0.2):
+                answers.append((await daemon._async_serve_peer(message)).outcome)
+                await asyncio.sleep(delay_s)
+            answers.append((await daemon._async_serve_peer(message)).outcome)
+
+        world.run(run_scenario())
+        assert answers == [LATER, LATER, OK]
+
 
 class TestOutages:
     """Work outlasts a short outage of the store, and starts again after a long one."""
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -508,8 +508,13 @@
             return
 
     def get_usual_leases_from(self) -> float:
-        """Return the time from which no lease lasts longer than a usual one that is given then."""
-        return self.scheduler.state.long_leases_end_at - convert_lease_s(self._lease_s)
+        """Return the time from which no lease lasts longer than a usual one that is given then.
+
+        Executors that answered this owner may still have a lease of an earlier one.
+        """
+        state = self.scheduler.state
+        ends_at = max(state.long_leases_end_at, state.predecessor_leases_end_at)
+        return ends_at - convert_lease_s(self._lease_s)
 
     def has_heard_all(self) -> bool:
         """Return whether it is known of all executors what earlier owners left on them."""
--- a/wasabiramp/entry/peers.py
+++ b/wasabiramp/entry/peers.py
@@ -110,7 +110,8 @@
     """Tell the owner of a term that another daemon has claimed a later one.
 
     The answer is OK if the process was the owner in that term, knew what all executors ran, and
-    gives no more orders. It is `LATER` while leases that it gave last longer than usual.
+    gives no more orders. It is `LATER` while leases of it or of earlier owners may last longer than
+    usual.
     """
 
     term: int
