Witness no crash under a run that may have ended after contact was lost

A run was judged only when its executor fell silent. One that was stopped after that by an answered order, or whose gang ended after that (another member failed or lapsed, its executor drained), still counted as there when the process ended for another cause.

Two more orders with gangs: the other member's executor is lost while that member is not known to run, or its new process is known by its entry before the first one falls silent.

--- a/tests/scheduling/test_crash_evidence.py
+++ b/tests/scheduling/test_crash_evidence.py
@@ -5,9 +5,15 @@
 import pytest
 
 from tests.scheduling.deadly_cell import DOWNTIME_S, make_job_id
-from tests.scheduling.helpers import SchedulerHarness, StartTask, make_step
+from tests.scheduling.helpers import SchedulerHarness, StartTask, StopTask, make_step
 from wasabiramp.entry.owner import RUN_LEASE_S
-from wasabiramp.scheduling.events import OTHER_INCARNATION, UNKNOWN, HoldFailed
+from wasabiramp.scheduling.events import (
+    OTHER_INCARNATION,
+    STARTED,
+    UNKNOWN,
+    HoldFailed,
+    StopAnswered,
+)
 from wasabiramp.scheduling.leases import convert_lease_s
 from wasabiramp.scheduling.model import Crash, JobProgress, StepProgress
 from wasabiramp.scheduling.orders import stop_run
@@ -146,6 +152,19 @@
         trial.restart(1.0)
         assert not trial.is_witnessed()
 
+    # Guards against LOST: a run that was stopped after contact was lost, by an answered order, was
+    # taken for one that was there at the crash.
+    def test_run_that_was_stopped_after_contact_was_lost(self) -> None:
+        trial = Trial()
+        harness = trial.harness
+        state = harness.scheduler.state
+        run = state.executors[trial.start.executor].runs[(trial.start.task, trial.start.run)]
+        harness.apply(HoldFailed(trial.start.executor, harness.now, UNKNOWN))
+        stop_run(state, run)
+        harness.apply(StopAnswered(run.executor, run.task, run.number, STARTED))
+        trial.restart(1.0)
+        assert not trial.is_witnessed()
+
 
 class TestGangs:
     """One member's end ends the others, so only the first one may have crashed its executor."""
@@ -194,6 +213,57 @@
             self.restart(harness, start.executor)
         assert self.count_witnessed(job) == 0
 
+    # Guards against LOST: a member that was told to stop, or ended with its gang, after contact
+    # with its executor was lost was taken for one that was there at the crash.
+    @pytest.mark.parametrize("how", ["failed", "lapsed"])
+    def test_member_that_ends_after_the_loss_is_noticed(self, how: str) -> None:
+        harness, job, (first, second) = self.start_gang()
+        harness.apply(HoldFailed(first.executor, harness.now, UNKNOWN))
+        harness.tick(0.1)
+        harness.end_run(second, how)
+        harness.answer_hold(second.executor)
+        (stop,) = harness.take_effects(StopTask)
+        harness.answer_stop(stop)
+        harness.tick(1.0)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 0
+
+    # Guards against BUDGET: the end of the others that follows on a crash hid it.
+    def test_member_that_is_broken_after_the_loss_is_noticed(self) -> None:
+        harness, job, (first, second) = self.start_gang()
+        harness.crash_executor(first.executor)
+        harness.tick(0.1)
+        harness.end_run(second, "broken")
+        harness.answer_hold(second.executor)
+        harness.tick(1.0)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 1
+
+    # Guards against LOST: the loss of a member that is not known to run did not count as one that
+    # may have ended the others.
+    def test_other_executor_is_lost_whose_member_is_not_known_to_run(self) -> None:
+        harness, job, (first, second) = self.start_gang()
+        state = harness.scheduler.state
+        state.executors[second.executor].runs[(second.task, second.run)].lease_gaps = 0
+        harness.apply(HoldFailed(first.executor, harness.now, UNKNOWN))
+        harness.tick(0.1)
+        harness.crash_executor(second.executor)
+        harness.tick(1.0)
+        self.restart(harness, second.executor)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 0
+
+    # Guards against LOST: an executor whose new process is known was not taken for a lost one.
+    def test_other_executor_is_reborn_before_the_loss_is_noticed(self) -> None:
+        harness, job, (first, second) = self.start_gang()
+        harness.running[second.executor] = []
+        harness.incarnations[second.executor] = 2
+        harness.list_executor(second.executor, cpu=1_000)
+        harness.crash_executor(first.executor)
+        harness.tick(1.0)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 0
+
 
 class TestTrials:
     """A suspect gets the longest lease, so that a crash under it is told from lost contact."""
--- a/wasabiramp/scheduling/crash_evidence.py
+++ b/wasabiramp/scheduling/crash_evidence.py
@@ -22,14 +22,26 @@
     run was last known, if the run was told to stop, or if another member of its gang may have
     ended before, which ends it too.
     """
-    is_known = run.lease_gaps is not None and run.lease_gaps == executor.lease_gaps
-    may_have_ended = run.wants_stop and not run.may_have_broken_gang
-    if not is_known or may_have_ended or _is_gang_lost(state, run):
+    may_have_ended = _may_have_ended(state, run)
+    if may_have_ended or run.lease_gaps is None or run.lease_gaps != executor.lease_gaps:
         return
+    task.run = run
     task.answer_asked_at = executor.clock_asked_at
     task.lease_ends_at = state.now + estimate_confirmed_lease_s(state, executor)
 
 
+def forget_lease_if_ended(state: SchedulerState, task: TaskAtCrash) -> None:
+    """Forget the lease of a run that may have ended after contact with its executor was lost."""
+    if task.run is not None and _may_have_ended(state, task.run):
+        task.lease_ends_at = -math.inf
+
+
+def _may_have_ended(state: SchedulerState, run: Run) -> bool:
+    """Return whether a run was told to stop, or may have ended with its gang."""
+    is_gang_lost = _is_gang_lost(state, run)
+    return is_gang_lost or (run.wants_stop and not run.may_have_broken_gang)
+
+
 def get_lease_left_s(state: SchedulerState, task: TaskAtCrash) -> float:
     """Return for how long the lease of a run still lasts at least; negative if it may be over."""
     return task.lease_ends_at - state.now
@@ -42,13 +54,28 @@
     """
     if run.step is None or not run.step.spec.is_gang:
         return False
-    others = {other.executor for other in run.step.iter_runs() if other.executor != run.executor}
-    lost = [e for e in map(state.executors.get, others) if e is None or e.silent_since is not None]
-    for executor in lost:
-        for task in executor.tasks_at_silence if executor is not None else ():
+    is_lost = False
+    for other in run.step.iter_runs():
+        executor = state.executors.get(other.executor)
+        if other.executor == run.executor or not _is_contact_lost(executor, other):
+            continue
+        is_lost = True
+        for task in _list_crashes(executor):
             if task.step is run.step:
                 task.lease_ends_at = -math.inf
-    return bool(lost)
+    return is_lost
+
+
+def _is_contact_lost(executor: ExecutorState | None, run: Run) -> bool:
+    """Return whether an executor does not answer, or a run was lost with its earlier process."""
+    if executor is None or executor.silent_since is not None:
+        return True
+    return run.confirmed_at is not None and run.lease_gaps is None
+
+
+def _list_crashes(executor: ExecutorState | None) -> list[TaskAtCrash]:
+    """Return the crashes of an executor that may still be witnessed."""
+    return [*executor.tasks_at_silence, *executor.open_crashes] if executor is not None else []
 
 
 def witness_crashes(state: SchedulerState, executor: ExecutorState, born_ms: int | None) -> None:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -104,7 +104,8 @@
     that this task did. `chance` is the probability that the executor crashed in that time anyway,
     and `age_share` that a sound run is at such an age at any time. By answers up to one that was
     asked for at `answer_asked_at`, the run was there under a lease that lasts at least until
-    `lease_ends_at`, which is in the past if that is not known.
+    `lease_ends_at`, which is in the past if that is not known. `run` is that run, or None if the
+    record is one of an earlier owner.
     """
 
     __slots__ = (
@@ -115,6 +116,7 @@
         "index",
         "lease_ends_at",
         "mass",
+        "run",
         "step",
         "weight",
     )
@@ -130,6 +132,7 @@
         self.weight = 0.0
         self.answer_asked_at = -math.inf
         self.lease_ends_at = -math.inf
+        self.run: Run | None = None
 
 
 class Loss:
