Keep the suspicion of a task with many losses a number

What callers would see: BUDGET, and no verdict ever. From some 60 to 150 recorded losses the likelihoods overflow, odds of inf / inf are nan, and nan is less than any limit: the task is no suspect any more and is never given up, however many crashes are witnessed then. Before the rule of witnessed crashes a record had three or four; now losses without a witness add up without a limit.

--- a/tests/scheduling/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -82,6 +82,17 @@
         assert measure_suspicion(crashes) > 0.999
         assert not is_convicting(crashes)
 
+    # Guards against BUDGET: an overflow made the suspicion no number, and so no suspicion.
+    @pytest.mark.parametrize("count", [80, 150, 1000])
+    @pytest.mark.parametrize(("survived_s", "age_s"), [(0.0, 0.015), (1.0, 1.5), (500.0, 900.0)])
+    def test_suspicion_of_many_losses_is_a_number(
+        self, count: int, survived_s: float, age_s: float
+    ) -> None:
+        crashes = [make_crash(str(number), survived_s, age_s) for number in range(count)]
+        assert 0 <= measure_suspicion(crashes) <= 1
+        if age_s < 1:
+            assert is_convicting(crashes)
+
     def test_losses_beside_two_witnessed_crashes_convict(self) -> None:
         crashes = [make_crash(name, 0.0, 0.015) for name in "abcd"]
         crashes[0].is_witnessed = crashes[2].is_witnessed = False
--- a/wasabiramp/scheduling/suspicion.py
+++ b/wasabiramp/scheduling/suspicion.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import math
 from typing import Final
 
@@ -48,6 +49,9 @@
 UNCERTAIN_WEIGHT: Final = 0.5
 """Weight of a crash if the start was not answered, as the executor may have been gone before it."""
 
+MAX_LIKELIHOOD_RATIO: Final = 1e100
+"""Greatest likelihood ratio of the crashes of a task, of which there may be many."""
+
 MIN_EXECUTORS: Final = 2
 MAX_REPEATED_CRASHES: Final = 3
 """Number of different executors that must have crashed under a task that is given up, and number of
@@ -105,7 +109,7 @@
     chances = [_restore_chance(crash) for crash in crashes]
     longest_s = max(widen_window(crash.survived_s, crash.age_s)[1] for crash in crashes)
     steady = 1 - _accumulate_mass(longest_s) + sum(ratio for _age, ratio in _weigh_ages(crashes))
-    unsteady = math.prod(mass / chance for mass, chance in zip(masses, chances, strict=True))
+    unsteady = _multiply(mass / chance for mass, chance in zip(masses, chances, strict=True))
     ratio = (1 - UNSTEADY_SHARE) * steady + UNSTEADY_SHARE * unsteady
     odds = ratio * BASE_SUSPICION / (1 - BASE_SUSPICION)
     return odds / (1 + odds)
@@ -123,7 +127,7 @@
     edges = sorted({edge for window in windows for edge in window if edge >= survived_s})
     rows = []
     for youngest_s, oldest_s in zip(edges, edges[1:], strict=False):
-        ratio = math.prod(
+        ratio = _multiply(
             1 / chance
             for (low, high), chance in zip(windows, chances, strict=True)
             if low <= youngest_s and oldest_s <= high
@@ -132,6 +136,14 @@
     return rows
 
 
+def _multiply(ratios: Iterable[float]) -> float:
+    """Return the product of likelihood ratios, which is limited, as no odds may be infinite."""
+    product = 1.0
+    for ratio in ratios:
+        product = min(MAX_LIKELIHOOD_RATIO, product * ratio)
+    return product
+
+
 def is_convicting(crashes: list[Crash]) -> bool:
     """Return whether the recorded crashes of a task are evidence enough to give it up.
 
