Take no start that the next process answered for one on the process before

What callers would see: LOST. The answer to a start names no process. If an executor restarts before its hold fails, the next process answers starts, and the report that tells its start time then made the runs that it has crashes of the process before, witnessed by that report itself.

Now a clock that goes back shows another process (clocks start anew). Starts that it answered tell nothing until a report does.

--- a/tests/scheduling/test_crash_evidence.py
+++ b/tests/scheduling/test_crash_evidence.py
@@ -165,6 +165,25 @@
         trial.restart(1.0)
         assert not trial.is_witnessed()
 
+    # Guards against LOST: the answer to a start names no process, so it may be that of the
+    # next one, whose clock starts anew.
+    @pytest.mark.parametrize("is_silent", [False, True])
+    def test_starts_that_the_next_process_answered(self, is_silent: bool) -> None:
+        harness = SchedulerHarness(executors=1, lease_s=RUN_LEASE_S)
+        job = harness.submit(make_job_id(0), "batch", make_step(2))
+        starts = harness.place()
+        harness.tick(0.1)
+        harness.clock_lag_s = harness.now - 0.05
+        for start in starts:
+            harness.answer_start(start)
+        harness.tick(0.1)
+        if is_silent:
+            harness.apply(HoldFailed("e0", harness.now, UNKNOWN))
+        harness.incarnations["e0"] = 2
+        harness.answer_hold("e0")
+        rows = job.progress.steps[(0, 0)].crashes.values()
+        assert not any(crash.is_witnessed for crashes in rows for crash in crashes)
+
 
 class TestGangs:
     """One member's end ends the others, so only the first one may have crashed its executor."""
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -253,6 +253,7 @@
     executor.clock_at = state.now
     executor.clock_asked_at = event.sent_at
     executor.has_accepted_fence = True
+    executor.may_be_next_process = False
     _note_address(state, executor, event.address or executor.hold_address)
     executor.must_answer &= not is_complete(report)
     if executor.silent_since is not None:
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -82,13 +82,14 @@
         executor.answered_at = state.now
     is_same_process = event.outcome != OTHER_INCARNATION and event.sent_at >= executor.born_known_at
     if event.clock_ms is not None and is_same_process:
+        executor.may_be_next_process |= _has_earlier_clock(executor, event)
         executor.clock_ms, executor.clock_at = event.clock_ms, state.now
         executor.clock_asked_at = event.sent_at
         is_renewed = event.outcome in (STARTED, REFUSED_OLD, REFUSED_ROOM)
         confirm_lease(executor, event.clock_ms, event.until_ms if is_renewed else None)
     if event.outcome == STARTED:
         run.confirmed_at = state.now
-        if is_same_process:
+        if is_same_process and not executor.may_be_next_process:
             run.lease_gaps = executor.lease_gaps
         return
     state.log_decision(
@@ -111,6 +112,13 @@
     stop_other_members(state, run)
 
 
+def _has_earlier_clock(executor: ExecutorState, event: StartAnswered) -> bool:
+    """Return whether an executor's clock has gone back, as another process answered a start."""
+    if event.clock_ms is None or executor.clock_ms is None:
+        return False
+    return event.sent_at >= executor.clock_at and event.clock_ms < executor.clock_ms
+
+
 def _handle_start_refusal(
     state: SchedulerState, executor: ExecutorState, run: Run, outcome: str
 ) -> None:
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -376,6 +376,8 @@
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering, of which `loss` tells when.
     `open_crashes` are the crashes of earlier processes that an answer of this one may witness.
+    `may_be_next_process` is set if its clock has gone back since the last report, so that the
+    starts that were answered since are those of a process that is not known yet.
 
     Its clock showed `clock_ms` between `clock_asked_at` and `clock_at`. By its answers, its lease
     lasts until `lease_confirmed_ms` on that clock at least. `lease_gaps` counts how often it may
@@ -422,6 +424,7 @@
         "lease_gaps",
         "lease_until_ms",
         "loss",
+        "may_be_next_process",
         "must_answer",
         "open_crashes",
         "reached_at",
@@ -497,6 +500,7 @@
         self.cooldown_until = 0.0
         self.silent_since: float | None = None
         self.loss: Loss | None = None
+        self.may_be_next_process = False
         self.tasks_at_silence: list[TaskAtCrash] = []
         self.expired_runs: set[tuple[str, int]] = set()
         self.unstored_withdrawals: set[int] = set()
