Take no run that an overtaken report lists for one on the executor now

What callers would see: LOST. Two holds may be open, as after a takeover. If the report of the first one arrives last, it lists a run whose end was read since; the run was adopted as known to be there, and a crash right after that was witnessed under it.

--- a/tests/scheduling/test_crash_evidence.py
+++ b/tests/scheduling/test_crash_evidence.py
@@ -184,6 +184,23 @@
         rows = job.progress.steps[(0, 0)].crashes.values()
         assert not any(crash.is_witnessed for crashes in rows for crash in crashes)
 
+    # Guards against LOST: a hold that was overtaken lists a run whose end was read since.
+    def test_run_that_an_overtaken_report_lists(self) -> None:
+        trial = Trial()
+        harness, start = trial.harness, trial.start
+        overtaken_at = harness.now
+        listed = harness.running[start.executor]
+        harness.tick(0.1)
+        harness.end_run(start, "lapsed")
+        harness.answer_hold(start.executor)
+        harness.tick(0.01)
+        harness.running[start.executor] = listed
+        harness.ended[start.executor] = []
+        harness.answer_hold(start.executor, overtaken_at)
+        harness.crash_executor(start.executor)
+        trial.restart(1.0)
+        assert not any(crash.is_witnessed for crash in trial.list_crashes())
+
 
 class TestGangs:
     """One member's end ends the others, so only the first one may have crashed its executor."""
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -178,7 +178,9 @@
         run = adopt_run(state, executor, run_report)
     if run.confirmed_at is None:
         run.confirmed_at = sent_at
-    run.lease_gaps = executor.lease_gaps
+    # A report that was overtaken may list a run whose end was read since.
+    if sent_at >= executor.answered_hold_sent_at:
+        run.lease_gaps = executor.lease_gaps
     if run.step is not None and run_report.saved:
         run.step.tasks[run.index].saved = run_report.saved
     if run.step is not None and not is_wanted(run) and not _ends_with_gang(run):
