--- a/tests/scheduling/test_crash_evidence.py
+++ b/tests/scheduling/test_crash_evidence.py
@@ -14,8 +14,9 @@
     HoldFailed,
     StopAnswered,
 )
+from wasabiramp.scheduling.evidence import ENDS_PER_PAGE
 from wasabiramp.scheduling.leases import convert_lease_s
-from wasabiramp.scheduling.model import Crash, JobProgress, StepProgress
+from wasabiramp.scheduling.model import Crash, EndReport, JobProgress, StepProgress
 from wasabiramp.scheduling.orders import stop_run
 from wasabiramp.scheduling.records import decode_progress, encode_progress
 from wasabiramp.scheduling.state import JobRun
@@ -184,6 +185,22 @@
         rows = job.progress.steps[(0, 0)].crashes.values()
         assert not any(crash.is_witnessed for crashes in rows for crash in crashes)
 
+    # Guards against LOST: a report without a run shows that it has ended, also if its end is on a
+    # page that was not read.
+    def test_run_that_a_report_with_a_full_page_of_ends_does_not_list(self) -> None:
+        trial = Trial()
+        harness, start = trial.harness, trial.start
+        harness.running[start.executor] = []
+        harness.ended[start.executor] = [
+            EndReport(number, f"{make_job_id(9)}.0.0.{number}", 1, "done", "")
+            for number in range(1, ENDS_PER_PAGE + 1)
+        ]
+        harness.tick(0.1)
+        harness.answer_hold(start.executor)
+        harness.crash_executor(start.executor)
+        trial.restart(1.0)
+        assert not any(crash.is_witnessed for crash in trial.list_crashes())
+
     # Guards against LOST: a hold that was overtaken lists a run whose end was read since.
     def test_run_that_an_overtaken_report_lists(self) -> None:
         trial = Trial()
--- a/wasabiramp/scheduling/crash_evidence.py
+++ b/wasabiramp/scheduling/crash_evidence.py
@@ -37,9 +37,10 @@
 
 
 def _may_have_ended(state: SchedulerState, run: Run) -> bool:
-    """Return whether a run was told to stop, or may have ended with its gang."""
+    """Return whether a run is not listed, was told to stop, or may have ended with its gang."""
     is_gang_lost = _is_gang_lost(state, run)
-    return is_gang_lost or (run.wants_stop and not run.may_have_broken_gang)
+    is_stopped = run.wants_stop and not run.may_have_broken_gang
+    return is_gang_lost or is_stopped or run.is_unlisted
 
 
 def get_lease_left_s(state: SchedulerState, task: TaskAtCrash) -> float:
--- a/wasabiramp/scheduling/evidence.py
+++ b/wasabiramp/scheduling/evidence.py
@@ -75,6 +75,15 @@
             _release_without_end(state, run)
 
 
+def note_unlisted_runs(
+    executor: ExecutorState, listed: set[tuple[str, int]], sent_at: float
+) -> None:
+    """Note the runs that have ended, as a report does not list them, but whose ends may follow."""
+    for key, run in executor.runs.items():
+        if run.confirmed_at is not None and run.confirmed_at < sent_at:
+            run.is_unlisted = key not in listed
+
+
 def _release_without_end(state: SchedulerState, run: Run) -> None:
     """Release a run whose end was not listed.
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -47,6 +47,7 @@
     has_lease_ended,
     is_complete,
     is_replaced,
+    note_unlisted_runs,
     release_unlisted_runs,
 )
 from wasabiramp.scheduling.holds import send_hold
@@ -270,6 +271,8 @@
     if is_complete(report):
         executor.reported_lease_gaps = executor.lease_gaps
         release_unlisted_runs(state, executor, listed, event.sent_at)
+    else:
+        note_unlisted_runs(executor, listed, event.sent_at)
     settle_ends(state, executor, event)
     schedule_next_hold(state, executor)
 
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -38,6 +38,7 @@
 
     `percent` is its progress at the last speed sample, and `pace` is None if unknown. `lease_gaps`
     is the number of gaps in the lease of its executor when it was last known to run, or None.
+    `is_unlisted` is set if a report that may lack further ends did not list it.
     `lost_with` is the start time of the executor's process with which it may have been lost.
     `may_have_broken_gang` is set if it is to be stopped only because other members of its gang
     ended, and these ended because another one did.
@@ -48,6 +49,7 @@
         "executor",
         "index",
         "is_uncertain",
+        "is_unlisted",
         "lease_gaps",
         "lost_with",
         "may_have_broken_gang",
@@ -84,6 +86,7 @@
         self.pace: int | None = FULL_PACE_PERCENT if step is not None else None
         self.confirmed_at: float | None = None
         self.is_uncertain = False
+        self.is_unlisted = False
         self.lease_gaps: int | None = None
         self.lost_with: int | None = None
         self.may_have_broken_gang = False
