Witness no crash of an executor that turns out to drain

What callers would see: LOST. An executor that leaves on purpose closes its connections, and the list of executors may tell that it drains only after that. If another process was back within the lease, as in a rolling restart, that counted as a crash under all its tasks.

--- a/tests/scheduling/test_crash_evidence.py
+++ b/tests/scheduling/test_crash_evidence.py
@@ -166,6 +166,22 @@
         trial.restart(1.0)
         assert not trial.is_witnessed()
 
+    # Guards against LOST: an executor that leaves on purpose closes its connections, which may be
+    # seen before its entry tells that it drains.
+    @pytest.mark.parametrize("is_listed_again", [False, True])
+    def test_executor_that_drains_once_contact_is_lost(self, is_listed_again: bool) -> None:
+        trial = Trial()
+        harness, name = trial.harness, trial.start.executor
+        harness.crash_executor(name)
+        harness.list_executor(name, is_draining=True)
+        harness.tick(1.0)
+        harness.running[name] = []
+        harness.incarnations[name] += 1
+        if is_listed_again:
+            harness.list_executor(name)
+        harness.answer_hold(name)
+        assert not trial.is_witnessed()
+
     # Guards against LOST: the answer to a start names no process, so it may be that of the
     # next one, whose clock starts anew.
     @pytest.mark.parametrize("is_silent", [False, True])
--- a/wasabiramp/scheduling/crash_evidence.py
+++ b/wasabiramp/scheduling/crash_evidence.py
@@ -30,9 +30,15 @@
     task.lease_ends_at = state.now + estimate_confirmed_lease_s(state, executor)
 
 
-def forget_lease_if_ended(state: SchedulerState, task: TaskAtCrash) -> None:
-    """Forget the lease of a run that may have ended after contact with its executor was lost."""
-    if task.run is not None and _may_have_ended(state, task.run):
+def forget_lease_if_ended(
+    state: SchedulerState, executor: ExecutorState, task: TaskAtCrash
+) -> None:
+    """Forget the lease of a run that may have ended after contact with its executor was lost.
+
+    A draining executor ends on purpose.
+    """
+    may_have_ended = task.run is not None and _may_have_ended(state, task.run)
+    if may_have_ended or executor.entry.is_draining:
         task.lease_ends_at = -math.inf
 
 
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -292,7 +292,7 @@
         lease_left_ms=round(1000 * max(-MAX_LOGGED_S, get_lease_left_s(state, tasks[0]))),
     )
     for task in tasks:
-        forget_lease_if_ended(state, task)
+        forget_lease_if_ended(state, executor, task)
         task.crash.is_proven = True
         task.crash.is_certain &= is_certain
         if not task.step.job.is_ended:
