Reproduce a task that starts twice after two takeovers during a longer lease

The first owner gave a suspect a lease of 6 s, cleared it and was killed; the second one heard all executors, lost contact with the one of the run and then its own lease; the third one was told that leases were usual.

--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -8,13 +8,15 @@
 import pytest
 
 from wasabiramp.entry.authority import Authority
+from wasabiramp.entry.keys import PREFIX_MEMBER
 from wasabiramp.entry.owner import MAX_PROOF_AGE_S, PROOF_INTERVAL_S, RUN_LEASE_S
 from wasabiramp.entry.peers import FAILED, LATER, OK, EndTenure
 from wasabiramp.model.entry.network import STORE
 from wasabiramp.model.entry.schedule import find_owner
 from wasabiramp.model.entry.world import ModelCodec, World
+from wasabiramp.scheduling.crashes import clear_task
 from wasabiramp.scheduling.leases import MAX_UNCONFIRMED_S, PREDECESSOR_WAIT_S, convert_lease_s
-from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
+from wasabiramp.scheduling.model import DONE, Crash, JobDefinition, Resources, Step
 
 SHORT_OUTAGE_S = 4.5
 """Length of the outages that the platform names."""
@@ -36,6 +38,14 @@
     return executor
 
 
+def find_recovered_owner(world: World) -> str:
+    """Return the daemon that is the owner and knows what all executors run, or an empty text."""
+    for name, daemon in world.daemons.items():
+        if daemon.owner is not None and daemon.owner.has_heard_all():
+            return name
+    return ""
+
+
 class TestProofs:
     """A proof counts from the time at which its call was sent."""
 
@@ -203,6 +213,39 @@
         world.run(run_scenario())
         assert answers == [LATER, LATER, OK]
 
+    # Guards against TWICE: the third owner waited for usual leases, though the first one had given
+    # a longer one to an executor that was cut off after it had answered the second one.
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_two_takeovers_during_a_longer_lease(self, seed: int) -> None:
+        world = World(seed)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            first = find_owner(world)
+            assert first is not None
+            executor = await async_start_job(world, make_long_job(world))
+            owner = world.daemons[first].owner
+            assert owner is not None
+            state = owner.scheduler.state
+            (step,) = state.open_steps.values()
+            step.progress.crashes[0] = [Crash("i-9", 1, 100.0, 0.5, is_proven=True)]
+            step.suspects.add(0)
+            state.suspect_steps[step.name] = step
+            await asyncio.sleep(2.5)
+            clear_task(state, step, 0)
+            world.kill_daemon(first)
+            while not (name := find_recovered_owner(world)):
+                await asyncio.sleep(0.005)
+            for node in world.node_names.values():
+                world.network.add_partition(node, executor)
+            world.network.add_partition(world.node_names[name], STORE)
+            world.store.revoke_leases(PREFIX_MEMBER + name)
+            while world.checker.starts < 2:
+                await asyncio.sleep(0.01)
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+
 
 class TestOutages:
     """Work outlasts a short outage of the store, and starts again after a long one."""
