--- a/tests/scheduling/test_crash_evidence.py
+++ b/tests/scheduling/test_crash_evidence.py
@@ -5,11 +5,18 @@
 import pytest
 
 from tests.scheduling.deadly_cell import DOWNTIME_S, make_job_id
-from tests.scheduling.helpers import SchedulerHarness, StartTask, make_step
+from tests.scheduling.helpers import SchedulerHarness, StartTask, StopTask, make_step
 from wasabiramp.entry.owner import RUN_LEASE_S
-from wasabiramp.scheduling.events import OTHER_INCARNATION, UNKNOWN, HoldFailed
+from wasabiramp.scheduling.events import (
+    OTHER_INCARNATION,
+    STARTED,
+    UNKNOWN,
+    HoldFailed,
+    StopAnswered,
+)
+from wasabiramp.scheduling.evidence import ENDS_PER_PAGE
 from wasabiramp.scheduling.leases import convert_lease_s
-from wasabiramp.scheduling.model import Crash, JobProgress, StepProgress
+from wasabiramp.scheduling.model import Crash, EndReport, JobProgress, StepProgress
 from wasabiramp.scheduling.orders import stop_run
 from wasabiramp.scheduling.records import decode_progress, encode_progress
 from wasabiramp.scheduling.state import JobRun
@@ -146,6 +153,87 @@
         trial.restart(1.0)
         assert not trial.is_witnessed()
 
+    # Guards against LOST: a run that was stopped after contact was lost, by an answered order, was
+    # taken for one that was there at the crash.
+    def test_run_that_was_stopped_after_contact_was_lost(self) -> None:
+        trial = Trial()
+        harness = trial.harness
+        state = harness.scheduler.state
+        run = state.executors[trial.start.executor].runs[(trial.start.task, trial.start.run)]
+        harness.apply(HoldFailed(trial.start.executor, harness.now, UNKNOWN))
+        stop_run(state, run)
+        harness.apply(StopAnswered(run.executor, run.task, run.number, STARTED))
+        trial.restart(1.0)
+        assert not trial.is_witnessed()
+
+    # Guards against LOST: an executor that leaves on purpose closes its connections, which may be
+    # seen before its entry tells that it drains.
+    @pytest.mark.parametrize("is_listed_again", [False, True])
+    def test_executor_that_drains_once_contact_is_lost(self, is_listed_again: bool) -> None:
+        trial = Trial()
+        harness, name = trial.harness, trial.start.executor
+        harness.crash_executor(name)
+        harness.list_executor(name, is_draining=True)
+        harness.tick(1.0)
+        harness.running[name] = []
+        harness.incarnations[name] += 1
+        if is_listed_again:
+            harness.list_executor(name)
+        harness.answer_hold(name)
+        assert not trial.is_witnessed()
+
+    # Guards against LOST: the answer to a start names no process, so it may be that of the
+    # next one, whose clock starts anew.
+    @pytest.mark.parametrize("is_silent", [False, True])
+    def test_starts_that_the_next_process_answered(self, is_silent: bool) -> None:
+        harness = SchedulerHarness(executors=1, lease_s=RUN_LEASE_S)
+        job = harness.submit(make_job_id(0), "batch", make_step(2))
+        starts = harness.place()
+        harness.tick(0.1)
+        harness.clock_lag_s = harness.now - 0.05
+        for start in starts:
+            harness.answer_start(start)
+        harness.tick(0.1)
+        if is_silent:
+            harness.apply(HoldFailed("e0", harness.now, UNKNOWN))
+        harness.incarnations["e0"] = 2
+        harness.answer_hold("e0")
+        rows = job.progress.steps[(0, 0)].crashes.values()
+        assert not any(crash.is_witnessed for crashes in rows for crash in crashes)
+
+    # Guards against LOST: a report without a run shows that it has ended, also if its end is on a
+    # page that was not read.
+    def test_run_that_a_report_with_a_full_page_of_ends_does_not_list(self) -> None:
+        trial = Trial()
+        harness, start = trial.harness, trial.start
+        harness.running[start.executor] = []
+        harness.ended[start.executor] = [
+            EndReport(number, f"{make_job_id(9)}.0.0.{number}", 1, "done", "")
+            for number in range(1, ENDS_PER_PAGE + 1)
+        ]
+        harness.tick(0.1)
+        harness.answer_hold(start.executor)
+        harness.crash_executor(start.executor)
+        trial.restart(1.0)
+        assert not any(crash.is_witnessed for crash in trial.list_crashes())
+
+    # Guards against LOST: a hold that was overtaken lists a run whose end was read since.
+    def test_run_that_an_overtaken_report_lists(self) -> None:
+        trial = Trial()
+        harness, start = trial.harness, trial.start
+        overtaken_at = harness.now
+        listed = harness.running[start.executor]
+        harness.tick(0.1)
+        harness.end_run(start, "lapsed")
+        harness.answer_hold(start.executor)
+        harness.tick(0.01)
+        harness.running[start.executor] = listed
+        harness.ended[start.executor] = []
+        harness.answer_hold(start.executor, overtaken_at)
+        harness.crash_executor(start.executor)
+        trial.restart(1.0)
+        assert not any(crash.is_witnessed for crash in trial.list_crashes())
+
 
 class TestGangs:
     """One member's end ends the others, so only the first one may have crashed its executor."""
@@ -194,6 +282,57 @@
             self.restart(harness, start.executor)
         assert self.count_witnessed(job) == 0
 
+    # Guards against LOST: a member that was told to stop, or ended with its gang, after contact
+    # with its executor was lost was taken for one that was there at the crash.
+    @pytest.mark.parametrize("how", ["failed", "lapsed"])
+    def test_member_that_ends_after_the_loss_is_noticed(self, how: str) -> None:
+        harness, job, (first, second) = self.start_gang()
+        harness.apply(HoldFailed(first.executor, harness.now, UNKNOWN))
+        harness.tick(0.1)
+        harness.end_run(second, how)
+        harness.answer_hold(second.executor)
+        (stop,) = harness.take_effects(StopTask)
+        harness.answer_stop(stop)
+        harness.tick(1.0)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 0
+
+    # Guards against BUDGET: the end of the others that follows on a crash hid it.
+    def test_member_that_is_broken_after_the_loss_is_noticed(self) -> None:
+        harness, job, (first, second) = self.start_gang()
+        harness.crash_executor(first.executor)
+        harness.tick(0.1)
+        harness.end_run(second, "broken")
+        harness.answer_hold(second.executor)
+        harness.tick(1.0)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 1
+
+    # Guards against LOST: the loss of a member that is not known to run did not count as one that
+    # may have ended the others.
+    def test_other_executor_is_lost_whose_member_is_not_known_to_run(self) -> None:
+        harness, job, (first, second) = self.start_gang()
+        state = harness.scheduler.state
+        state.executors[second.executor].runs[(second.task, second.run)].lease_gaps = 0
+        harness.apply(HoldFailed(first.executor, harness.now, UNKNOWN))
+        harness.tick(0.1)
+        harness.crash_executor(second.executor)
+        harness.tick(1.0)
+        self.restart(harness, second.executor)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 0
+
+    # Guards against LOST: an executor whose new process is known was not taken for a lost one.
+    def test_other_executor_is_reborn_before_the_loss_is_noticed(self) -> None:
+        harness, job, (first, second) = self.start_gang()
+        harness.running[second.executor] = []
+        harness.incarnations[second.executor] = 2
+        harness.list_executor(second.executor, cpu=1_000)
+        harness.crash_executor(first.executor)
+        harness.tick(1.0)
+        self.restart(harness, first.executor)
+        assert self.count_witnessed(job) == 0
+
 
 class TestTrials:
     """A suspect gets the longest lease, so that a crash under it is told from lost contact."""
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -47,6 +47,7 @@
     has_lease_ended,
     is_complete,
     is_replaced,
+    note_unlisted_runs,
     release_unlisted_runs,
 )
 from wasabiramp.scheduling.holds import send_hold
@@ -253,6 +254,7 @@
     executor.clock_at = state.now
     executor.clock_asked_at = event.sent_at
     executor.has_accepted_fence = True
+    executor.may_be_next_process = False
     _note_address(state, executor, event.address or executor.hold_address)
     executor.must_answer &= not is_complete(report)
     if executor.silent_since is not None:
@@ -269,6 +271,8 @@
     if is_complete(report):
         executor.reported_lease_gaps = executor.lease_gaps
         release_unlisted_runs(state, executor, listed, event.sent_at)
+    else:
+        note_unlisted_runs(executor, listed, event.sent_at)
     settle_ends(state, executor, event)
     schedule_next_hold(state, executor)
 
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -38,6 +38,7 @@
 
     `percent` is its progress at the last speed sample, and `pace` is None if unknown. `lease_gaps`
     is the number of gaps in the lease of its executor when it was last known to run, or None.
+    `is_unlisted` is set if a report that may lack further ends did not list it.
     `lost_with` is the start time of the executor's process with which it may have been lost.
     `may_have_broken_gang` is set if it is to be stopped only because other members of its gang
     ended, and these ended because another one did.
@@ -48,6 +49,7 @@
         "executor",
         "index",
         "is_uncertain",
+        "is_unlisted",
         "lease_gaps",
         "lost_with",
         "may_have_broken_gang",
@@ -84,6 +86,7 @@
         self.pace: int | None = FULL_PACE_PERCENT if step is not None else None
         self.confirmed_at: float | None = None
         self.is_uncertain = False
+        self.is_unlisted = False
         self.lease_gaps: int | None = None
         self.lost_with: int | None = None
         self.may_have_broken_gang = False
@@ -104,7 +107,8 @@
     that this task did. `chance` is the probability that the executor crashed in that time anyway,
     and `age_share` that a sound run is at such an age at any time. By answers up to one that was
     asked for at `answer_asked_at`, the run was there under a lease that lasts at least until
-    `lease_ends_at`, which is in the past if that is not known.
+    `lease_ends_at`, which is in the past if that is not known. `run` is that run, or None if the
+    record is one of an earlier owner.
     """
 
     __slots__ = (
@@ -115,6 +119,7 @@
         "index",
         "lease_ends_at",
         "mass",
+        "run",
         "step",
         "weight",
     )
@@ -130,6 +135,7 @@
         self.weight = 0.0
         self.answer_asked_at = -math.inf
         self.lease_ends_at = -math.inf
+        self.run: Run | None = None
 
 
 class Loss:
@@ -373,6 +379,8 @@
     speed and higher if slower. `is_gone` is set once its process is certainly gone, and
     `tasks_at_silence` holds what ran on it when it stopped answering, of which `loss` tells when.
     `open_crashes` are the crashes of earlier processes that an answer of this one may witness.
+    `may_be_next_process` is set if its clock has gone back since the last report, so that the
+    starts that were answered since are those of a process that is not known yet.
 
     Its clock showed `clock_ms` between `clock_asked_at` and `clock_at`. By its answers, its lease
     lasts until `lease_confirmed_ms` on that clock at least. `lease_gaps` counts how often it may
@@ -419,6 +427,7 @@
         "lease_gaps",
         "lease_until_ms",
         "loss",
+        "may_be_next_process",
         "must_answer",
         "open_crashes",
         "reached_at",
@@ -494,6 +503,7 @@
         self.cooldown_until = 0.0
         self.silent_since: float | None = None
         self.loss: Loss | None = None
+        self.may_be_next_process = False
         self.tasks_at_silence: list[TaskAtCrash] = []
         self.expired_runs: set[tuple[str, int]] = set()
         self.unstored_withdrawals: set[int] = set()
