Withdraw from the risk of a queue what was counted for it

What callers saw: after a cut that ended without a crash, tasks of a queue and the work of other queues could be kept on different executors for a minute; or, after a long silence, the next crashes by tasks of the queue were not counted.

Cause: a loss of contact is counted as a crash by the most suspect task for its queue (silence taken for a crash). When the same process answered again, the blame as it was by then was withdrawn, of the task that was the most suspect by then. Losses in the same moment lower the blame in between, so most of what was counted stayed; a long silence withdrew more than was left, so the risk fell below zero; and a start time from the entry of another writer was never withdrawn. Now the count is kept with the record of the crash, and goes with it.

--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -18,7 +18,7 @@
     witness_crashes,
 )
 from wasabiramp.scheduling.events import JobsRecovered
-from wasabiramp.scheduling.isolation import add_risk
+from wasabiramp.scheduling.isolation import add_risk, withdraw_risk
 from wasabiramp.scheduling.jobs import end_job, mark_job_dirty
 from wasabiramp.scheduling.losses import (
     MIN_OTHERS,
@@ -95,7 +95,7 @@
     for other in state.executors.values():
         if other.tasks_at_silence and other.loss in state.losses:
             _share_blame(state, other, count_others(state, other.loss))
-    _add_risk(state, executor, 1)
+    _add_risk(state, executor)
 
 
 def _is_of_earlier_process(executor: ExecutorState, run: Run) -> bool:
@@ -208,20 +208,19 @@
     )
 
 
-def _add_risk(state: SchedulerState, executor: ExecutorState, sign: int) -> None:
-    """Count the crash of an executor for the queue of the most suspect task, or withdraw it."""
+def _add_risk(state: SchedulerState, executor: ExecutorState) -> None:
+    """Count the crash of an executor for the queue of the most suspect task."""
     tasks = executor.tasks_at_silence
     if not tasks:
         return
     suspect = max(tasks, key=lambda task: task.crash.blame)
-    add_risk(state, suspect.step.job.definition.queue.name, sign * suspect.crash.blame)
+    suspect.counted_risk, suspect.counted_at = suspect.crash.blame, state.now
+    add_risk(state, suspect.step.job.definition.queue.name, suspect.counted_risk)
 
 
 def settle_silence(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
     """Withdraw the records of an incarnation that answers again; the others are proven."""
     tasks = executor.tasks_at_silence
-    if any(task.crash.born_ms == born_ms for task in tasks):
-        _add_risk(state, executor, -1)
     executor.tasks_at_silence = [task for task in tasks if task.crash.born_ms != born_ms]
     for task in tasks:
         if task.crash.born_ms == born_ms:
@@ -252,7 +251,14 @@
 
 
 def _remove_crash(state: SchedulerState, task: TaskAtCrash) -> None:
-    """Remove a crash from the progress of its step."""
+    """Remove a crash from the progress of its step, and what it counts for its queue.
+
+    The blame may have changed since that was counted.
+    """
+    if task.counted_risk:
+        queue = task.step.job.definition.queue.name
+        withdraw_risk(state, queue, task.counted_risk, task.counted_at)
+        task.counted_risk = 0.0
     crashes = task.step.progress.crashes.get(task.index, [])
     if task.crash not in crashes:
         return
--- a/wasabiramp/scheduling/isolation.py
+++ b/wasabiramp/scheduling/isolation.py
@@ -23,10 +23,16 @@
 
 
 def add_risk(state: SchedulerState, queue: str, blame: float) -> None:
-    """Count a crash that a task of a queue has probably caused; a negative count withdraws it."""
+    """Count a crash that a task of a queue has probably caused."""
     state.risk_by_queue[queue] = (get_risk(state, queue) + blame, state.now)
 
 
+def withdraw_risk(state: SchedulerState, queue: str, blame: float, counted_at: float) -> None:
+    """Withdraw what is left of a crash that was counted for a queue."""
+    left = blame * math.exp((counted_at - state.now) / RISK_WINDOW_S)
+    state.risk_by_queue[queue] = (max(0.0, get_risk(state, queue) - left), state.now)
+
+
 def get_risk(state: SchedulerState, queue: str) -> float:
     """Return the recent crashes by tasks of a queue, older ones counting less."""
     risk, counted_at = state.risk_by_queue.get(queue, (0.0, state.now))
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -104,13 +104,16 @@
     that this task did. `chance` is the probability that the executor crashed in that time anyway,
     and `age_share` that a sound run is at such an age at any time. By answers up to one that was
     asked for at `answer_asked_at`, the run was there under a lease that lasts at least until
-    `lease_ends_at`, which is in the past if that is not known.
+    `lease_ends_at`, which is in the past if that is not known. `counted_risk` is what was counted
+    for the queue of the task at `counted_at`.
     """
 
     __slots__ = (
         "age_share",
         "answer_asked_at",
         "chance",
+        "counted_at",
+        "counted_risk",
         "crash",
         "index",
         "lease_ends_at",
@@ -128,6 +131,8 @@
         self.chance = 0.0
         self.age_share = 0.0
         self.weight = 0.0
+        self.counted_risk = 0.0
+        self.counted_at = 0.0
         self.answer_asked_at = -math.inf
         self.lease_ends_at = -math.inf
 
