Do not count executors whose leases had ended in the rate of unexplained crashes

After cuts that ended with other processes, or executors that only lost their entries, a deadly task needs more crashes until it is suspect or given up.

Cause: silence was taken for a crash. An executor that was seen to be gone counted as a crash without an explanation, also if the leases of its runs had certainly ended before. The rate is the other cause against which each crash of a task is weighed. Now it is counted only if another process is seen while a lease may last, or if the executor ran nothing, so that no lease tells.

--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -20,6 +20,7 @@
 from wasabiramp.scheduling.events import JobsRecovered
 from wasabiramp.scheduling.isolation import add_risk, withdraw_risk
 from wasabiramp.scheduling.jobs import end_job, mark_job_dirty
+from wasabiramp.scheduling.leases import calculate_lease_expiry
 from wasabiramp.scheduling.losses import (
     MIN_OTHERS,
     count_others,
@@ -273,11 +274,13 @@
 def confirm_crash(state: SchedulerState, executor: ExecutorState, is_certain: bool = True) -> None:
     """Record that the process of an executor is gone.
 
-    It is not certain that it crashed if only its entry was removed, as after a long partition.
+    It is not certain that it crashed if only its entry was removed, as after a long partition. One
+    whose lease had ended before that is not counted as a crash without an explanation either.
     """
     suspicion = _measure_greatest_suspicion(executor)
     tasks, executor.tasks_at_silence = executor.tasks_at_silence, []
-    if not executor.is_gone and not executor.entry.is_draining:
+    has_lapsed = bool(tasks) and state.now > calculate_lease_expiry(state, executor)
+    if not executor.is_gone and not executor.entry.is_draining and not has_lapsed:
         count_unexplained(state, suspicion)
     executor.is_gone = True
     if not tasks:
