--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -108,13 +108,16 @@
     and `age_share` that a sound run is at such an age at any time. By answers up to one that was
     asked for at `answer_asked_at`, the run was there under a lease that lasts at least until
     `lease_ends_at`, which is in the past if that is not known. `run` is that run, or None if the
-    record is one of an earlier owner.
+    record is one of an earlier owner. `counted_risk` is what was counted for the queue of the task
+    at `counted_at`.
     """
 
     __slots__ = (
         "age_share",
         "answer_asked_at",
         "chance",
+        "counted_at",
+        "counted_risk",
         "crash",
         "index",
         "lease_ends_at",
@@ -133,6 +136,8 @@
         self.chance = 0.0
         self.age_share = 0.0
         self.weight = 0.0
+        self.counted_risk = 0.0
+        self.counted_at = 0.0
         self.answer_asked_at = -math.inf
         self.lease_ends_at = -math.inf
         self.run: Run | None = None
@@ -531,7 +536,8 @@
     records that this build cannot read. All jobs stored up to `jobs_confirmed_at` are known.
     `suspect_steps` are the open steps with suspects, by name.
     `job_services` are the names of the services of all jobs so far, which may outlive their queues.
-    `losses` are the latest losses of contact with executors.
+    `losses` are the latest losses of contact with executors. `silent_by_address` are the ids of
+    those that fell silent last at an address where they were reached; they may answer again since.
     `unexplained_crashes` are the recent crashes for which no task is to blame, as of
     `unexplained_at`, since the first event at `created_at`. `risk_by_queue` holds the crashes by
     tasks of a queue, and the time as of which they count. `smallest_capacity_share` is the smallest
@@ -560,6 +566,7 @@
         "leases_end_by",
         "list_age_s",
         "long_leases_end_at",
+        "silent_by_address",
         "smallest_capacity_share",
         "executor_list_version",
         "now",
@@ -598,6 +605,7 @@
         self.risk_by_queue: dict[str, tuple[float, float]] = {}
         self.created_at = math.inf
         self.losses: list[Loss] = []
+        self.silent_by_address: dict[str, str] = {}
         self.unexplained_crashes = 0.0
         self.unexplained_at = 0.0
         self.now = 0.0
