Write crashes under tasks and count lapses in the soak's history

The executors of the soak are the model's, so the checker already knew which runs were on an executor that crashes, and reported LOST for jobs failed without two such crashes. That was neither shown by a test nor visible in executors.log, so that a verdict of a cell could not be traced. The history now has a line for each, and counts of lapses by task.

--- a/soak/record.py
+++ b/soak/record.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import Counter
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -9,11 +11,17 @@
 
 
 class RecordingChecker(HistoryChecker):
-    """Writes each start and end of a run, and each acknowledged end, with the checker's time."""
+    """Writes each start and end of a run, and each acknowledged end, with the checker's time.
+
+    It also counts the `lapses` of each task, and the `crashes_after_lapse` of executors whose runs
+    had lapsed before, and writes each crash of an executor with a run on it.
+    """
 
     def __init__(self, wall_s: float, path: Path) -> None:
         """Create an empty history and its file."""
         super().__init__(wall_s)
+        self.lapses: Counter[str] = Counter()
+        self.crashes_after_lapse = 0
         self._file: TextIO = path.open("w", encoding="utf-8", buffering=1)
 
     def _write(self, now: float, text: str) -> None:
@@ -30,8 +38,15 @@
     def record_end(self, now: float, task: str, run: int, executor: str, how: str) -> None:
         """Record and write an end."""
         self._write(now, f"end {task} run {run} on {executor}: {how}")
+        self.lapses[task] += how == "lapsed"
         super().record_end(now, task, run, executor, how)
 
+    def record_run_at_crash(self, task: str) -> None:
+        """Record and write that an executor crashed while a run of the task was on it."""
+        super().record_run_at_crash(task)
+        now = asyncio.get_running_loop().time()
+        self._write(now, f"crash {self.crashes_around[task]} of an executor with {task}")
+
     def record_acknowledged_end(
         self, now: float, task: str, run: int, how: str, ended_at: float, is_lease_expired: bool
     ) -> None:
