Play executors in the soak that crash only once their runs have lapsed

The mix lapses has long and lasting jobs, these faults mostly, and faults of the owner; each seed prints its lapsed runs and crashes after a lapse.

Tests: the fault crashes nothing that runs, and a job shown as failed after it is LOST; they fail if the fault does not wait for the lapse, or if crashes under tasks are not recorded.

--- a/soak/cell.py
+++ b/soak/cell.py
@@ -127,6 +127,8 @@
         self.platform: Any = None
         self._checker: RecordingChecker | None = None
         self.open_calls: set[Any] = set()
+        # Executors that a fault cuts off until their runs have lapsed.
+        self.lapsing_executors: set[str] = set()
         # Unix times at which the tasks of wide jobs end together.
         self.common_ends_s: list[float] = []
         self._events_path = self.folder / "events.log"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,16 +6,20 @@
 from random import Random
 from typing import Final
 
-from soak import cuts, outages, owner_faults  # noqa: F401 - they register their faults
+from soak import cuts, lapses, outages, owner_faults  # noqa: F401 - they register their faults
 from soak.faults import FAULTS, HAND_OVER_FAULTS, Fault
 from soak.jobs import JOB_KINDS
 
 PLAIN: Final = "plain"
 FULL: Final = "full"
 FAILURES: Final = "failures"
-MIXES: Final = (PLAIN, FULL, FAILURES)
-JOBS_PER_S: Final = 6.0
-FAULTS_PER_RUN: Final = {PLAIN: 5, FULL: 4, FAILURES: 2}
+LAPSES: Final = "lapses"
+MIXES: Final = (PLAIN, FULL, FAILURES, LAPSES)
+# Jobs that last would fill the executors at the rate of the others.
+JOBS_PER_S: Final = {PLAIN: 6.0, FULL: 6.0, FAILURES: 6.0, LAPSES: 1.5}
+"""Jobs of each mix submitted per second."""
+
+FAULTS_PER_RUN: Final = {PLAIN: 5, FULL: 4, FAILURES: 2, LAPSES: 3}
 """Number of the faults of each mix, or of their series where there are series."""
 
 SERIES_SIZES: Final = (1, 3)
@@ -42,12 +46,19 @@
         "long_outage_cut",
         "pause_owner",
     ],
+    LAPSES: [
+        *3 * ("crash_after_lapse", "crash_after_lapses"),
+        "cut_owner",
+        "kill_owner",
+        "pause_owner",
+    ],
 }
 MIX_KINDS: Final = {
     PLAIN: [PLAIN],
     FULL: sorted(JOB_KINDS),
     # With several attempts, jobs of long tasks would outlast the wait for their end.
     FAILURES: ["gangs", "plain", "repeated"],
+    LAPSES: ["lasting", "long"],
 }
 
 
@@ -94,7 +105,7 @@
     faults: str = "",
     jobs: str = "",
     fault_count: int | None = None,
-    jobs_per_s: float = JOBS_PER_S,
+    jobs_per_s: float | None = None,
 ) -> Plan:
     """Return the plan of a mix; names separated by commas replace its faults and job kinds.
 
@@ -106,6 +117,8 @@
     is_series = mix != PLAIN
     if fault_count is None:
         fault_count = FAULTS_PER_RUN[mix]
+    if jobs_per_s is None:
+        jobs_per_s = JOBS_PER_S[mix]
     failure_share = HIGH_FAILURE_SHARE if mix == FAILURES else FAILURE_SHARE
     return Plan(kinds, fault_names, fault_count, jobs_per_s, is_series, failure_share)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
     async_check_open_calls,
 )
 from soak.many import async_run_cells
-from soak.plan import ALL_FAULTS, FULL, JOBS_PER_S, MIXES, Plan, make_plan
+from soak.plan import ALL_FAULTS, FULL, MIXES, Plan, make_plan
 
 REGRESSION_SEEDS: Final[dict[int, str]] = {
     3: "fault of the soak test itself: a failed call closed the connection during another call",
@@ -88,6 +88,8 @@
     checker = cell.platform.checker
     accepted = sum(record.accepted_at is not None for record in checker.jobs.values())
     print(f"seed {cell.seed}: {accepted} jobs accepted, {checker.starts} starts, {cell.folder}")
+    lapsed = checker.lapses.total()
+    print(f"  {lapsed} lapsed runs, {checker.crashes_after_lapse} crashes after a lapse")
     codes = [text.partition(" ")[0] for text in checker.breaches]
     if codes:
         print("  " + ", ".join(f"{code} {codes.count(code)}" for code in sorted(set(codes))))
@@ -114,7 +116,7 @@
     faults: Annotated[str, typer.Option(help="Only these faults, separated by commas.")] = "",
     jobs: Annotated[str, typer.Option(help="Only these kinds of jobs.")] = "",
     fault_count: Annotated[int | None, typer.Option(help="Faults, or series of them.")] = None,
-    jobs_per_s: Annotated[float, typer.Option(help="Jobs submitted per second.")] = JOBS_PER_S,
+    jobs_per_s: Annotated[float | None, typer.Option(help="Jobs submitted per second.")] = None,
     busy: Annotated[int, typer.Option(help="Processes that keep processors busy.")] = 0,
     cells: Annotated[int, typer.Option(help="Seeds at the same time, as processes.")] = 1,
 ) -> None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -17,7 +17,7 @@
 
 from soak.callers import Caller, async_wait_for_jobs
 from soak.cell import Cell, DaemonProcess
-from soak.plan import FAILURES, FULL, PLAIN, make_plan
+from soak.plan import FAILURES, FULL, LAPSES, PLAIN, make_plan
 from soak.run import async_soak
 from tests.core.test_records import nest_records
 from wasabiramp.entry.keys import (
@@ -48,6 +48,14 @@
         assert cell.platform.checker.breaches == []
         assert cell.platform.checker.starts > 30
 
+    def test_crashes_after_lapses_fail_no_job(self) -> None:
+        # Guards against jobs given up though their runs only lapsed (LOST, issue 44).
+        plan = make_plan(LAPSES, "crash_after_lapse", "lasting", 1)
+        cell = asyncio.run(async_soak(4402, seconds=2.0, daemons=3, executors=6, plan=plan))
+        assert cell.platform.checker.breaches == []
+        assert cell.platform.checker.lapses.total() > 0
+        assert cell.platform.checker.crashes_after_lapse > 0
+
 
 class TestHandOver:
     """Another daemon becomes the owner, and no work is lost or runs twice."""
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -12,7 +12,7 @@
 from soak.faults import FAULTS
 from soak.jobs import JOB_KINDS
 from soak.outages import LONG_OUTAGE_S
-from soak.plan import ALL_FAULTS, FAILURES, FULL, MIXES, PLAIN, SERIES_SPAN_S, make_plan
+from soak.plan import ALL_FAULTS, FAILURES, FULL, LAPSES, MIXES, PLAIN, SERIES_SPAN_S, make_plan
 from stand_ins.platform import COMMON_LABEL_COUNT
 from wasabiramp.model.entry.executors import MAX_REPORTED_ENDS
 from wasabiramp.platform.wire import decode_config, decode_job
@@ -44,6 +44,15 @@
         assert set(plan.faults) <= set(ALL_FAULTS)
         assert {"gangs", "plain"} <= set(plan.job_kinds) <= set(JOB_KINDS)
 
+    def test_mix_of_lapses_mostly_crashes_executors_whose_runs_have_lapsed(self) -> None:
+        # Guards against a soak that can't show jobs given up though their runs only lapsed (LOST).
+        plan = make_plan(LAPSES)
+        crashing = [name for name in plan.faults if name.startswith("crash_after_lapse")]
+        assert len(crashing) > len(plan.faults) / 2
+        assert {"cut_owner", "kill_owner", "pause_owner"} <= set(plan.faults) <= set(ALL_FAULTS)
+        assert plan.job_kinds == ["lasting", "long"]
+        assert plan.jobs_per_s < make_plan(FULL).jobs_per_s
+
     def test_long_outage_lets_most_leases_of_runs_lapse(self) -> None:
         assert sum(LONG_OUTAGE_S) / 2 > MAX_UNCONFIRMED_S
 
