Show that a deadly task goes on for good where executors are back late

What callers would see: BUDGET, without an end. Only a new process that answers within the lease witnesses a crash, and no lease is longer than 6 s (7.5 s where executors accept more).

--- a/tests/scheduling/deadly_cell.py
+++ b/tests/scheduling/deadly_cell.py
@@ -17,11 +17,21 @@
 class DeadlyCell:
     """Executors that run sound tasks for a second, and that deadly tasks crash at their start."""
 
-    def __init__(self, executors: int, deadly: set[str], crash_age_s: float = 0.0) -> None:
-        """Create a cell; runs of the `deadly` tasks crash their executor at `crash_age_s`."""
+    def __init__(
+        self,
+        executors: int,
+        deadly: set[str],
+        crash_age_s: float = 0.0,
+        downtime_s: float = DOWNTIME_S,
+    ) -> None:
+        """Create a cell; runs of the `deadly` tasks crash their executor at `crash_age_s`.
+
+        Another one answers at its address after `downtime_s`.
+        """
         self.harness = SchedulerHarness(executors=executors, lease_s=RUN_LEASE_S)
         self.deadly = deadly
         self.crash_age_s = crash_age_s
+        self.downtime_s = downtime_s
         self.crashes: Counter[str] = Counter()
         self._started: dict[str, list[tuple[float, StartTask]]] = {}
         self._down: list[tuple[float, str]] = []
@@ -57,7 +67,7 @@
         """Crash an executor; another one replaces it after a time."""
         self._started.pop(name, None)
         self.harness.crash_executor(name)
-        self._down.append((self.harness.now + DOWNTIME_S, name))
+        self._down.append((self.harness.now + self.downtime_s, name))
 
     def _advance_executor(self, name: str) -> None:
         """Crash an executor if a deadly run is old enough; else end what has run for a second."""
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -62,6 +62,16 @@
         assert cell.crashes[f"{make_job_id(0)}.0.0.0"] in (2, MAX_CRASHES)
         assert {other.shown_phase for other in sound} == {DONE}
 
+    # Guards against BUDGET: a deadly task went on for good, as no crash is witnessed where
+    # executors are back only after the longest lease.
+    @pytest.mark.parametrize("downtime_s", [3.4, 5.0, 7.0])
+    def test_task_is_given_up_if_executors_are_back_late(self, downtime_s: float) -> None:
+        cell = DeadlyCell(30, {f"{make_job_id(0)}.0.0.0"}, downtime_s=downtime_s)
+        job = cell.harness.submit(make_job_id(0), "batch", make_step(1))
+        cell.run(120.0)
+        assert job.shown_phase == FAILED
+        assert cell.crashes[f"{make_job_id(0)}.0.0.0"] <= MAX_CRASHES + 1
+
     # Guards against counting from zero again each time the owner is lost.
     @pytest.mark.parametrize("term_s", [4.0, 7.0])
     def test_crashes_outlive_the_owner(self, term_s: float) -> None:
