Let a task wait longer after each lost executor from the fourth on

A wait is not for good, a verdict is: from the fourth executor that was lost and is gone on, the next trial waits 10 s after the last loss, then 20 s.

--- a/tests/scheduling/test_trials.py
+++ b/tests/scheduling/test_trials.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.scheduling.helpers import SchedulerHarness, make_step
 from wasabiramp.scheduling.crashes import update_suspect
 from wasabiramp.scheduling.model import Crash
-from wasabiramp.scheduling.trials import MAX_TRIAL_WAIT_S
+from wasabiramp.scheduling.trials import BACKOFF_S, MAX_TRIAL_WAIT_S
 
 MAX_WAIT_S = 3.0
 """Time for which a task may wait although an executor has room for it."""
@@ -71,3 +73,41 @@
             for name in ("e0", "e1"):
                 harness.answer_hold(name)
             assert harness.place() == []
+
+
+class TestBackoff:
+    """A task under which many executors were lost starts later each time, but not never."""
+
+    # Guards against BUDGET: a deadly task took an executor every few seconds for good where crashed
+    # executors are back only after the longest lease, so that no crash is witnessed.
+    @pytest.mark.parametrize(("losses", "wait_s"), [(3, 0.0), (4, 10.0), (5, 20.0), (50, 20.0)])
+    def test_wait_grows_with_the_losses(self, losses: int, wait_s: float) -> None:
+        harness = SchedulerHarness(executors=2)
+        job = harness.submit("a" * 16, "batch", make_step(1))
+        step = job.steps[(0, 0)]
+        step.progress.crashes[0] = [
+            Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(losses)
+        ]
+        step.executor_lost_at = lost_at = harness.now
+        update_suspect(harness.scheduler.state, step, 0)
+        while not harness.place():
+            harness.tick(0.1)
+            for name in ("e0", "e1"):
+                harness.answer_hold(name)
+            assert harness.now <= lost_at + wait_s + 0.2
+        assert harness.now >= lost_at + wait_s
+
+    def test_gang_waits_as_a_whole(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        job = harness.submit("a" * 16, "gangs", make_step(2, is_gang=True))
+        step = job.steps[(0, 0)]
+        step.progress.crashes[1] = [
+            Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(4)
+        ]
+        step.executor_lost_at = harness.now
+        update_suspect(harness.scheduler.state, step, 1)
+        assert harness.place() == []
+        harness.tick(BACKOFF_S)
+        for name in ("e0", "e1"):
+            harness.answer_hold(name)
+        assert len(harness.place()) == 2
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -134,6 +134,7 @@
     crash = Crash(executor.id, executor.born_ms, round(age_s, 3), 0.0, is_certain=has_started)
     crash.survived_s = round(survived_s, 3)
     run.lost_with = executor.born_ms
+    step.executor_lost_at = state.now
     task = TaskAtCrash(step, run.index, crash)
     note_lease(state, executor, run, task)
     task.mass = measure_mass(low, high) * (1.0 if has_started else UNCERTAIN_WEIGHT)
@@ -376,6 +377,7 @@
     Those that are not proven yet are settled once the executor answers. One that the earlier owner
     removed did not answer for long, but that does not show that it crashed.
     """
+    step.executor_lost_at = state.now
     for index, crashes in list(step.progress.crashes.items()):
         for crash in crashes:
             executor = state.executors.get(crash.executor)
--- a/wasabiramp/scheduling/placement.py
+++ b/wasabiramp/scheduling/placement.py
@@ -24,7 +24,12 @@
     find_earliest_start,
 )
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState, StepRun, TaskState
-from wasabiramp.scheduling.trials import Trials, count_other_runs, find_waiting_suspects
+from wasabiramp.scheduling.trials import (
+    Trials,
+    count_other_runs,
+    find_waiting_suspects,
+    is_backing_off,
+)
 
 SLOWNESS_WEIGHT: Final = 1.0
 REMOTE_RACK_WEIGHT: Final = 2.0
@@ -151,6 +156,8 @@
         """Start the tasks of a step that fit, and ask for advice if needed."""
         if not _is_feasible(self.state, queue, step):
             return
+        if step.spec.is_gang and any(is_backing_off(self.state, step, n) for n in step.suspects):
+            return
         group = self.view.find_executors(queue.service, step.spec.label)
         waiting = len(step.find_waiting_tasks())
         if queue.advice is not None:
@@ -172,6 +179,7 @@
         Gangs start as a whole, so theirs run beside the other members.
         """
         waiting = find_waiting_suspects(step) if not step.spec.is_gang else []
+        waiting = [task for task in waiting if not is_backing_off(self.state, step, task.index)]
         if not waiting:
             return
         trials, view = self.view.trials, self.view
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -221,7 +221,8 @@
     `finished_runs` has a text for each successful run that is not logged yet.
     `lacks_resources` is set if a gang, or some tasks, did not fit in the last placement pass.
     `suspects` are the indexes of the tasks that may have crashed executors, and `trial_due_at` is
-    the time until which they wait for an executor without other work. Since `closed_out_since`, the
+    the time until which they wait for an executor without other work. The executor of one of its
+    tasks was lost at `executor_lost_at` for the last time. Since `closed_out_since`, the
     step fits only on executors that are closed to it by suspects of others. At
     `released_at` a run was last released without a listed end. `undecided` are the indexes of the
     tasks that may have used up their attempts, which are not started.
@@ -233,6 +234,7 @@
         "released_at",
         "is_feasible",
         "due_at",
+        "executor_lost_at",
         "feasibility_version",
         "finished_runs",
         "index",
@@ -279,6 +281,7 @@
         self.undecided: set[int] = set()
         self.trial_due_at: float | None = None
         self.trial_executor = ""
+        self.executor_lost_at = -math.inf
         self.closed_out_since: float | None = None
         self.released_at = -math.inf
 
--- a/wasabiramp/scheduling/trials.py
+++ b/wasabiramp/scheduling/trials.py
@@ -24,6 +24,14 @@
 """Suspicion from which suspects also wait while many executors are down, and the longest time for
 which they do: their trial most likely costs another executor."""
 
+BACKOFF_LOSSES: Final = 4
+BACKOFF_S: Final = 10.0
+MAX_BACKOFF_S: Final = 20.0
+"""Number of executors that were lost under a task and are gone from which its next start waits, the
+first of these waits, and the longest one; each doubles.
+
+Where crashed executors are back later than a lease lasts, a deadly task is never given up."""
+
 
 class Trials:
     """Executors that are closed to other work during one placement pass.
@@ -154,6 +162,15 @@
     return sum(run.step is None or run.step.job is not step.job for run in executor.runs.values())
 
 
+def is_backing_off(state: SchedulerState, step: StepRun, index: int) -> bool:
+    """Return whether a suspect waits, as many executors were lost under it lately."""
+    excess = len(find_proven_crashes(step, index)) - BACKOFF_LOSSES
+    if excess < 0:
+        return False
+    wait_s = min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
+    return state.now < step.executor_lost_at + wait_s
+
+
 @switchable("trials", "run tasks that may crash executors apart", plain=lambda step: [])
 def find_waiting_suspects(step: StepRun) -> list[TaskState]:
     """Return the waiting tasks of a step that may have crashed executors."""
