Let losses of other executors show that no single executor is at fault

That two different executors are needed excludes one that has a fault of its own; losses of others exclude that as well. Still two crashes must be witnessed.

Before: given up after the sixth crash, the sixth start breaks the rule.

--- a/tests/scheduling/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -93,6 +93,14 @@
         if age_s < 1:
             assert is_convicting(crashes)
 
+    # Guards against BUDGET: two witnessed crashes of one executor counted for nothing beside four
+    # of others that were not witnessed.
+    def test_one_executor_beside_losses_of_others_convicts(self) -> None:
+        crashes = [make_crash(name, 0.0, 0.015) for name in "aab"]
+        crashes[2].is_witnessed = False
+        assert is_convicting(crashes)
+        assert not is_convicting(crashes[1:])
+
     def test_losses_beside_two_witnessed_crashes_convict(self) -> None:
         crashes = [make_crash(name, 0.0, 0.015) for name in "abcd"]
         crashes[0].is_witnessed = crashes[2].is_witnessed = False
--- a/wasabiramp/scheduling/suspicion.py
+++ b/wasabiramp/scheduling/suspicion.py
@@ -54,8 +54,8 @@
 
 MIN_EXECUTORS: Final = 2
 MAX_REPEATED_CRASHES: Final = 3
-"""Number of different executors that must have crashed under a task that is given up, and number of
-crashes from which they need not be different, as only one executor may be able to run the task."""
+"""Number of different executors that must have been lost under a task that is given up, and number
+of witnessed crashes of one from which that is enough, as only it may be able to run the task."""
 
 MAX_BLAME: Final = 0.9999
 MIN_BLAME: Final = 0.0001
@@ -147,13 +147,15 @@
 def is_convicting(crashes: list[Crash]) -> bool:
     """Return whether the recorded crashes of a task are evidence enough to give it up.
 
-    Two executors must certainly have crashed while a run of the task was on them; losses of contact
-    do not count, however many there are. One executor is enough if it crashed more often, as only
-    that one may be able to run the task.
+    Two processes must certainly have crashed while a run of the task was on them; losses of contact
+    do not count, however many there are. They only show that it is not one executor that has a
+    fault of its own. That one is enough if it crashed more often, as only it may be able to run the
+    task.
     """
+    proven = [crash for crash in crashes if crash.is_proven]
     witnessed = [crash for crash in crashes if crash.is_witnessed]
-    executors = {crash.executor for crash in witnessed}
+    executors = {crash.executor for crash in proven}
     if len(executors) < MIN_EXECUTORS and len(witnessed) < MAX_REPEATED_CRASHES:
         return False
-    suspicion = measure_suspicion([crash for crash in crashes if crash.is_proven])
+    suspicion = measure_suspicion(proven)
     return any(len(witnessed) >= least and suspicion >= needed for least, needed in LEAST_SUSPICION)
