--- a/tests/scheduling/test_trials.py
+++ b/tests/scheduling/test_trials.py
@@ -111,3 +111,15 @@
         for name in ("e0", "e1"):
             harness.answer_hold(name)
         assert len(harness.place()) == 2
+
+    # Guards against LOST: a sound lasting task whose runs had lapsed four times waited for 20 s.
+    def test_lasting_task_does_not_wait(self) -> None:
+        harness = SchedulerHarness(executors=2)
+        job = harness.submit("a" * 16, "batch", make_step(1, is_lasting=True))
+        step = job.steps[(0, 0)]
+        step.progress.crashes[0] = [
+            Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(5)
+        ]
+        step.executor_lost_at = harness.now
+        update_suspect(harness.scheduler.state, step, 0)
+        assert len(harness.place()) == 1
--- a/wasabiramp/scheduling/trials.py
+++ b/wasabiramp/scheduling/trials.py
@@ -163,9 +163,12 @@
 
 
 def is_backing_off(state: SchedulerState, step: StepRun, index: int) -> bool:
-    """Return whether a suspect waits, as many executors were lost under it lately."""
+    """Return whether a suspect waits, as many executors were lost under it lately.
+
+    Lasting tasks do not, as they are missed while they are not at work.
+    """
     excess = len(find_proven_crashes(step, index)) - BACKOFF_LOSSES
-    if excess < 0:
+    if excess < 0 or step.spec.is_lasting:
         return False
     wait_s = min(MAX_BACKOFF_S, BACKOFF_S * 2**excess)
     return state.now < step.executor_lost_at + wait_s
