Split the rule on lost gangs from the question whether a run was told to end

The decay of the risk of a queue stood twice, and so did the wait before the earlier owner is asked again.

--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -22,7 +22,7 @@
 )
 from wasabiramp.entry.lag import LoopLag
 from wasabiramp.entry.membership import Tenure
-from wasabiramp.entry.peers import LATER, OK, EndTenure, Peers
+from wasabiramp.entry.peers import LATER, OK, EndTenure, PeerAnswer, Peers
 from wasabiramp.entry.ports import (
     Codec,
     Executors,
@@ -363,7 +363,7 @@
             self._placement_timer = self._loop.call_at(place_at, self._place)
 
     def _limit_leases(self) -> None:
-        """Let no lease end later than the last proof of the term allows."""
+        """Let no lease end later than the last proof allows; note if the machine was suspended."""
         now = self._loop.time()
         self.scheduler.note_suspension(now, self._read_uptime() - now)
         self.scheduler.limit_leases(now + self.authority.get_left_s())
@@ -497,8 +497,7 @@
                     address, EndTenure(term), END_TENURE_TIMEOUT_S
                 )
             except NoAnswerError:
-                await asyncio.sleep(RETRY_DELAY_S)
-                continue
+                answer = PeerAnswer(LATER)
             if answer.outcome == LATER:
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
--- a/wasabiramp/scheduling/crash_evidence.py
+++ b/wasabiramp/scheduling/crash_evidence.py
@@ -22,8 +22,9 @@
     run was last known, if the run was told to stop, or if another member of its gang may have
     ended before, which ends it too.
     """
-    may_have_ended = _may_have_ended(state, run)
-    if may_have_ended or run.lease_gaps is None or run.lease_gaps != executor.lease_gaps:
+    if _rule_out_lost_gang(state, run) or _is_told_to_end(run):
+        return
+    if run.lease_gaps is None or run.lease_gaps != executor.lease_gaps:
         return
     task.run = run
     task.answer_asked_at = executor.clock_asked_at
@@ -37,16 +38,15 @@
 
     A draining executor ends on purpose.
     """
-    may_have_ended = task.run is not None and _may_have_ended(state, task.run)
+    run = task.run
+    may_have_ended = run is not None and (_rule_out_lost_gang(state, run) or _is_told_to_end(run))
     if may_have_ended or executor.entry.is_draining:
         task.lease_ends_at = -math.inf
 
 
-def _may_have_ended(state: SchedulerState, run: Run) -> bool:
-    """Return whether a run is not listed, was told to stop, or may have ended with its gang."""
-    is_gang_lost = _is_gang_lost(state, run)
-    is_stopped = run.wants_stop and not run.may_have_broken_gang
-    return is_gang_lost or is_stopped or run.is_unlisted
+def _is_told_to_end(run: Run) -> bool:
+    """Return whether a run is not listed any more, or was told to stop for its own sake."""
+    return run.is_unlisted or (run.wants_stop and not run.may_have_broken_gang)
 
 
 def get_lease_left_s(state: SchedulerState, task: TaskAtCrash) -> float:
@@ -54,23 +54,25 @@
     return task.lease_ends_at - state.now
 
 
-def _is_gang_lost(state: SchedulerState, run: Run) -> bool:
-    """Return whether contact was lost with the executor of another member of a run's gang.
+def _rule_out_lost_gang(state: SchedulerState, run: Run) -> bool:
+    """Forget the leases of the other members of a run's gang with whose executors contact was lost.
 
-    It is not known which member ended first then, so this is no crash under the others either.
+    It is not known which member ended first then, so no crash counts under any of them. Return
+    whether there are such members.
     """
     if run.step is None or not run.step.spec.is_gang:
         return False
-    is_lost = False
-    for other in run.step.iter_runs():
-        executor = state.executors.get(other.executor)
-        if other.executor == run.executor or not _is_contact_lost(executor, other):
-            continue
-        is_lost = True
+    lost = [
+        state.executors.get(other.executor)
+        for other in run.step.iter_runs()
+        if other.executor != run.executor
+        and _is_contact_lost(state.executors.get(other.executor), other)
+    ]
+    for executor in lost:
         for task in _list_crashes(executor):
             if task.step is run.step:
                 task.lease_ends_at = -math.inf
-    return is_lost
+    return bool(lost)
 
 
 def _is_contact_lost(executor: ExecutorState | None, run: Run) -> bool:
--- a/wasabiramp/scheduling/isolation.py
+++ b/wasabiramp/scheduling/isolation.py
@@ -29,13 +29,18 @@
 
 def withdraw_risk(state: SchedulerState, queue: str, blame: float, counted_at: float) -> None:
     """Withdraw what is left of a crash that was counted for a queue."""
-    left = blame * math.exp((counted_at - state.now) / RISK_WINDOW_S)
+    left = _decay(state, blame, counted_at)
     state.risk_by_queue[queue] = (max(0.0, get_risk(state, queue) - left), state.now)
 
 
 def get_risk(state: SchedulerState, queue: str) -> float:
     """Return the recent crashes by tasks of a queue, older ones counting less."""
     risk, counted_at = state.risk_by_queue.get(queue, (0.0, state.now))
+    return _decay(state, risk, counted_at)
+
+
+def _decay(state: SchedulerState, risk: float, counted_at: float) -> float:
+    """Return what is left by now of a risk that was counted at a time."""
     return risk * math.exp((counted_at - state.now) / RISK_WINDOW_S)
 
 
