--- a/tests/entry/test_authority.py
+++ b/tests/entry/test_authority.py
@@ -166,8 +166,10 @@
         world.run(run_scenario())
         assert answers == [FAILED]
 
-    # Guards against TWICE: the next owner waits for a lease of the usual length only.
-    def test_owner_that_gave_longer_leases_asks_to_wait(self) -> None:
+    # Guards against TWICE: the next owner waits for a lease of the usual length only, though this
+    # owner has given a longer one, or an executor that answered it has one of the owner before.
+    @pytest.mark.parametrize("source", ["long_leases_end_at", "predecessor_leases_end_at"])
+    def test_owner_asks_to_wait_while_leases_are_longer(self, source: str) -> None:
         world = World(3)
         answers: list[str] = []
 
@@ -178,32 +180,8 @@
             daemon = world.daemons[name]
             owner = daemon.owner
             assert owner is not None
-            usual_s = convert_lease_s(RUN_LEASE_S)
-            owner.scheduler.state.long_leases_end_at = world.loop.time() + usual_s + 2.0
-            message = EndTenure(owner.tenure.term)
-            for delay_s in (1.9, 0.2):
-                answers.append((await daemon._async_serve_peer(message)).outcome)
-                await asyncio.sleep(delay_s)
-            answers.append((await daemon._async_serve_peer(message)).outcome)
-
-        world.run(run_scenario())
-        assert answers == [LATER, LATER, OK]
-
-    # Guards against TWICE: an owner that is followed soon after it took over tells that leases are
-    # usual, though an executor that answered it still has a longer one of the owner before.
-    def test_owner_that_took_over_from_one_with_longer_leases_asks_to_wait(self) -> None:
-        world = World(3)
-        answers: list[str] = []
-
-        async def run_scenario() -> None:
-            await world.async_start()
-            name = find_owner(world)
-            assert name is not None
-            daemon = world.daemons[name]
-            owner = daemon.owner
-            assert owner is not None
-            usual_s = convert_lease_s(RUN_LEASE_S)
-            owner.scheduler.state.predecessor_leases_end_at = world.loop.time() + usual_s + 2.0
+            ends_at = world.loop.time() + convert_lease_s(RUN_LEASE_S) + 2.0
+            setattr(owner.scheduler.state, source, ends_at)
             message = EndTenure(owner.tenure.term)
             for delay_s in (1.9, 0.2):
                 answers.append((await daemon._async_serve_peer(message)).outcome)
--- a/tests/scheduling/test_trials.py
+++ b/tests/scheduling/test_trials.py
@@ -6,7 +6,7 @@
 
 from tests.scheduling.helpers import SchedulerHarness, make_step
 from wasabiramp.scheduling.crashes import update_suspect
-from wasabiramp.scheduling.model import Crash
+from wasabiramp.scheduling.model import Crash, Step
 from wasabiramp.scheduling.trials import BACKOFF_S, MAX_TRIAL_WAIT_S
 
 MAX_WAIT_S = 3.0
@@ -27,6 +27,18 @@
     return start.executor
 
 
+def submit_after_losses(
+    harness: SchedulerHarness, queue: str, definition: Step, index: int, losses: int
+) -> None:
+    """Submit a job of one step, under a task of which executors were lost, the last one now."""
+    step = harness.submit("a" * 16, queue, definition).steps[(0, 0)]
+    step.progress.crashes[index] = [
+        Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(losses)
+    ]
+    step.executor_lost_at = harness.now
+    update_suspect(harness.scheduler.state, step, index)
+
+
 class TestWorkBesideSuspects:
     """An executor with a suspect gets other work only if no other executor may run that."""
 
@@ -83,13 +95,8 @@
     @pytest.mark.parametrize(("losses", "wait_s"), [(3, 0.0), (4, 10.0), (5, 20.0), (50, 20.0)])
     def test_wait_grows_with_the_losses(self, losses: int, wait_s: float) -> None:
         harness = SchedulerHarness(executors=2)
-        job = harness.submit("a" * 16, "batch", make_step(1))
-        step = job.steps[(0, 0)]
-        step.progress.crashes[0] = [
-            Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(losses)
-        ]
-        step.executor_lost_at = lost_at = harness.now
-        update_suspect(harness.scheduler.state, step, 0)
+        lost_at = harness.now
+        submit_after_losses(harness, "batch", make_step(1), 0, losses)
         while not harness.place():
             harness.tick(0.1)
             for name in ("e0", "e1"):
@@ -99,13 +106,7 @@
 
     def test_gang_waits_as_a_whole(self) -> None:
         harness = SchedulerHarness(executors=2)
-        job = harness.submit("a" * 16, "gangs", make_step(2, is_gang=True))
-        step = job.steps[(0, 0)]
-        step.progress.crashes[1] = [
-            Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(4)
-        ]
-        step.executor_lost_at = harness.now
-        update_suspect(harness.scheduler.state, step, 1)
+        submit_after_losses(harness, "gangs", make_step(2, is_gang=True), 1, 4)
         assert harness.place() == []
         harness.tick(BACKOFF_S)
         for name in ("e0", "e1"):
@@ -115,11 +116,5 @@
     # Guards against LOST: a sound lasting task whose runs had lapsed four times waited for 20 s.
     def test_lasting_task_does_not_wait(self) -> None:
         harness = SchedulerHarness(executors=2)
-        job = harness.submit("a" * 16, "batch", make_step(1, is_lasting=True))
-        step = job.steps[(0, 0)]
-        step.progress.crashes[0] = [
-            Crash(f"gone{number}", 1, 0.1, 0.5, is_proven=True) for number in range(5)
-        ]
-        step.executor_lost_at = harness.now
-        update_suspect(harness.scheduler.state, step, 0)
+        submit_after_losses(harness, "batch", make_step(1, is_lasting=True), 0, 5)
         assert len(harness.place()) == 1
