--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A gang whose tasks crash the executors that start them."""
+"""A task that crashes each executor that starts it, before the start is answered."""
 
 from __future__ import annotations
 
@@ -14,25 +14,22 @@
 from stand_in_2 import Cell, async_run_case  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MEMBERS = 3
-DEADLY_S = 0.3
+DEADLY_S = 0
 DOWN_S = 2.0
 PLAY_S = 80.0
-GANG_JOB = "00000000000000aa"
+JOB = "00000000000000aa"
 
 
-def build_gang() -> dict[str, object]:
-    """Return a job with one gang, each member on an executor of its own."""
-    spec: dict[str, object] = {"work_s": 1.0, "gang": MEMBERS}
+def build_job() -> dict[str, object]:
+    """Return a job with one task."""
+    spec: dict[str, object] = {"work_s": 1.0}
     if HAS_TROUBLE:
         spec["deadly_s"] = DEADLY_S
     step = {
-        "count": MEMBERS,
-        "cpu": 40_000,
+        "count": 1,
+        "cpu": 1000,
         "memMb": 1000,
         "estimateMs": 1000,
-        "gang": True,
-        "antiAffinity": 1,
     }
     return {"spec": orjson.dumps(spec).decode(), "steps": [step]}
 
@@ -40,11 +37,11 @@
 async def async_play(cell: Cell) -> list[str]:
     """Play the case until the rule is broken, the job has ended, or the time is over."""
     await cell.start(daemons=4, executors=8, cpu=64_000, down_s=DOWN_S, first_report_s=(0.0, 0.02))
-    await cell.submit(GANG_JOB, build_gang())
+    await cell.submit(JOB, build_job())
     until = cell.record.now() + PLAY_S
     while cell.record.now() < until and not cell.judge.breaches:
         await asyncio.sleep(1.0)
-        _status, shown = await cell.call("GET", GANG_JOB)
+        _status, shown = await cell.call("GET", JOB)
         if shown.get("state") in ("done", "failed"):
             break
     return cell.judge.breaches
--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -240,8 +240,8 @@
 class Run:
     """A task that runs on an executor.
 
-    The spec is the seconds of its work, or an object with `work_s`, `gang` (the number of members)
-    and `deadly_s` (the age at which it crashes its executor).
+    The spec is the seconds of its work, or an object with `work_s`, `gang` (the number of members),
+    `deadly_s` (the age at which it crashes its executor) and `fails` (how many of its runs fail).
     """
 
     def __init__(self, task: str, number: int, spec: str, saved: str) -> None:
@@ -253,6 +253,8 @@
         self.work_s = float(fields["work_s"])
         self.gang_size = int(fields.get("gang", 0))
         self.deadly_s = fields.get("deadly_s")
+        self.fails = int(fields.get("fails", 0))
+        self.saved_s = 0
         self.began_at = time.monotonic()
         self.is_complete = not self.gang_size
         self.done_s = 0.0
@@ -312,6 +314,9 @@
         self.cpu = cpu
         self.down_s = down_s
         self._restarts: set[asyncio.Task[None]] = set()
+        self.on_listed: Callable[[list[Any]], None] = lambda ended: None
+        self._known_channels: set[int] = set()
+        self._healed: asyncio.Event | None = None
         self.saved_bytes = saved_bytes
         self._first_report_s = first_report_s
         self.listener = Listener(self._handle)
@@ -427,13 +432,14 @@
                 self._crash_by_task(run)
                 return
             run.done_s += passed_s / self.slow
-            if self.saved_bytes and run.done_s >= 1.0:
-                step = int(run.done_s)
-                run.saved = f"{run.task}:{step}:".ljust(self.saved_bytes, "x")
+            if self.saved_bytes and int(run.done_s) > run.saved_s:
+                run.saved_s = int(run.done_s)
+                run.saved = f"{run.task}:{run.saved_s}:".ljust(self.saved_bytes, "x")
             if run.stops_at is not None and now >= run.stops_at:
                 self.end(run, "stopped")
             elif run.done_s >= run.work_s:
-                self.end(run, "done")
+                has_failed = len(self.judge.failed.get(run.task, ()))
+                self.end(run, "failed" if has_failed < run.fails else "done")
 
     def end(self, run: Run, how: str) -> None:
         """End a run and list its end."""
@@ -450,6 +456,10 @@
         raw = orjson.loads(await request.content.read())
         verb = request.path.removeprefix("/v1/")
         born = self.born
+        channel = id(request.transport)
+        if self._healed is not None:
+            return await self._hold_up(request, raw, verb, channel)
+        self._known_channels.add(channel)
         if not self.is_up:
             return self._cut(request)
         if request.headers.get("Expect-Instance", self.name) != self.name:
@@ -482,8 +492,42 @@
             for r in self.runs.values()
         ]
         ended = [list(row[:5]) for row in self.ends[:ENDS_PER_PAGE]]
+        self.on_listed(ended)
         return self._reply({"running": running, "ended": ended})
 
+    def begin_cut(self) -> None:
+        """Cut the executor off from all daemons, silently; it runs on."""
+        self._healed = asyncio.Event()
+        self.record.add(f"{self.name}: is cut off from all daemons")
+
+    def heal(self) -> None:
+        """End the cut."""
+        if self._healed is not None:
+            self.record.add(f"{self.name}: the cut has healed")
+            self._healed.set()
+            self._healed = None
+
+    async def _hold_up(
+        self, request: web.BaseRequest, raw: dict[str, Any], verb: str, channel: int
+    ) -> web.Response:
+        """Hold a call up until the cut has healed; then it arrives, and nobody reads the answer.
+
+        The bytes on a channel from before the cut are kept, as its sender closes it and does not
+        reset it. A new channel cannot be opened.
+        """
+        healed = self._healed
+        if channel in self._known_channels and healed is not None:
+            self.record.add(f"{self.name}: a call is held up: {verb} {orjson.dumps(raw).decode()}")
+            await healed.wait()
+            if verb == "hold" and raw.get("fencingToken", 0) >= self.fence:
+                self.fence = raw["fencingToken"]
+                self.record.add(f"{self.name}: the call that was held up arrives: {verb}")
+                self._renew(raw.get("untilMs"))
+                self._forget_ends(raw["lastSeen"])
+        else:
+            await asyncio.sleep(10.0)
+        return self._cut(request)
+
     def _cut(self, request: web.BaseRequest) -> web.Response:
         if request.transport is not None:
             request.transport.abort()
@@ -541,6 +585,8 @@
         self._running: dict[str, set[tuple[str, int]]] = {}
         self._started_at: dict[str, float] = {}
         self._noted: set[str] = set()
+        self.failed: dict[str, set[int]] = {}
+        self.noted_failures: dict[str, set[int]] = {}
         self.crashes: dict[str, int] = {}
         self.starts_after_crashes: dict[str, int] = {}
 
@@ -577,11 +623,15 @@
     def ended(self, executor: Executor, run: Run, how: str) -> None:
         """Note an end."""
         self._running.get(run.task, set()).discard((executor.name, run.number))
+        if how == "failed":
+            self.failed.setdefault(run.task, set()).add(run.number)
 
     def noted(
         self, executor: Executor, task: str, run: int, how: str, ended_at: float, has_lapsed: bool
     ) -> None:
         """Note that an end was taken note of; not where the lease lapsed between the two."""
+        if how == "failed" and not has_lapsed:
+            self.noted_failures.setdefault(task, set()).add(run)
         if how != "done" or has_lapsed:
             return
         if self._started_at.get(task, 0.0) > ended_at:
@@ -683,7 +733,9 @@
         self._store_task: asyncio.Task[None] | None = None
         self._calls = 0
 
-    async def start(self, daemons: int, executors: int, **kwargs: Any) -> None:
+    async def start(
+        self, daemons: int, executors: int, max_attempts: int = 4, **kwargs: Any
+    ) -> None:
         """Start everything and wait until the daemons are ready."""
         await self.store.listener.open()
         self._store_task = asyncio.create_task(self.store.run())
@@ -693,7 +745,7 @@
             "prefix": "/q/",
             "service": "service",
             "priority": 0,
-            "maxAttempts": 4,
+            "maxAttempts": max_attempts,
             "stretch": 4.0,
             "targetLatencyMs": 1000,
             "timeoutMs": 3000,
