Model: calls that reach the next process of an executor, late entries, and cuts after a restart

No schedule of the model could show it: it listed a restarted executor at the same moment, and its network dropped what was under way at a restart.

Five kinds of schedules now let calls to an executor that is down reach its next process, let its entry follow up to one heartbeat later, and cut executors off soon after they are back. Other kinds draw as before.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -41,6 +41,37 @@
         check(run_kind("contact_and_store", seed))
 
 
+class TestRestarts:
+    """No call that was meant for one process of an executor does harm at the next one.
+
+    Executors are back under their ids, their entries follow late, and calls that were under way
+    meanwhile reach the next process.
+    """
+
+    # An acknowledgement of the process before made the next one forget ends that nobody had read.
+    @pytest.mark.parametrize("seed", range(1, 13))
+    def test_next_process_serves_calls_of_the_one_before(self, seed: int) -> None:
+        check(run_kind("restarts", seed))
+
+    # A task was started again while its first start had the longest lease at the next process.
+    @pytest.mark.parametrize("seed", [*range(1, 13), 16, 17, 20])
+    def test_next_process_is_cut_off(self, seed: int) -> None:
+        check(run_kind("restarts_and_cuts", seed))
+
+    @pytest.mark.parametrize("seed", [*FEW_SEEDS, 30])
+    def test_short_runs_end_at_the_next_process(self, seed: int) -> None:
+        check(run_kind("restarts_of_short_runs", seed))
+
+    # An end that was acknowledged unread was not counted as an attempt.
+    @pytest.mark.parametrize("seed", range(1, 11))
+    def test_runs_fail_at_the_next_process(self, seed: int) -> None:
+        check(run_kind("restarts_and_failures", seed))
+
+    @pytest.mark.parametrize("seed", range(1, 11))
+    def test_owners_are_lost_too(self, seed: int) -> None:
+        check(run_kind("restarts_and_owners", seed))
+
+
 class TestFailedRuns:
     """No job is shown as failed before a task has used up its attempts."""
 
--- a/wasabiramp/model/entry/contact.py
+++ b/wasabiramp/model/entry/contact.py
@@ -48,6 +48,12 @@
 MIN_NOTICE_S: Final = 2.0
 """Shortest time from the store's answer to the report of a drain until the executor leaves."""
 
+RESTART_S: Final = (0.1, 0.9)
+CUT_AFTER_RESTART_S: Final = (0.1, 1.5)
+CUT_OF_RESTARTED_S: Final = (3.0, 9.0)
+"""Ranges of the time for which an executor is down that restarts under its id, of the time from
+then until it is cut off, and of the duration of that cut."""
+
 Fault = Callable[[World], Awaitable[None]]
 CONTACT_FAULTS: Final[dict[str, Fault]] = {}
 LONG_FAULTS: Final[dict[str, Fault]] = {}
@@ -396,3 +402,17 @@
         world.store.end_outage()
     for client in world.clients.values():
         client.is_refused = False
+
+
+@long_fault
+async def async_restart_and_cut(world: World) -> None:
+    """Restart an executor under its id, and cut it off soon after it is back."""
+    names = draw_executors(world, 1)
+    if not names:
+        return
+    down_s = world.random.uniform(*RESTART_S)
+    async with asyncio.TaskGroup() as group:
+        number = int(names[0].removeprefix("i-"))
+        group.create_task(world.async_crash_executor(number, down_s, True))
+        await asyncio.sleep(down_s + world.random.uniform(*CUT_AFTER_RESTART_S))
+        await async_isolate(world, names, world.random.uniform(*CUT_OF_RESTARTED_S), False)
--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
+import contextvars
 from dataclasses import replace
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from wasabiramp.entry.ports import NoAnswerError, OrderAnswer
 from wasabiramp.model.entry.checker import HistoryChecker
@@ -47,6 +49,11 @@
 SHRINK_GRACE_S: Final = 4.5
 """Time from which a shrunk capacity counts: the platform's time to be in touch again and a beat."""
 
+MAX_KEPT_CALL_S: Final = 6.0
+KEPT_CALL_POLL_S: Final = 0.02
+"""Longest time for which a call to an executor that is down waits for its next process, and the
+interval at which it looks for that."""
+
 MAX_REPORTED_ENDS: Final = 500
 """Greatest number of ended runs in one report."""
 
@@ -331,7 +338,8 @@
 
         `on_add` is called with each executor that is added. Each run of one of the `deadly_tasks`
         crashes its executor after `crash_delay_s`, for which `on_deadly_crash` is called. Of the
-        tasks that start, the share `deadly_start_share` is deadly from then on.
+        tasks that start, the share `deadly_start_share` is deadly from then on. With `keeps_calls`,
+        calls to an executor that is down are served by its next process, without an answer.
         """
         self._random = random
         self.checker = checker
@@ -339,6 +347,7 @@
         self.failure_share = 0.0
         self.duration_range = DURATION_RANGE
         self.on_add: Callable[[ModelExecutor], None] = lambda executor: None
+        self.keeps_calls = False
         self.deadly_tasks: set[str] = set()
         self.deadly_start_share = 0.0
         self.crash_delay_s = 0.02
@@ -416,6 +425,38 @@
         self._executors = executors
         self._random = random
 
+    def _is_kept(self, executor_id: str) -> bool:
+        """Return whether a call waits for the next process of an executor that is down."""
+        executor = self._executors.by_id.get(executor_id)
+        if executor is None or executor.is_up or executor.refuses_when_down:
+            return False
+        return self._executors.keeps_calls
+
+    async def _async_keep(
+        self, executor_id: str, timeout_s: float, serve: Callable[[ModelExecutor], Any]
+    ) -> None:
+        """Let the next process of an executor serve a call; return once its sender gives up."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            self._async_serve_when_up(executor_id, serve), context=contextvars.Context()
+        )
+        # The call goes on without its sender, which may be killed.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.shield(task), timeout_s)
+
+    async def _async_serve_when_up(
+        self, executor_id: str, serve: Callable[[ModelExecutor], Any]
+    ) -> None:
+        """Serve a call once an executor is up again, unless that takes too long."""
+        for _ in range(round(MAX_KEPT_CALL_S / KEPT_CALL_POLL_S)):
+            executor = self._executors.by_id.get(executor_id)
+            if executor is not None and executor.is_up:
+                served = serve(executor)
+                if asyncio.iscoroutine(served):
+                    await served
+                return
+            await asyncio.sleep(KEPT_CALL_POLL_S)
+
     async def _async_is_refused(self, executor_id: str) -> bool:
         """Return whether the machine of an executor refuses the connection, after a round trip."""
         executor = self._executors.by_id.get(executor_id)
@@ -442,6 +483,11 @@
                 await asyncio.sleep(3600)
             return OrderAnswer(order(executor, False), executor.clock_ms)
 
+        if self._is_kept(executor_id):
+            await self._async_keep(
+                executor_id, ORDER_TIMEOUT_S, lambda executor: order(executor, False)
+            )
+            return OrderAnswer(events.UNKNOWN)
         if await self._async_is_refused(executor_id):
             return OrderAnswer(events.NOT_SENT)
         try:
@@ -481,9 +527,14 @@
                 await asyncio.sleep(3600)
             return answer
 
+        timeout_s = effect.wait_s + HOLD_TIMEOUT_MARGIN_S
+        if self._is_kept(effect.executor):
+            await self._async_keep(
+                effect.executor, timeout_s, lambda executor: executor.async_hold(effect, fence)
+            )
+            return events.UNKNOWN
         if await self._async_is_refused(effect.executor):
             return events.NOT_SENT
-        timeout_s = effect.wait_s + HOLD_TIMEOUT_MARGIN_S
         try:
             return await self._network.async_call(self._source, effect.executor, timeout_s, serve)
         except NoAnswerError:
--- a/wasabiramp/model/entry/heartbeats.py
+++ b/wasabiramp/model/entry/heartbeats.py
@@ -63,9 +63,9 @@
             self._remove_lapsed(loop.time())
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    def report_soon(self, executor: ModelExecutor) -> None:
-        """Let an executor report at once, as its entry has changed."""
-        self._due_at[executor.entry.id] = asyncio.get_running_loop().time()
+    def report_soon(self, executor: ModelExecutor, delay_s: float = 0.0) -> None:
+        """Let an executor report after a delay, as its entry has changed."""
+        self._due_at[executor.entry.id] = asyncio.get_running_loop().time() + delay_s
 
     def is_reported(self, executor: ModelExecutor) -> bool:
         """Return whether the store holds the current entry of an executor."""
--- a/wasabiramp/model/entry/kinds.py
+++ b/wasabiramp/model/entry/kinds.py
@@ -156,7 +156,15 @@
 class ScheduleKind:
     """The jobs, callers and faults of one kind of schedule."""
 
-    __slots__ = ("async_call", "draw", "failure_share", "fault_count", "faults", "job_count")
+    __slots__ = (
+        "async_call",
+        "draw",
+        "failure_share",
+        "fault_count",
+        "faults",
+        "has_restarts",
+        "job_count",
+    )
 
     def __init__(
         self,
@@ -166,10 +174,12 @@
         job_count: int = 8,
         async_call: RunCaller = async_call_normally,
         failure_share: float = 0.0,
+        has_restarts: bool = False,
     ) -> None:
         """Draw `fault_count` of the faults with these names, in schedules of `job_count` jobs.
 
-        The share `failure_share` of the runs fail by themselves.
+        The share `failure_share` of the runs fail by themselves. With `has_restarts`, calls to an
+        executor that is down reach its next process, whose entry follows late.
         """
         self.draw = draw
         self.faults = faults
@@ -177,6 +187,7 @@
         self.job_count = job_count
         self.async_call = async_call
         self.failure_share = failure_share
+        self.has_restarts = has_restarts
 
 
 KINDS: Final = {
@@ -271,6 +282,28 @@
     "late_write": ScheduleKind(
         draw_short_chain_job, ["keep_writes"], 3, 60, async_cancel_unconfirmed
     ),
+    "restarts": ScheduleKind(draw_any_job, 3 * ["crash_executor"], 14, 24, has_restarts=True),
+    "restarts_and_cuts": ScheduleKind(
+        draw_any_job, 3 * ["restart_and_cut"], 14, 24, has_restarts=True
+    ),
+    "restarts_of_short_runs": ScheduleKind(
+        draw_short_chain_job, 3 * ["crash_executor"], 14, 24, has_restarts=True
+    ),
+    "restarts_and_failures": ScheduleKind(
+        draw_any_job,
+        ["crash_executor", "restart_and_cut"],
+        14,
+        24,
+        failure_share=FAILURE_SHARE,
+        has_restarts=True,
+    ),
+    "restarts_and_owners": ScheduleKind(
+        draw_any_job,
+        [*3 * ("restart_and_cut",), "kill_owner", "cut_owner_off"],
+        14,
+        24,
+        has_restarts=True,
+    ),
     "suspension": ScheduleKind(
         draw_long_job,
         ["suspend_owner", "suspend_daemon", "pause_owner", "cut_from_others", "cut_owner_off"],
@@ -301,6 +334,7 @@
     await world.async_start()
     world.start_heartbeats()
     world.executors.failure_share = kind.failure_share
+    world.executors.keeps_calls = world.has_late_entries = kind.has_restarts
     random = world.random
     callers = [
         world.loop.create_task(_async_run_caller(world, kind, n)) for n in range(kind.job_count)
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -27,7 +27,7 @@
     ModelExecutorClient,
     ModelExecutors,
 )
-from wasabiramp.model.entry.heartbeats import Heartbeats
+from wasabiramp.model.entry.heartbeats import HEARTBEAT_S, Heartbeats
 from wasabiramp.model.entry.network import ADVISER, ModelListener, ModelPeers, Network, NodeLimits
 from wasabiramp.model.entry.store import ModelStore, ModelStoreClient
 from wasabiramp.scheduling.model import (
@@ -149,6 +149,7 @@
         self.checker = HistoryChecker(WALL_START_S)
         self.heartbeats: Heartbeats | None = None
         self.network = Network(self.random)
+        self.has_late_entries = False
         self.good_share = 0.7
         self._counts = (daemons, executors)
         self._status_s = status_s
@@ -234,9 +235,13 @@
         self.loop.create_task(self.heartbeats.async_run())
 
     def list_executor(self, executor: ModelExecutor) -> None:
-        """List an executor in the store; with heartbeats, as soon as it reaches the store."""
+        """List an executor in the store; with heartbeats, as soon as it reaches the store.
+
+        With `has_late_entries`, that is up to an interval of its heartbeats later.
+        """
         if self.heartbeats is not None:
-            self.heartbeats.report_soon(executor)
+            delay_s = self.random.uniform(0.0, HEARTBEAT_S) if self.has_late_entries else 0.0
+            self.heartbeats.report_soon(executor, delay_s)
             return
         self._write_entry(executor)
 
