Reset the connection of a call without an answer, so that it is withdrawn

A call that timed out was closed in the ordinary way, which still delivers what a partition holds up, to whichever process answers there next.

The new test fails without the change: its listener reads an ordinary end in place of a reset.

--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -134,6 +134,39 @@
         assert self.send_twice((200, {})) == [ORDER_TIMEOUT_RANGE_S[0]] * 2
 
 
+class TestWithdrawnCall:
+    """A call without an answer is withdrawn, so that it does not reach the next process."""
+
+    # Guards against TWICE: a call that a partition held up was served by the next process.
+    def test_connection_is_reset_after_a_timeout(self) -> None:
+        async def async_run() -> str:
+            ends: asyncio.Queue[str] = asyncio.Queue()
+
+            async def async_accept(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                try:
+                    while await reader.read(65_536):
+                        pass
+                    ends.put_nowait("closed")
+                except ConnectionResetError:
+                    ends.put_nowait("reset")
+                finally:
+                    writer.close()
+
+            server = await asyncio.start_server(async_accept, "127.0.0.1", 0)
+            url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+            client = HttpClient(LoopLag())
+            with pytest.raises(NoAnswerError):
+                await client.async_send("POST", url, 0.1, {})
+            end = await asyncio.wait_for(ends.get(), 5.0)
+            await client.async_close()
+            server.close()
+            return end
+
+        assert asyncio.run(async_run()) == "reset"
+
+
 class TestAdaptiveTimeouts:
     """Guards against giving up the answers of a store that is 65 times slower than usual."""
 
--- a/wasabiramp/platform/clients.py
+++ b/wasabiramp/platform/clients.py
@@ -5,6 +5,8 @@
 import asyncio
 import base64
 from collections.abc import Callable
+import socket
+import struct
 from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
 
@@ -79,6 +81,9 @@
 CONNECT_TIMEOUT_SHARE: Final = 0.8
 """Share of a timeout for connecting, so that a failed connection is not taken for a lost answer."""
 
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a socket is reset when it is closed."""
+
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 OUTCOME_BY_REASON: Final = {
     "fence": events.REFUSED_FENCE,
@@ -106,7 +111,10 @@
         """Open the session on the running event loop, with a limit of connections per address."""
         self._lag = lag
         connector = aiohttp.TCPConnector(
-            limit=0, limit_per_host=connections, keepalive_timeout=KEEPALIVE_S
+            limit=0,
+            limit_per_host=connections,
+            keepalive_timeout=KEEPALIVE_S,
+            socket_factory=_open_socket,
         )
         self._session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
@@ -157,6 +165,18 @@
         await self._session.close()
 
 
+def _open_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Open a socket that is reset when it is closed.
+
+    A call without an answer is withdrawn so: what a partition holds up of it is dropped, and does
+    not reach whichever process answers there later.
+    """
+    family, kind, protocol, _name, _address = address
+    opened = socket.socket(family=family, type=kind, proto=protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return opened
+
+
 class StoreClient:
     """Client of the platform's key-value store."""
 
@@ -381,7 +401,8 @@
     ) -> tuple[int, bytes]:
         """Call an executor, which may wait for `wait_s` before it answers.
 
-        The `Expect-Instance` header makes another process at the same address refuse the call.
+        The `Expect-Instance` header makes an executor with another id refuse the call. It does not
+        tell processes with the same id apart (`scheduling/processes.py`).
         """
         headers = {**JSON_HEADERS, "Expect-Instance": effect.executor}
         url = f"http://{effect.address}/v1/{verb}"
