Give each process of an executor an epoch of its own, and acknowledge only what it listed

Cause: nothing in a call names a process. The next one serves what was meant for the one before, and takes its fields for its own: the number of an acknowledged end, the end of a lease, a start that its owner took for without effect.

Now each process has a fence epoch within the term of its owner, so that once it has answered, it refuses what was meant for earlier processes. Ends are acknowledged once each, and not while a start is unsettled, that is, not known to have reached the process that listed them; a start that follows an open acknowledgement has a higher epoch than that. A run whose start is unsettled has the longest lease, as a next process would give it, also for the next owner. Stops of late starts at a new process go, as the fence does that.

--- a/tests/scheduling/test_crash_waves.py
+++ b/tests/scheduling/test_crash_waves.py
@@ -175,7 +175,7 @@
             harness.tick(DOWNTIME_S)
             harness.incarnations["e0"] = incarnation
             harness.list_executor("e0")
-            harness.answer_hold("e0")
+            harness.meet_process("e0")
             harness.commit()
         assert not job.is_ended
 
--- a/tests/scheduling/test_evidence.py
+++ b/tests/scheduling/test_evidence.py
@@ -19,7 +19,7 @@
     StoredJob,
 )
 from wasabiramp.scheduling.evidence import ENDS_PER_PAGE
-from wasabiramp.scheduling.leases import PREDECESSOR_WAIT_S
+from wasabiramp.scheduling.leases import PREDECESSOR_WAIT_S, convert_lease_s
 from wasabiramp.scheduling.model import EndReport, JobDefinition, RunReport
 
 JOB = "b" * 16
@@ -327,6 +327,9 @@
         (start,) = harness.place()
         harness.leave_unanswered(start)
         fail_holds(harness, start.executor, UNKNOWN, 4.2)
+        # The start may have reached a next process, by whose clock its lease lasts longer.
+        assert harness.place() == []
+        fail_holds(harness, start.executor, UNKNOWN, convert_lease_s(6.0) - 4.0)
         (again,) = harness.place_and_start()
         assert again.executor != start.executor
         harness.effects.clear()
--- a/tests/scheduling/test_invalid_entries.py
+++ b/tests/scheduling/test_invalid_entries.py
@@ -66,7 +66,7 @@
         harness = SchedulerHarness(executors=1)
         harness.list_executor("e0", born_ms=5)
         harness.incarnations["e0"] = 5
-        harness.answer_hold("e0")
+        harness.meet_process("e0")
         harness.apply(ExecutorEntryInvalid("e0"))
         harness.list_executor("e0", born_ms=4)
         harness.submit("a" * 16, "batch", make_step(1))
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -95,6 +95,7 @@
         harness.submit("a" * 16, "batch", make_step(2, cpu=2_000))
         harness.incarnations["e0"] = 2
         harness.answer_hold("e0")
+        harness.meet_process("e0")
         assert harness.place() == []
         harness.list_executor("e0", cpu=2_000)
         assert len(harness.place()) == 1
@@ -324,6 +325,7 @@
         harness.answer_advice(harness.take_effects(AskAdvice)[0], ["e0"])
         harness.incarnations["e0"] = 2
         harness.answer_hold("e0")
+        harness.meet_process("e0")
         harness.list_executor("e0")
         assert harness.place() == []
         assert len(harness.take_effects(AskAdvice)) == 1
--- a/wasabiramp/entry/dispatcher.py
+++ b/wasabiramp/entry/dispatcher.py
@@ -37,11 +37,13 @@
     StopAnswered,
 )
 from wasabiramp.scheduling.model import ExecutorReport
+from wasabiramp.scheduling.processes import build_fence
 
 ADVICE_RETRY_S: Final = 0.05
 """Delay before a question without an answer is asked again, mostly through another daemon."""
 
-DispatchedEffect = StartTask | StopTask | PaceTask | HoldExecutor | AskAdvice
+ExecutorCall = StartTask | StopTask | PaceTask | HoldExecutor
+DispatchedEffect = ExecutorCall | AskAdvice
 
 
 class Dispatcher:
@@ -82,12 +84,16 @@
         else:
             self._spawn(self._async_ask_adviser(effect))
 
+    def _build_fence(self, effect: ExecutorCall) -> int:
+        """Return the fence number of a call: the present term, and the epoch of the call."""
+        return build_fence(self._get_fencing_token(), effect.fence_epoch)
+
     async def _async_start(self, effect: StartTask) -> None:
         """Send a start and reduce its answer."""
         await self._async_wait_for_tenure()
         sent_at = self._loop.time()
         answer = await async_call_or_default(
-            self._executors.async_start(effect, self._get_fencing_token()), OrderAnswer(UNKNOWN)
+            self._executors.async_start(effect, self._build_fence(effect)), OrderAnswer(UNKNOWN)
         )
         self._metrics.record_value("start_seconds", self._loop.time() - sent_at, {})
         self._reduce(
@@ -99,28 +105,37 @@
                 answer.outcome,
                 answer.clock_ms,
                 effect.until_ms,
+                effect.fence_epoch,
             )
         )
 
     async def _async_stop(self, effect: StopTask) -> None:
         """Send a stop and reduce its answer."""
         answer = await async_call_or_default(
-            self._executors.async_stop(effect, self._get_fencing_token()), OrderAnswer(UNKNOWN)
+            self._executors.async_stop(effect, self._build_fence(effect)), OrderAnswer(UNKNOWN)
+        )
+        self._reduce(
+            StopAnswered(
+                effect.executor, effect.task, effect.run, answer.outcome, effect.fence_epoch
+            )
         )
-        self._reduce(StopAnswered(effect.executor, effect.task, effect.run, answer.outcome))
 
     async def _async_pace(self, effect: PaceTask) -> None:
         """Send a change of pace and reduce its answer."""
         answer = await async_call_or_default(
-            self._executors.async_pace(effect, self._get_fencing_token()), OrderAnswer(UNKNOWN)
+            self._executors.async_pace(effect, self._build_fence(effect)), OrderAnswer(UNKNOWN)
+        )
+        self._reduce(
+            PaceAnswered(
+                effect.executor, effect.task, effect.run, answer.outcome, effect.fence_epoch
+            )
         )
-        self._reduce(PaceAnswered(effect.executor, effect.task, effect.run, answer.outcome))
 
     async def _async_hold(self, effect: HoldExecutor) -> None:
         """Send a hold, which renews the executor's lease, and reduce its report."""
         sent_at = self._loop.time()
         report = await async_call_or_default(
-            self._executors.async_hold(effect, self._get_fencing_token()), UNKNOWN
+            self._executors.async_hold(effect, self._build_fence(effect)), UNKNOWN
         )
         if isinstance(report, ExecutorReport):
             self._reduce(
@@ -131,10 +146,13 @@
                     effect.address,
                     effect.last_seen,
                     effect.until_ms,
+                    effect.fence_epoch,
                 )
             )
         else:
-            self._reduce(HoldFailed(effect.executor, sent_at, report, effect.address))
+            self._reduce(
+                HoldFailed(effect.executor, sent_at, report, effect.address, effect.fence_epoch)
+            )
 
     async def _async_ask_adviser(self, effect: AskAdvice) -> None:
         """Ask the adviser and reduce the answer."""
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -57,7 +57,11 @@
     StoredJob,
     TimePassed,
 )
-from wasabiramp.scheduling.leases import PREDECESSOR_WAIT_S, convert_lease_s
+from wasabiramp.scheduling.leases import (
+    calculate_long_leases_end,
+    convert_lease_s,
+    get_predecessor_wait_s,
+)
 from wasabiramp.scheduling.model import (
     FINAL_PHASES,
     PENDING,
@@ -483,7 +487,8 @@
     def _measure_predecessor_lease_s(self) -> float:
         """Return the longest time for which leases of earlier owners may still last."""
         now = self._read_uptime()
-        left_s = PREDECESSOR_WAIT_S - max(0.0, now - self.tenure.begun_at)
+        wait_s = get_predecessor_wait_s(self.scheduler.state.lease_limit_s)
+        left_s = wait_s - max(0.0, now - self.tenure.begun_at)
         if self._predecessor_ended_at is not None:
             left_s = min(left_s, convert_lease_s(self._lease_s) - now + self._predecessor_ended_at)
         return max(0.0, left_s)
@@ -511,9 +516,7 @@
 
         Executors that answered this owner may still have a lease of an earlier one.
         """
-        state = self.scheduler.state
-        ends_at = max(state.long_leases_end_at, state.predecessor_leases_end_at)
-        return ends_at - convert_lease_s(self._lease_s)
+        return calculate_long_leases_end(self.scheduler.state) - convert_lease_s(self._lease_s)
 
     def has_heard_all(self) -> bool:
         """Return whether it is known of all executors what earlier owners left on them."""
--- a/wasabiramp/scheduling/attempts.py
+++ b/wasabiramp/scheduling/attempts.py
@@ -107,7 +107,7 @@
 
 def may_acknowledge_more(state: SchedulerState, executor: ExecutorState) -> bool:
     """Return whether a hold that is sent now would acknowledge further ends."""
-    return choose_acknowledged_end(state, executor) > executor.acknowledged_end
+    return choose_acknowledged_end(state, executor) > executor.calls.acknowledged_end
 
 
 def note_acknowledgements(executor: ExecutorState, last_seen: int) -> None:
--- a/wasabiramp/scheduling/effects.py
+++ b/wasabiramp/scheduling/effects.py
@@ -10,7 +10,8 @@
     """Start a run.
 
     `spec` is the caller's description of the job, and `saved` the state from which the run resumes,
-    if any. `until_ms` is the lease expiry on the executor's clock.
+    if any. `until_ms` is the lease expiry on the executor's clock. `fence_epoch` is as in
+    `scheduling/processes.py`, here and in the other calls.
     """
 
     executor: str
@@ -21,6 +22,7 @@
     until_ms: int
     saved: str
     ticket: str
+    fence_epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -31,6 +33,7 @@
     address: str
     task: str
     run: int
+    fence_epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -42,6 +45,7 @@
     task: str
     run: int
     percent: int
+    fence_epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -57,6 +61,7 @@
     until_ms: int | None
     last_seen: int
     wait_s: float
+    fence_epoch: int = 0
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/events.py
+++ b/wasabiramp/scheduling/events.py
@@ -28,11 +28,12 @@
 """Outcomes of orders to executors.
 
 `STARTED` confirms any order, also a stop or a pace. An order is refused because the executor knows
-a newer owner (`REFUSED_FENCE`), has a later run or a stop for the task (`REFUSED_OLD`), received it
-after the lease had expired (`REFUSED_LATE`), lacks resources (`REFUSED_ROOM`), rejects the ticket
-(`REFUSED_TICKET`), is unhealthy or full (`REFUSED_BUSY`), or cannot parse it (`REFUSED_INPUT`).
-`OTHER_INCARNATION` means that another process answered, `NOT_SENT` that the order certainly did not
-arrive, and `UNKNOWN` that it may have been executed, as its answer was lost."""
+a newer owner or a later epoch of its calls (`REFUSED_FENCE`), has a later run or a stop for the
+task (`REFUSED_OLD`), received it after the lease had expired (`REFUSED_LATE`), lacks resources
+(`REFUSED_ROOM`), rejects the ticket (`REFUSED_TICKET`), is unhealthy or full (`REFUSED_BUSY`), or
+cannot parse it (`REFUSED_INPUT`). `OTHER_INCARNATION` means that another process answered,
+`NOT_SENT` that the order certainly did not arrive, and `UNKNOWN` that it may have been executed, as
+its answer was lost."""
 
 
 @dataclass(slots=True)
@@ -139,6 +140,7 @@
 
     `address` is that of the hold; if it is empty, the last hold was answered. The hold acknowledged
     the ends up to `last_seen`, and renewed the lease until `until_ms`, unless that is None.
+    `fence_epoch` is that of the call, here and in other events; None stands for the present one.
     """
 
     executor: str
@@ -147,6 +149,7 @@
     address: str = ""
     last_seen: int = 0
     until_ms: int | None = None
+    fence_epoch: int | None = None
 
 
 @dataclass(slots=True)
@@ -160,6 +163,7 @@
     sent_at: float
     outcome: str
     address: str = ""
+    fence_epoch: int | None = None
 
 
 @dataclass(slots=True)
@@ -176,6 +180,7 @@
     outcome: str
     clock_ms: int | None = None
     until_ms: int | None = None
+    fence_epoch: int | None = None
 
 
 @dataclass(slots=True)
@@ -186,6 +191,7 @@
     task: str
     run: int
     outcome: str
+    fence_epoch: int | None = None
 
 
 @dataclass(slots=True)
@@ -196,6 +202,7 @@
     task: str
     run: int
     outcome: str
+    fence_epoch: int | None = None
 
 
 @dataclass(slots=True)
--- a/wasabiramp/scheduling/evidence.py
+++ b/wasabiramp/scheduling/evidence.py
@@ -4,6 +4,8 @@
 
 - its executor listed its end, or refused to start it;
 - a complete report, requested after the run was started or stopped there, does not list it;
+- a complete report by a call that was meant for a later process of its executor does not list it
+  (`scheduling/processes.py`);
 - its lease has ended, by the slowest clock and whichever owner gave it (`scheduling/leases.py`),
   and the owner's term was proven after that, so that no later owner can have extended it;
 - another process answers at the address at which the executor was reached.
@@ -21,7 +23,11 @@
 
 from wasabiramp.core.registry import handles
 from wasabiramp.scheduling.events import OTHER_INCARNATION, HoldFailed, PredecessorEnded
-from wasabiramp.scheduling.leases import calculate_lease_expiry, get_proven_at
+from wasabiramp.scheduling.leases import (
+    calculate_lease_expiry,
+    calculate_run_lease_expiry,
+    get_proven_at,
+)
 from wasabiramp.scheduling.model import ExecutorReport
 from wasabiramp.scheduling.orders import release_run
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState, StepRun
@@ -51,30 +57,55 @@
     return not is_answering and state.now > ended_at and get_proven_at(state) >= ended_at
 
 
-def expire_runs(state: SchedulerState, executor: ExecutorState, why: str) -> None:
-    """Release all runs of an executor whose leases have ended or whose process is gone."""
-    if executor.runs:
-        state.log_decision("runs_lapsed", executor=executor.id, runs=len(executor.runs), why=why)
-    for key, run in list(executor.runs.items()):
-        executor.expired_runs.add(key)
+def list_lapsed_runs(state: SchedulerState, executor: ExecutorState) -> list[Run]:
+    """Return the runs of an executor that does not answer whose leases have certainly ended."""
+    if not executor.runs or not has_lease_ended(state, executor):
+        return []
+    return [
+        run
+        for key, run in executor.runs.items()
+        if min(state.now, get_proven_at(state)) >= calculate_run_lease_expiry(state, executor, key)
+    ]
+
+
+def expire_runs(state: SchedulerState, executor: ExecutorState, runs: list[Run], why: str) -> None:
+    """Release runs whose leases have ended or whose process is gone."""
+    if runs:
+        state.log_decision("runs_lapsed", executor=executor.id, runs=len(runs), why=why)
+    for run in runs:
+        executor.expired_runs.add((run.task, run.number))
         _release_without_end(state, run)
 
 
 def release_unlisted_runs(
-    state: SchedulerState, executor: ExecutorState, listed: set[tuple[str, int]], sent_at: float
+    state: SchedulerState,
+    executor: ExecutorState,
+    listed: set[tuple[str, int]],
+    sent_at: float,
+    epoch: int | None,
 ) -> None:
     """Release runs that a complete report does not list.
 
-    The report must have been requested after their start or stop was confirmed.
+    The report must have been requested after their start or stop was confirmed, or by a call that
+    makes the executor refuse their starts.
     """
     for key, run in list(executor.runs.items()):
         if key in listed:
             continue
         settled_at = run.stop_confirmed_at if run.wants_stop else run.confirmed_at
-        if settled_at is not None and settled_at < sent_at:
+        is_settled = settled_at is not None and settled_at < sent_at
+        if is_settled or _is_refused(executor, run, epoch):
             _release_without_end(state, run)
 
 
+def _is_refused(executor: ExecutorState, run: Run, epoch: int | None) -> bool:
+    """Return whether a process that answered a call refuses the start of a run from then on."""
+    calls = executor.calls
+    if run.start_order is None or not calls.is_for_process(epoch):
+        return False
+    return run.start_order.fence_epoch < calls.process_epoch
+
+
 def note_unlisted_runs(
     executor: ExecutorState, listed: set[tuple[str, int]], sent_at: float
 ) -> None:
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
 from wasabiramp.core.registry import handles
@@ -44,9 +45,9 @@
 from wasabiramp.scheduling.evidence import (
     conclude_recovery,
     expire_runs,
-    has_lease_ended,
     is_complete,
     is_replaced,
+    list_lapsed_runs,
     note_unlisted_runs,
     release_unlisted_runs,
 )
@@ -54,13 +55,18 @@
 from wasabiramp.scheduling.leases import (
     calculate_longest_hold_s,
     confirm_lease,
+    convert_lease_s,
     estimate_confirmed_lease_s,
     has_old_clock,
 )
 from wasabiramp.scheduling.model import ExecutorEntry, ExecutorReport
 from wasabiramp.scheduling.orders import send_stop, stop_run
 from wasabiramp.scheduling.progress import measure_speed, update_slowness
-from wasabiramp.scheduling.runs import give_up_ownership, reconcile_listed_run
+from wasabiramp.scheduling.runs import (
+    give_up_ownership,
+    is_fenced_by_other,
+    reconcile_listed_run,
+)
 from wasabiramp.scheduling.sharing import SHARED_HOLD_WAIT_S, adjust_paces, is_shared
 from wasabiramp.scheduling.state import ExecutorState, Run, SchedulerState
 
@@ -199,27 +205,19 @@
 
 
 def _begin_incarnation(state: SchedulerState, executor: ExecutorState, born_ms: int) -> None:
-    """Reset what is known of the process of an executor, and stop starts that may come late."""
+    """Reset what is known of the process of an executor, which refuses earlier calls from now on.
+
+    Starts that have reached it already may have the longest lease.
+    """
     executor.reset(born_ms)
+    executor.calls.begin_process()
+    executor.unanswered_starts.clear()
     executor.born_known_at = state.now
-    executor.lease_expiry_floor = state.now + state.lease_limit_s
+    executor.lease_expiry_floor = state.now + convert_lease_s(state.lease_limit_s)
     for end in executor.unconfirmed_ends.values():
         end.lease_gaps = None
     for run in executor.runs.values():
         run.stop_sent_at = run.stop_confirmed_at = run.lease_gaps = None
-    _stop_late_starts(state, executor)
-
-
-def _stop_late_starts(state: SchedulerState, executor: ExecutorState) -> None:
-    """Stop unanswered starts again, as a new incarnation does not know about earlier stops."""
-    for (task, number), sent_at in list(executor.unanswered_starts.items()):
-        if state.now > sent_at + MAX_ORDER_DELAY_S:
-            del executor.unanswered_starts[(task, number)]
-            continue
-        run = _find_or_track_start(state, executor, task, number)
-        # The repeated order may have run in the earlier incarnation, while the first order may
-        # still reach this one.
-        run.wants_stop = True
 
 
 def _find_or_track_start(
@@ -263,14 +261,19 @@
             record_new_incarnation(state, executor, report.born_ms)
         executor.born_ms = report.born_ms
         executor.born_known_at = state.now
+    if not executor.calls.is_for_process(event.fence_epoch):
+        # What it acknowledged were ends of an earlier process.
+        event = replace(event, last_seen=0)
     handle_answer_of_successor(state, executor, report.born_ms)
     executor.has_open_hold = False
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
+    _note_long_lease(state, executor, report)
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.clock_asked_at = event.sent_at
-    executor.has_accepted_fence = True
+    executor.has_accepted_fence = executor.calls.is_for_process(event.fence_epoch)
+    executor.calls.note_hold_answered(event.sent_at, event.fence_epoch, event.last_seen)
     executor.may_be_next_process = False
     _note_address(state, executor, event.address or executor.hold_address)
     executor.must_answer &= not is_complete(report)
@@ -287,13 +290,22 @@
     executor.is_lease_continuous = False
     if is_complete(report):
         executor.reported_lease_gaps = executor.lease_gaps
-        release_unlisted_runs(state, executor, listed, event.sent_at)
+        release_unlisted_runs(state, executor, listed, event.sent_at, event.fence_epoch)
     else:
         note_unlisted_runs(executor, listed, event.sent_at)
     settle_ends(state, executor, event)
     schedule_next_hold(state, executor)
 
 
+def _note_long_lease(
+    state: SchedulerState, executor: ExecutorState, report: ExecutorReport
+) -> None:
+    """Note that a process may have a long lease, if it runs what was meant for an earlier one."""
+    if executor.clock_ms is None and executor.calls.process_epoch and report.running:
+        ends_at = state.now + convert_lease_s(state.lease_limit_s)
+        state.long_leases_end_at = max(state.long_leases_end_at, ends_at)
+
+
 def _note_lease(executor: ExecutorState, report: ExecutorReport, until_ms: int | None) -> None:
     """Note whether the lease may have lapsed since the last complete report.
 
@@ -366,7 +378,7 @@
         executor.next_hold_at = state.now + (
             get_ends_batch_delay_s() if executor.has_new_ends else UNSTORED_ENDS_DELAY_S
         )
-    elif executor.unconfirmed_ends:
+    elif executor.unconfirmed_ends and not may_acknowledge_more(state, executor):
         executor.next_hold_at = state.now + UNCONFIRMED_ENDS_DELAY_S
     else:
         executor.next_hold_at = state.now
@@ -381,9 +393,15 @@
     executor = state.executors.get(event.executor)
     if executor is None:
         return
-    if event.outcome == REFUSED_FENCE:
+    if is_fenced_by_other(state, event):
         give_up_ownership(state, f"{event.executor} refused a hold as fenced")
         return
+    if event.outcome == REFUSED_FENCE:
+        executor.has_open_hold = False
+        executor.next_hold_at = state.now
+        return
+    if event.outcome == UNKNOWN:
+        executor.calls.note_acknowledgement_failed()
     # A later hold was answered, so this failure does not mean that the executor is silent.
     if event.sent_at < executor.answered_hold_sent_at and event.outcome in (UNKNOWN, NOT_SENT):
         return
@@ -398,7 +416,7 @@
         state.log_decision("executor_silent", executor=executor.id, why=event.outcome)
         note_silence(state, executor)
     if is_replaced(executor, event):
-        expire_runs(state, executor, "executor process was replaced")
+        expire_runs(state, executor, list(executor.runs.values()), "executor process was replaced")
         confirm_crash(state, executor)
         handle_answer_of_successor(state, executor, None)
         withdraw_ends(state, executor, "executor process was replaced")
@@ -412,13 +430,12 @@
     state.list_age_s = event.list_age_s
     for executor in list(state.executors.values()):
         is_silent = executor.silent_since is not None
-        if executor.runs and has_lease_ended(state, executor):
-            expire_runs(state, executor, "lease expired")
+        expire_runs(state, executor, list_lapsed_runs(state, executor), "lease expired")
         if executor.unconfirmed_ends:
             settle_silent_ends(state, executor)
         if not executor.has_open_hold and state.now >= executor.next_hold_at:
             _hold_if_needed(state, executor)
-        elif executor.must_answer and not is_silent and _is_overdue(state, executor):
+        elif not is_silent and (_is_overdue(state, executor) or _is_in_doubt(executor)):
             send_hold(state, executor, 0.0)
         for run in list(executor.runs.values()):
             if run.wants_stop:
@@ -433,8 +450,16 @@
     plain=lambda state, executor: False,
 )
 def _is_overdue(state: SchedulerState, executor: ExecutorState) -> bool:
-    """Return whether a hold is unanswered for unusually long, though it has not timed out."""
-    return state.now >= executor.hold_sent_at + RECOVERY_HOLD_RETRY_S
+    """Return whether a hold after a takeover is unanswered for unusually long.
+
+    It has not timed out.
+    """
+    return executor.must_answer and state.now >= executor.hold_sent_at + RECOVERY_HOLD_RETRY_S
+
+
+def _is_in_doubt(executor: ExecutorState) -> bool:
+    """Return whether no hold was sent since a start was left in doubt."""
+    return executor.hold_sent_at <= executor.calls.get_doubted_at()
 
 
 def _hold_if_needed(state: SchedulerState, executor: ExecutorState) -> None:
@@ -445,6 +470,8 @@
     while ends that were read are still to be stored and it has neither runs nor such ends.
     """
     has_work = bool(executor.runs or executor.unconfirmed_ends)
+    if _must_await_starts(state, executor):
+        return
     if get_last_attributed_end(executor) > executor.last_seen and not has_work:
         return
     if not executor.has_accepted_fence or has_old_clock(state, executor):
@@ -458,6 +485,22 @@
         send_hold(state, executor, 0.0)
 
 
+def _must_await_starts(state: SchedulerState, executor: ExecutorState) -> bool:
+    """Return whether ends are to be acknowledged once the starts under way are answered.
+
+    The executor gets no further starts until then.
+    """
+    calls = executor.calls
+    calls.is_acknowledgement_due = (
+        executor.has_accepted_fence
+        and executor.silent_since is None
+        and not calls.are_settled
+        and not calls.is_in_doubt
+        and may_acknowledge_more(state, executor)
+    )
+    return calls.is_acknowledgement_due
+
+
 @switchable(
     "short-holds",
     "let holds wait in proportion to the shortest run",
@@ -527,6 +570,8 @@
     # The entry of an earlier incarnation may show another capacity and other labels.
     if executor.entry.born_ms and executor.entry.born_ms != executor.born_ms:
         return False
+    if executor.calls.is_in_doubt or executor.calls.is_acknowledgement_due:
+        return False
     if executor.uncounted_ends or (executor.unconfirmed_ends and has_uncovered_end(executor)):
         return False
     if may_hide_lapse(state, executor):
--- a/wasabiramp/scheduling/holds.py
+++ b/wasabiramp/scheduling/holds.py
@@ -17,6 +17,8 @@
 
     The lease of a silent executor is not renewed: if the hold arrived but its answer was lost, it
     would delay the time from which the tasks may run elsewhere.
+
+    Ends are acknowledged once each, and only to a process that certainly listed them.
     """
     executor.has_open_hold = True
     executor.hold_sent_at = state.now
@@ -26,10 +28,27 @@
     executor.lease_before_hold_ms = executor.lease_until_ms
     is_needed = bool(executor.runs or executor.unconfirmed_ends)
     is_renewed = is_needed and executor.silent_since is None and not has_uncovered_end(executor)
-    last_seen = choose_acknowledged_end(state, executor)
-    executor.acknowledged_end = last_seen
-    note_acknowledgements(executor, last_seen)
+    last_seen = choose_acknowledged_end(state, executor) if may_acknowledge(executor) else 0
+    if last_seen <= executor.calls.acknowledged_end:
+        last_seen = 0
+    if last_seen:
+        executor.calls.note_acknowledgement()
+        note_acknowledgements(executor, last_seen)
     expiry_ms = extend_lease(state, executor) if is_renewed else None
     state.effects.append(
-        HoldExecutor(executor.id, executor.entry.address, expiry_ms, last_seen, wait_s)
+        HoldExecutor(
+            executor.id,
+            executor.entry.address,
+            expiry_ms,
+            last_seen,
+            wait_s,
+            executor.calls.epoch,
+        )
+    )
+
+
+def may_acknowledge(executor: ExecutorState) -> bool:
+    """Return whether no run can have ended unread at another process than the known one."""
+    return (
+        executor.has_accepted_fence and executor.silent_since is None and executor.calls.are_settled
     )
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -8,8 +8,9 @@
 that tells that it has ended shortens the wait to one lease.
 
 The limit is a time on the executor's clock, so it also holds for orders that are delayed, and for
-owners that are paused between a check and an order. It does not hold for an order that reaches a
-later incarnation of its executor, whose clock starts anew.
+owners that are paused between a check and an order. An order that reaches a later incarnation of
+its executor, whose clock starts anew, may give the longest lease that executors accept: an owner
+waits for that if it does not know which process a start has reached (`scheduling/processes.py`).
 """
 
 from __future__ import annotations
@@ -62,6 +63,14 @@
 """Time from the claim of a term at which all leases of earlier owners have ended."""
 
 
+def get_predecessor_wait_s(lease_limit_s: float) -> float:
+    """Return the time from the claim of a term at which what earlier owners started has ended.
+
+    A start that reached the next process of its executor may have the longest lease.
+    """
+    return max(PREDECESSOR_WAIT_S, convert_lease_s(lease_limit_s))
+
+
 def get_proven_at(state: SchedulerState) -> float:
     """Return the time up to which the owner's term was proven to be current."""
     return state.leases_end_by - MAX_UNCONFIRMED_S
@@ -116,7 +125,16 @@
     """Return the earliest time that the executor's clock may show, or None if unknown."""
     if executor.clock_ms is None:
         return None
-    passed_s = (state.now - executor.clock_at) * (1 - MAX_CLOCK_DRIFT_SHARE)
+    return estimate_earliest_clock_ms(executor, state.now)
+
+
+def estimate_earliest_clock_ms(executor: ExecutorState, at: float) -> int:
+    """Return the earliest time that the clock of the known process may show at a time."""
+    if executor.clock_ms is None:
+        return 0
+    passed_s = at - executor.clock_at
+    if passed_s > 0:
+        passed_s *= 1 - MAX_CLOCK_DRIFT_SHARE
     return executor.clock_ms + int(passed_s * 1000)
 
 
@@ -138,6 +156,30 @@
     return expiry_ms
 
 
+def calculate_long_leases_end(state: SchedulerState) -> float:
+    """Return the time at which all leases have ended that may be longer than usual ones."""
+    doubted_at = max(
+        (e.calls.get_doubted_at() for e in state.executors.values()), default=-math.inf
+    )
+    ends_at = max(state.long_leases_end_at, state.predecessor_leases_end_at)
+    return max(ends_at, doubted_at + convert_lease_s(state.lease_limit_s))
+
+
+def calculate_run_lease_expiry(
+    state: SchedulerState, executor: ExecutorState, key: tuple[str, int]
+) -> float:
+    """Return the time at which the lease of a run has certainly expired, at whichever process."""
+    expires_at = calculate_lease_expiry(state, executor)
+    start = executor.calls.unsettled_starts.get(key)
+    if start is None:
+        return expires_at
+    if start.open_copies > 0:
+        return math.inf
+    silent_since = -math.inf if executor.silent_since is None else executor.silent_since
+    renewed_at = max(start.doubted_at, silent_since)
+    return max(expires_at, renewed_at + convert_lease_s(state.lease_limit_s))
+
+
 def confirm_lease(executor: ExecutorState, clock_ms: int, until_ms: int | None) -> None:
     """Note that an order or a hold was answered at a time on the executor's clock.
 
--- a/wasabiramp/scheduling/orders.py
+++ b/wasabiramp/scheduling/orders.py
@@ -53,11 +53,18 @@
         task.saved,
         ticket.value if ticket is not None else "",
     )
+    _note_start(executor, run.start_order)
     state.effects.append(run.start_order)
     executor.next_hold_at = min(executor.next_hold_at, state.now)
     return run
 
 
+def _note_start(executor: ExecutorState, order: StartTask) -> None:
+    """Set the fence epoch of an order that is sent now, and note that it is under way."""
+    executor.calls.note_start((order.task, order.run))
+    order.fence_epoch = executor.calls.epoch
+
+
 @switchable(
     "start-resends",
     "send an unanswered start again as the same run",
@@ -75,7 +82,9 @@
     if expiry_ms is None:
         return False
     run.resends += 1
-    state.effects.append(replace(run.start_order, until_ms=expiry_ms))
+    run.start_order = replace(run.start_order, until_ms=expiry_ms)
+    _note_start(executor, run.start_order)
+    state.effects.append(run.start_order)
     state.log_decision("start_repeated", task=run.task, run=run.number, executor=executor.id)
     return True
 
@@ -94,7 +103,9 @@
     if run.stop_sent_at is not None and state.now < run.stop_sent_at + STOP_RETRY_S:
         return
     run.stop_sent_at = state.now
-    state.effects.append(StopTask(executor.id, executor.entry.address, run.task, run.number))
+    state.effects.append(
+        StopTask(executor.id, executor.entry.address, run.task, run.number, executor.calls.epoch)
+    )
 
 
 def release_run(state: SchedulerState, run: Run) -> None:
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -21,6 +21,8 @@
     REFUSED_TICKET,
     STARTED,
     UNKNOWN,
+    HoldFailed,
+    PaceAnswered,
     StartAnswered,
     StopAnswered,
 )
@@ -29,7 +31,7 @@
     finish_task,
     mark_job_dirty,
 )
-from wasabiramp.scheduling.leases import confirm_lease
+from wasabiramp.scheduling.leases import confirm_lease, estimate_earliest_clock_ms
 from wasabiramp.scheduling.model import (
     END_BROKEN,
     END_DONE,
@@ -68,21 +70,39 @@
         state.effects.append(GiveUpOwnership(reason))
 
 
+def is_fenced_by_other(
+    state: SchedulerState, event: StartAnswered | StopAnswered | PaceAnswered | HoldFailed
+) -> bool:
+    """Return whether an executor refused a call because it knows a newer owner.
+
+    A call is also refused if a later one of a higher epoch has overtaken it.
+    """
+    executor = state.executors.get(event.executor)
+    if event.outcome != REFUSED_FENCE:
+        return False
+    return executor is None or not executor.calls.is_earlier_epoch(event.fence_epoch)
+
+
 @handles(StartAnswered)
 def handle_start_answer(state: SchedulerState, event: StartAnswered) -> None:
     """Confirm a run, or release it if the executor certainly did not start it."""
-    executor = state.executors.get(event.executor)
-    run = state.find_run(event.executor, event.task, event.run)
-    if event.outcome == REFUSED_FENCE:
+    if is_fenced_by_other(state, event):
         give_up_ownership(state, f"{event.executor} refused a start as fenced")
         return
-    if executor is None or run is None:
+    executor = state.executors.get(event.executor)
+    if executor is None:
+        return
+    is_same_process = event.outcome != OTHER_INCARNATION and event.sent_at >= executor.born_known_at
+    if is_same_process and _has_earlier_clock(executor, event):
+        executor.may_be_next_process = True
+        is_same_process = False
+    _note_outcome(state, executor, event, is_same_process)
+    run = executor.runs.get((event.task, event.run))
+    if run is None:
         return
     if event.outcome not in (UNKNOWN, NOT_SENT):
         executor.answered_at = state.now
-    is_same_process = event.outcome != OTHER_INCARNATION and event.sent_at >= executor.born_known_at
     if event.clock_ms is not None and is_same_process:
-        executor.may_be_next_process |= _has_earlier_clock(executor, event)
         executor.clock_ms, executor.clock_at = event.clock_ms, state.now
         executor.clock_asked_at = event.sent_at
         is_renewed = event.outcome in (STARTED, REFUSED_OLD, REFUSED_ROOM)
@@ -113,10 +133,21 @@
 
 
 def _has_earlier_clock(executor: ExecutorState, event: StartAnswered) -> bool:
-    """Return whether an executor's clock has gone back, as another process answered a start."""
+    """Return whether an executor's clock is behind, as another process answered a start."""
     if event.clock_ms is None or executor.clock_ms is None:
         return False
-    return event.sent_at >= executor.clock_at and event.clock_ms < executor.clock_ms
+    return event.clock_ms < estimate_earliest_clock_ms(executor, event.sent_at)
+
+
+def _note_outcome(
+    state: SchedulerState, executor: ExecutorState, event: StartAnswered, is_same_process: bool
+) -> None:
+    """Note whether it is known which process a start has reached, if any."""
+    if event.outcome == STARTED:
+        is_certain = is_same_process and event.clock_ms is not None
+    else:
+        is_certain = event.outcome != UNKNOWN and not executor.may_be_next_process
+    executor.calls.note_start_outcome((event.task, event.run), state.now, is_certain)
 
 
 def _handle_start_refusal(
@@ -129,7 +160,7 @@
         executor.cooldown_until = max(executor.cooldown_until, state.now + INVALID_INPUT_COOLDOWN_S)
     elif outcome == REFUSED_TICKET and run.step is not None:
         run.step.tickets.pop(executor.id, None)
-    elif outcome != REFUSED_OLD:
+    elif outcome not in (REFUSED_OLD, REFUSED_FENCE):
         state.log_decision("start_outcome_unknown", outcome=outcome)
     executor.next_hold_at = state.now
 
@@ -155,7 +186,7 @@
 @handles(StopAnswered)
 def handle_stop_answer(state: SchedulerState, event: StopAnswered) -> None:
     """Mark a stop as confirmed; the run's end or a later hold releases its resources."""
-    if event.outcome == REFUSED_FENCE:
+    if is_fenced_by_other(state, event):
         give_up_ownership(state, f"{event.executor} refused a stop as fenced")
         return
     executor = state.executors.get(event.executor)
--- a/wasabiramp/scheduling/sharing.py
+++ b/wasabiramp/scheduling/sharing.py
@@ -10,9 +10,9 @@
 from wasabiramp.core.registry import handles
 from wasabiramp.policy.switches import do_nothing, switchable
 from wasabiramp.scheduling.effects import PaceTask
-from wasabiramp.scheduling.events import REFUSED_FENCE, STARTED, PaceAnswered
+from wasabiramp.scheduling.events import STARTED, PaceAnswered
 from wasabiramp.scheduling.model import RunReport
-from wasabiramp.scheduling.runs import give_up_ownership
+from wasabiramp.scheduling.runs import give_up_ownership, is_fenced_by_other
 from wasabiramp.scheduling.state import FULL_PACE_PERCENT, ExecutorState, Run, SchedulerState
 
 PACE_DECREASE_FACTOR: Final = 0.3
@@ -86,7 +86,8 @@
 ) -> None:
     """Order a pace; an unanswered order is repeated after the next report."""
     run.pace = pace
-    state.effects.append(PaceTask(executor.id, executor.entry.address, run.task, run.number, pace))
+    address, epoch = executor.entry.address, executor.calls.epoch
+    state.effects.append(PaceTask(executor.id, address, run.task, run.number, pace, epoch))
     state.log_decision(
         "run_paced", task=run.task, run=run.number, pace=pace, strain=round(target_ratio, 2)
     )
@@ -95,7 +96,7 @@
 @handles(PaceAnswered)
 def handle_pace_answer(state: SchedulerState, event: PaceAnswered) -> None:
     """Reset a pace whose order failed, so that the next report orders one again."""
-    if event.outcome == REFUSED_FENCE:
+    if is_fenced_by_other(state, event):
         give_up_ownership(state, f"{event.executor} refused a pace as fenced")
         return
     run = state.find_run(event.executor, event.task, event.run)
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -25,6 +25,7 @@
     StepProgress,
     build_step_name,
 )
+from wasabiramp.scheduling.processes import ProcessCalls
 
 FULL_PACE_PERCENT: Final = 100
 """Pace at which a task starts, in percent of its full speed."""
@@ -375,9 +376,9 @@
 class ExecutorState:
     """An executor: its platform entry, its clock, its latest lease and its runs.
 
-    `last_read_end` is the number of the last end that was read, `last_seen` that of the last one
-    that is stored, and `acknowledged_end` that of the last one acknowledged in a hold. Leases count
-    as valid until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
+    `last_read_end` is the number of the last end that was read, and `last_seen` that of the last
+    one that is stored. `calls` are those that may reach another process. Leases count as valid
+    until `lease_expiry_floor` at least. `must_answer` is set after a takeover until the
     executor's runs are known. `unattributed_ends` are ends of unknown jobs by number, with the time
     at which each was read, and `lease_gaps` as in `UnconfirmedEnd`. `hold_address` is the address
     to which the last hold was sent, and `reached_at` the one from which the executor answered last.
@@ -441,7 +442,7 @@
         "reached_at",
         "reported_lease_gaps",
         "has_new_ends",
-        "acknowledged_end",
+        "calls",
         "last_read_end",
         "cooldown_until",
         "cooldown_s",
@@ -474,6 +475,7 @@
         self.used = Resources()
         self.lease_expiry_floor = 0.0
         self.unanswered_starts: dict[tuple[str, int], float] = {}
+        self.calls = ProcessCalls()
         self.cooldown_s = 0.0
         self.slowness = 1.0
         self.unconfirmed_ends: dict[int, UnconfirmedEnd] = {}
@@ -504,7 +506,6 @@
         self.lapse_certain_at: float | None = None
         self.lapse_noticed_at: float | None = None
         self.last_seen = 0
-        self.acknowledged_end = 0
         self.last_read_end = 0
         self.has_new_ends = False
         self.failures: set[str] = set()
