Confirm no lease by the clock of an earlier process

Callers saw a job fail one attempt early (LOST): an executor was back under its id, its first answer was to a hold meant for the process before, and the end of the lease that this hold named, a time on the clock of before, was taken for one of the new process. Eleven seconds later an end from before a lapse was acknowledged as if the lease had lasted.

What a call says is now used only if it was meant for the process that answers it.

--- a/tests/scheduling/test_processes.py
+++ b/tests/scheduling/test_processes.py
@@ -310,6 +310,30 @@
         harness.tick(2 * LEASE_LIMIT_S)
         assert harness.place() == []
 
+    # Guards against LOST: an end that was acknowledged after a lapse was counted as an attempt.
+    def test_lease_by_the_clock_of_the_process_before_is_not_confirmed(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.answer_start(place_other(harness))
+        harness.tick(TICK_S)
+        harness.clock_lag_s += 3.0
+        harness.incarnations["e0"] = 2
+        harness.answer_hold("e0")
+        executor = harness.scheduler.state.executors["e0"]
+        assert executor.lease_confirmed_ms == 0
+        harness.meet_process("e0")
+        assert executor.lease_confirmed_ms <= harness.read_clock_ms() + LEASE_LIMIT_S * 1000
+
+    def test_start_that_was_meant_for_the_process_before_confirms_no_lease(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        start = place_other(harness)
+        harness.tick(TICK_S)
+        harness.clock_lag_s += 3.0
+        harness.incarnations["e0"] = 2
+        harness.answer_hold("e0")
+        harness.now += TICK_S
+        harness.answer_start(start)
+        assert harness.scheduler.state.executors["e0"].lease_confirmed_ms == 0
+
     # Guards against tasks that wait for a process that is gone, though the next one answers.
     def test_task_starts_once_the_next_process_refuses_its_start(self) -> None:
         harness = self.make_silent(is_answered=False)
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -262,8 +262,8 @@
         executor.born_ms = report.born_ms
         executor.born_known_at = state.now
     if not executor.calls.is_for_process(event.fence_epoch):
-        # What it acknowledged were ends of an earlier process.
-        event = replace(event, last_seen=0)
+        # The end of the lease is a time on the clock of an earlier process, whose ends it named.
+        event = replace(event, last_seen=0, until_ms=None)
     handle_answer_of_successor(state, executor, report.born_ms)
     executor.has_open_hold = False
     executor.answered_at = executor.reported_at = state.now
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -92,7 +92,11 @@
     executor = state.executors.get(event.executor)
     if executor is None:
         return
-    is_same_process = event.outcome != OTHER_INCARNATION and event.sent_at >= executor.born_known_at
+    is_same_process = (
+        event.outcome != OTHER_INCARNATION
+        and event.sent_at >= executor.born_known_at
+        and executor.calls.is_for_process(event.fence_epoch)
+    )
     if is_same_process and _has_earlier_clock(executor, event):
         executor.may_be_next_process = True
         is_same_process = False
