Model: lasting schedules with late orders and crashes together

An order executed late by a new incarnation of an executor kept two faults apart: no order could prevent it, said docs/PROOFS.md. The fence epoch of the new process does, once it has answered. The other schedules of the file keep their draws.

--- a/tests/model/entry/test_lasting.py
+++ b/tests/model/entry/test_lasting.py
@@ -16,3 +16,9 @@
     @pytest.mark.parametrize("seed", SEEDS)
     def test_seed(self, seed: int) -> None:
         assert run_lasting_schedule(seed).checker.breaches == []
+
+    # Guards against TWICE: a late order that was meant for an executor's process before a restart.
+    # Seed 126 broke the rule in an earlier schedule.
+    @pytest.mark.parametrize("seed", [*range(1, 9), 126])
+    def test_late_orders_and_crashes(self, seed: int) -> None:
+        assert run_lasting_schedule(seed, 8, has_all_faults=True).checker.breaches == []
--- a/wasabiramp/model/entry/lasting.py
+++ b/wasabiramp/model/entry/lasting.py
@@ -64,8 +64,7 @@
 """Faults of these schedules, apart from `FAULTS` so that the seeds of those keep their draws."""
 
 EXCLUSIVE_FAULTS: Final = ("apply_late", "crash_executor")
-"""Faults of which a schedule has only one: a late order may start a task twice at a new incarnation
-of an executor, which no order can prevent (docs/PROOFS.md)."""
+"""Faults of which most schedules have only one; with both, a new incarnation gets late orders."""
 
 
 def draw_lasting_job(world: World, number: int) -> JobDefinition:
@@ -83,12 +82,14 @@
     return JobDefinition(f"{number:016x}", queue, f"spec {number}", (step,), world.read_wall_ms())
 
 
-async def async_run_lasting_schedule(world: World, fault_count: int) -> None:
+async def async_run_lasting_schedule(
+    world: World, fault_count: int, has_all_faults: bool = False
+) -> None:
     """Run lasting jobs under random faults, and report tasks that stay without a run."""
     await world.async_start()
     jobs = [draw_lasting_job(world, number) for number in range(JOB_COUNT)]
     accepted = await asyncio.gather(*(world.async_submit(job) for job in jobs))
-    excluded = world.random.choice(EXCLUSIVE_FAULTS)
+    excluded = "" if has_all_faults else world.random.choice(EXCLUSIVE_FAULTS)
     names = [name for name in sorted(LASTING_FAULTS) if name != excluded]
     faults = [world.random.choice(names) for _ in range(fault_count)]
     await asyncio.gather(
@@ -119,8 +120,8 @@
             world.checker.report(f"LOST at {world.loop.time():.3f} {task} does not run")
 
 
-def run_lasting_schedule(seed: int, fault_count: int = 5) -> World:
+def run_lasting_schedule(seed: int, fault_count: int = 5, has_all_faults: bool = False) -> World:
     """Run one schedule to its end and return the world, whose checker holds the breaches."""
     world = World(seed)
-    world.run(async_run_lasting_schedule(world, fault_count))
+    world.run(async_run_lasting_schedule(world, fault_count, has_all_faults))
     return world
