Keep the fence epochs of executors that are forgotten, and one open hold each

A healthy owner would have given up: the state of an executor that was cut off from the store too was forgotten with its epoch, so that the same process, listed again, refused the lower one as that of an earlier owner. Epochs of executors that are added begin above all that were forgotten.

The extra hold that settles a start in doubt would have stayed beside the usual one for good, as the answer to an earlier hold let a further one be sent. Only the answer to the last one does now.

Both new tests fail without the change.

--- a/tests/scheduling/test_processes.py
+++ b/tests/scheduling/test_processes.py
@@ -12,6 +12,7 @@
     REFUSED_ROOM,
     STARTED,
     UNKNOWN,
+    ExecutorUnlisted,
     HoldFailed,
     PaceAnswered,
     StartAnswered,
@@ -101,6 +102,22 @@
         harness.apply(kind(*fields, fence_epoch=start.fence_epoch + 1))
         assert len(harness.take_effects(GiveUpOwnership)) == 1
 
+    # Guards against a healthy owner that is refused by its own earlier epoch.
+    def test_executor_that_is_listed_again_gets_higher_epochs(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.incarnations["e0"] = 2
+        harness.list_executor("e0")
+        harness.meet_process("e0")
+        harness.tick(TICK_S)
+        before = harness.scheduler.state.executors["e0"].calls.epoch
+        harness.apply(ExecutorUnlisted("e0"))
+        harness.apply(HoldFailed("e0", harness.now, UNKNOWN))
+        harness.tick(20.0)
+        assert "e0" not in harness.scheduler.state.executors
+        harness.list_executor("e0")
+        harness.tick(TICK_S)
+        assert harness.holds["e0"].fence_epoch > before
+
     def test_overtaken_start_is_placed_again(self) -> None:
         harness = SchedulerHarness(executors=1)
         start = place_other(harness)
@@ -265,6 +282,21 @@
         harness.answer_hold("e0")
         assert len(harness.place()) == 1
 
+    # Guards against holds that add up: each answer to an earlier one let a further one be sent.
+    def test_answer_to_an_earlier_hold_leaves_the_last_one_open(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        start = place_other(harness)
+        harness.tick(TICK_S)
+        earlier_at = harness.now
+        harness.now += 0.1
+        harness.answer_start(start, UNKNOWN)
+        harness.tick(TICK_S)
+        assert harness.holds["e0"].wait_s == 0.0
+        harness.take_effects(HoldExecutor)
+        harness.answer_hold("e0", earlier_at)
+        harness.tick(TICK_S)
+        assert harness.take_effects(HoldExecutor) == []
+
     def test_hold_from_before_the_doubt_does_not_settle(self) -> None:
         harness = SchedulerHarness(executors=1)
         start = place_other(harness)
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -115,7 +115,7 @@
     executor = state.executors.get(entry.id)
     _poll_predecessor(state, entry)
     if executor is None:
-        state.executors[entry.id] = ExecutorState(entry)
+        state.executors[entry.id] = ExecutorState(entry, state.first_epoch)
         record_capacity(state, state.executors[entry.id])
         state.is_roster_dirty = True
         state.log_decision(
@@ -265,7 +265,7 @@
         # The end of the lease is a time on the clock of an earlier process, whose ends it named.
         event = replace(event, last_seen=0, until_ms=None)
     handle_answer_of_successor(state, executor, report.born_ms)
-    executor.has_open_hold = False
+    _note_outcome(executor, event)
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
     _note_long_lease(state, executor, report)
@@ -297,6 +297,12 @@
     schedule_next_hold(state, executor)
 
 
+def _note_outcome(executor: ExecutorState, event: HoldAnswered | HoldFailed) -> None:
+    """Note that the last hold is not open any more, unless the event is that of an earlier one."""
+    if event.sent_at >= executor.hold_sent_at:
+        executor.has_open_hold = False
+
+
 def _note_long_lease(
     state: SchedulerState, executor: ExecutorState, report: ExecutorReport
 ) -> None:
@@ -397,7 +403,7 @@
         give_up_ownership(state, f"{event.executor} refused a hold as fenced")
         return
     if event.outcome == REFUSED_FENCE:
-        executor.has_open_hold = False
+        _note_outcome(executor, event)
         executor.next_hold_at = state.now
         return
     if event.outcome == UNKNOWN:
@@ -405,7 +411,7 @@
     # A later hold was answered, so this failure does not mean that the executor is silent.
     if event.sent_at < executor.answered_hold_sent_at and event.outcome in (UNKNOWN, NOT_SENT):
         return
-    executor.has_open_hold = False
+    _note_outcome(executor, event)
     executor.next_hold_at = state.now
     if executor.silent_since is not None:
         executor.next_hold_at += HOLD_RETRY_S
@@ -539,6 +545,8 @@
         if state.silent_by_address.get(executor.reached_at) == executor.id:
             del state.silent_by_address[executor.reached_at]
         del state.executors[executor.id]
+        # The same process may be listed again, and refuses lower ones.
+        state.first_epoch = max(state.first_epoch, executor.calls.epoch + 1)
         state.is_roster_dirty = True
         state.log_decision("executor_forgotten", executor=executor.id)
 
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -88,7 +88,7 @@
         executor = state.executors.get(executor_id)
         if executor is None:
             entry = ExecutorEntry(executor_id, address, "", "", True, Resources(), (), 0)
-            executor = ExecutorState(entry)
+            executor = ExecutorState(entry, state.first_epoch)
             executor.is_listed = False
             executor.unlisted_at = state.now
             executor.reached_at = address
--- a/wasabiramp/scheduling/processes.py
+++ b/wasabiramp/scheduling/processes.py
@@ -73,9 +73,9 @@
         "unsettled_starts",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, first_epoch: int) -> None:
         """Begin with the first process that is known."""
-        self.epoch = 0
+        self.epoch = first_epoch
         self.unsettled_starts: dict[RunKey, UnsettledStart] = {}
         self._reset()
 
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -459,8 +459,11 @@
         "used",
     )
 
-    def __init__(self, entry: ExecutorEntry) -> None:
-        """Create the state of an executor from its platform entry."""
+    def __init__(self, entry: ExecutorEntry, first_epoch: int = 0) -> None:
+        """Create the state of an executor from its platform entry.
+
+        Its calls begin with a fence epoch above those that this owner used for the id before.
+        """
         self.id = entry.id
         self.entry = entry
         self.is_listed = True
@@ -475,7 +478,7 @@
         self.used = Resources()
         self.lease_expiry_floor = 0.0
         self.unanswered_starts: dict[tuple[str, int], float] = {}
-        self.calls = ProcessCalls()
+        self.calls = ProcessCalls(first_epoch)
         self.cooldown_s = 0.0
         self.slowness = 1.0
         self.unconfirmed_ends: dict[int, UnconfirmedEnd] = {}
@@ -548,7 +551,8 @@
     share of its greatest capacity to which an executor has shrunk. No lease may end later than
     `leases_end_by`, which follows from the last proof of the owner's term. Those that are longer
     than usual have ended by `long_leases_end_at`. The machine was suspended for `suspended_s` in
-    all, at `resumed_at` for the last time.
+    all, at `resumed_at` for the last time. Calls to executors that are added have `first_epoch` or
+    a higher fence epoch.
     """
 
     __slots__ = (
@@ -573,6 +577,7 @@
         "silent_by_address",
         "smallest_capacity_share",
         "executor_list_version",
+        "first_epoch",
         "now",
         "open_steps",
         "predecessor_leases_end_at",
@@ -624,6 +629,7 @@
         self.has_unknown_executors = False
         self.is_roster_dirty = False
         self.executor_list_version = 0
+        self.first_epoch = 0
         self.list_age_s = 0.0
         self.smallest_capacity_share = 1.0
 
