--- a/tests/bench/test_load_faults.py
+++ b/tests/bench/test_load_faults.py
@@ -70,8 +70,11 @@
         assert min(result.in_time for result in results) >= 0.8
 
     def test_trials_save_sound_work(self) -> None:
-        """Guards against suspects that are tried beside other work, which would be lost with it."""
-        seeds = range(1, 5)
+        """Guards against suspects that are tried beside other work, which would be lost with it.
+
+        The share of a seed varies by more than the difference, so that few seeds do not show it.
+        """
+        seeds = range(1, 13)
         apart = sum(run_deadly(seed) for seed in seeds)
         set_switched_off(["trials", "risky-queues"])
         try:
