--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -188,7 +188,10 @@
 
     Recent starts may have reached the new incarnation already; its next report lists those.
     """
-    state.log_decision("executor_reborn", executor=executor.id, runs=len(executor.runs))
+    unsettled = len(executor.calls.unsettled_starts)
+    state.log_decision(
+        "executor_reborn", executor=executor.id, runs=len(executor.runs), unsettled=unsettled
+    )
     note_silence(state, executor)
     confirm_crash(state, executor)
     forget_verdicts(state, executor)
@@ -313,6 +316,14 @@
     if not executor.calls.is_for_process(event.fence_epoch):
         return
     if not executor.has_accepted_fence and executor.calls.process_epoch:
+        state.log_decision(
+            "process_met",
+            executor=executor.id,
+            epoch=executor.calls.process_epoch,
+            runs=len(event.report.running),
+            ends=len(event.report.ended),
+            unsettled=len(executor.calls.unsettled_starts),
+        )
         executor.lease_expiry_floor = state.now + convert_lease_s(state.lease_limit_s)
     executor.has_accepted_fence = True
 
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -102,6 +102,9 @@
     if is_same_process and _has_earlier_clock(executor, event):
         executor.may_be_next_process = True
         is_same_process = False
+        state.log_decision(
+            "clock_behind", executor=executor.id, task=event.task, run=event.run, how=event.outcome
+        )
     _note_outcome(state, executor, event, is_same_process)
     run = executor.runs.get((event.task, event.run))
     if run is None:
