--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -270,7 +270,7 @@
         # The end of the lease is a time on the clock of an earlier process, whose ends it named.
         event = replace(event, last_seen=0, until_ms=None)
     handle_answer_of_successor(state, executor, report.born_ms)
-    _note_outcome(executor, event)
+    _close_hold(executor, event)
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
     _note_long_lease(state, executor, report)
@@ -302,7 +302,7 @@
     schedule_next_hold(state, executor)
 
 
-def _note_outcome(executor: ExecutorState, event: HoldAnswered | HoldFailed) -> None:
+def _close_hold(executor: ExecutorState, event: HoldAnswered | HoldFailed) -> None:
     """Note that the last hold is not open any more, unless the event is that of an earlier one."""
     if event.sent_at >= executor.hold_sent_at:
         executor.has_open_hold = False
@@ -429,7 +429,7 @@
         return
     if event.outcome == REFUSED_FENCE:
         withdraw_acknowledgements(executor, event.last_seen)
-        _note_outcome(executor, event)
+        _close_hold(executor, event)
         executor.next_hold_at = state.now
         return
     if event.outcome == UNKNOWN:
@@ -439,7 +439,7 @@
     # A later hold was answered, so this failure does not mean that the executor is silent.
     if event.sent_at < executor.answered_hold_sent_at and event.outcome in (UNKNOWN, NOT_SENT):
         return
-    _note_outcome(executor, event)
+    _close_hold(executor, event)
     executor.next_hold_at = state.now
     if executor.silent_since is not None:
         executor.next_hold_at += HOLD_RETRY_S
--- a/wasabiramp/scheduling/runs.py
+++ b/wasabiramp/scheduling/runs.py
@@ -105,7 +105,7 @@
         state.log_decision(
             "clock_behind", executor=executor.id, task=event.task, run=event.run, how=event.outcome
         )
-    _note_outcome(state, executor, event, is_same_process)
+    _note_start_outcome(state, executor, event, is_same_process)
     run = executor.runs.get((event.task, event.run))
     if run is None:
         return
@@ -148,7 +148,7 @@
     return event.clock_ms < estimate_earliest_clock_ms(executor, event.sent_at)
 
 
-def _note_outcome(
+def _note_start_outcome(
     state: SchedulerState, executor: ExecutorState, event: StartAnswered, is_same_process: bool
 ) -> None:
     """Note whether it is known which process a start has reached, if any."""
