--- a/wasabiramp/model/entry/executors.py
+++ b/wasabiramp/model/entry/executors.py
@@ -485,7 +485,7 @@
 
         if self._is_kept(executor_id):
             await self._async_keep(
-                executor_id, ORDER_TIMEOUT_S, lambda executor: order(executor, False)
+                executor_id, ORDER_TIMEOUT_S, lambda executor: order(executor, True)
             )
             return OrderAnswer(events.UNKNOWN)
         if await self._async_is_refused(executor_id):
