Let no job's record grow beyond the store's values, nor hold up those of others

What callers saw: one job with long saved values; no job of the cell was shown as ended, no end was taken note of, and each cancel got 504.

Cause: all saved values of a job are in one value of the store. Beyond `valueBytes` the store answers 400.

the health check counted it as a store that turns the owner away. The setting was read and used nowhere.

Now a record holds at most 512 KiB of saved values, the shortest first, fewer where the rest needs the room: a value that is left out is known to the owner only, and costs work only if the owner changes before its task runs again. The record of an ended job is its phase, so that each end and cancel can be stored. A record that does not fit all the same is left out, logged once (`job_not_storable`), and none of its job's ends is acknowledged; the other jobs go on. Status 400 or 413 is an answer: the batch is sent again job by job. Transactions are limited in bytes. A job whose definition is too long is refused at once and alone; before, the nine others of its transaction were refused with it. The format of records is unchanged.

--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -26,6 +26,7 @@
     Item,
     LeaseEndedError,
     StoreConflictError,
+    StoreInvalidError,
     Transaction,
 )
 from wasabiramp.model.entry.checker import HistoryChecker
@@ -223,6 +224,8 @@
             answer = await self._async_apply_store_call(request, raw)
         except StoreConflictError as err:
             answer = reply({"items": [_encode_item(item) for item in err.items.values()]}, 412)
+        except StoreInvalidError:
+            answer = reply({"error": "a value is too long"}, 400)
         except LeaseEndedError:
             answer = reply({"error": "no such lease"}, 404)
         except HistoryLostError:
--- a/tests/entry/test_components.py
+++ b/tests/entry/test_components.py
@@ -36,6 +36,7 @@
 from wasabiramp.entry.watcher import PrefixWatcher
 from wasabiramp.metrics import Metrics
 from wasabiramp.model.entry.clock import VirtualLoop
+from wasabiramp.model.entry.store import MAX_VALUE_BYTES
 from wasabiramp.scheduling.effects import AskAdvice
 from wasabiramp.scheduling.events import AdviceFailed
 from wasabiramp.scheduling.model import (
@@ -271,7 +272,7 @@
         found: list[tuple[str, int]] = []
 
         async def run_scenario() -> None:
-            admission = Admission(store)
+            admission = Admission(store, MAX_VALUE_BYTES)
             task = asyncio.get_running_loop().create_task(admission.async_run())
             jobs = (admission.async_store(make_job(number)) for number in range(count))
             found.extend(await asyncio.gather(*jobs))
@@ -317,7 +318,7 @@
         outcome: list[bool] = []
 
         async def run_scenario() -> None:
-            journal = Journal(store, Tenure(1, 50), losses.append)
+            journal = Journal(store, Tenure(1, 50), losses.append, MAX_VALUE_BYTES)
             job = JobRun(make_job(1), JobProgress(DONE), 0.0)
             outcome.append(await journal.async_store(Changes([job], None, {}, {})))
 
@@ -349,7 +350,7 @@
         unanswered: list[bool] = []
 
         async def run_scenario() -> None:
-            journal = Journal(store, Tenure(1, 50), lambda reason: None)
+            journal = Journal(store, Tenure(1, 50), lambda reason: None, MAX_VALUE_BYTES)
             job = JobRun(make_job(1), JobProgress(DONE), 0.0)
             for _ in range(3):
                 await journal.async_store(Changes([job], None, {}, {}))
--- a/tests/entry/test_journal_records.py
+++ b/tests/entry/test_journal_records.py
@@ -22,6 +22,7 @@
 from wasabiramp.entry.membership import Tenure
 from wasabiramp.entry.ports import Item, PartialList
 from wasabiramp.model.entry.schedule import find_owner
+from wasabiramp.model.entry.store import MAX_VALUE_BYTES
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.events import JobsRecovered, StoredJob
 from wasabiramp.scheduling.model import DONE, RUNNING, JobProgress
@@ -60,7 +61,9 @@
 
     async def run_scenario() -> None:
         store: Any = RecordStore(items)
-        found.append(await Journal(store, Tenure(1, 50), lambda reason: None).async_read())
+        found.append(
+            await Journal(store, Tenure(1, 50), lambda reason: None, MAX_VALUE_BYTES).async_read()
+        )
 
     run(run_scenario())
     return found[0]
@@ -178,7 +181,7 @@
         async def run_scenario() -> None:
             key = build_progress_key("a" * 16)
             store: Any = PartialStore({key: encode_progress(JobProgress())})
-            journal = Journal(store, Tenure(1, 1), lambda reason: None)
+            journal = Journal(store, Tenure(1, 1), lambda reason: None, MAX_VALUE_BYTES)
             found.append(await journal.async_read())
 
         run(run_scenario())
--- a/tests/entry/test_supervision.py
+++ b/tests/entry/test_supervision.py
@@ -18,6 +18,7 @@
 from wasabiramp.model.entry.executors import ModelExecutorClient
 from wasabiramp.model.entry.network import ModelPeers
 from wasabiramp.model.entry.schedule import find_owner
+from wasabiramp.model.entry.store import MAX_VALUE_BYTES
 from wasabiramp.model.entry.world import World
 from wasabiramp.scheduling.model import DONE, JobDefinition, Resources, Step
 from wasabiramp.scheduling.records import encode_definition
@@ -127,7 +128,7 @@
 
         async def run_scenario() -> list[str]:
             world = World(1)
-            admission = Admission(FailingStore())
+            admission = Admission(FailingStore(), MAX_VALUE_BYTES)
             running = asyncio.create_task(admission.async_run())
             first, _ = await asyncio.wait_for(
                 admission.async_store(make_undated_job(world, 1)), 1.0
--- a/tests/scheduling/test_records.py
+++ b/tests/scheduling/test_records.py
@@ -23,11 +23,13 @@
     StepProgress,
 )
 from wasabiramp.scheduling.records import (
+    MAX_SAVED_BYTES,
     check_progress,
     decode_definition,
     decode_progress,
     encode_definition,
     encode_progress,
+    encode_progress_within,
 )
 
 QUEUE = Queue("q", "h", "/q/", "s", 1, 3, 1.5, 0.25, 3.0, AdvicePolicy(0.02, 0.001, 2.5))
@@ -272,3 +274,65 @@
                 decode(data)
             except DecodeError as err:
                 assert str(err)
+
+
+STORE_VALUE_BYTES = 1_048_576
+"""Greatest length of a value in the platform's store."""
+
+
+def make_saved(count: int, length: int) -> dict[int, str]:
+    """Return a saved value of this length for each task."""
+    return {number: f"{number:08}".ljust(length, "x") for number in range(count)}
+
+
+class TestSavedValues:
+    """Saved values make no record too long; what cannot be earned again is always in it."""
+
+    # Guards against Acks: the record grew beyond what the store takes, and none was stored.
+    @pytest.mark.parametrize("text", ["x", "\u00e4", "\U0001f600"])
+    def test_record_fits_whatever_the_saved_values_are(self, text: str) -> None:
+        saved = {number: text * 2_000 for number in range(2_000)}
+        progress = JobProgress(RUNNING, {(0, 0): StepProgress(saved=saved)})
+        decoded = decode_progress(encode_progress(progress))
+        assert len(encode_progress(progress)) < STORE_VALUE_BYTES
+        assert 0 < len(decoded.steps[(0, 0)].saved) < 2_000
+
+    # Guards against a job of the greatest size that loses saved values of the usual length.
+    def test_usual_values_of_all_tasks_are_kept(self) -> None:
+        progress = JobProgress(RUNNING, {(0, 0): StepProgress(saved=make_saved(20_000, 16))})
+        assert decode_progress(encode_progress(progress)) == progress
+
+    def test_longest_values_are_left_out_first(self) -> None:
+        long, short = "x" * (MAX_SAVED_BYTES - 100), "x" * 200
+        progress = JobProgress(RUNNING, {(0, 0): StepProgress(saved={0: long, 1: short, 2: short})})
+        saved = decode_progress(encode_progress(progress)).steps[(0, 0)].saved
+        assert saved == {1: short, 2: short}
+
+    # Guards against TWICE and BUDGET: only saved values may be left out, and each one whole.
+    def test_all_else_is_kept(self) -> None:
+        progress = JobProgress(RUNNING, dict(OPEN_PROGRESS.steps))
+        progress.steps[(1, 0)] = StepProgress({1}, {2: {7}}, make_saved(600, 2_000), CRASHES)
+        decoded = decode_progress(encode_progress_within(progress, 300_000))
+        kept = decoded.steps[(1, 0)].saved
+        assert kept.items() < progress.steps[(1, 0)].saved.items()
+        decoded.steps[(1, 0)].saved = progress.steps[(1, 0)].saved
+        assert decoded == progress
+
+    def test_step_with_nothing_else_is_left_out(self) -> None:
+        progress = JobProgress(RUNNING, {(0, 0): StepProgress(saved={0: "x" * MAX_SAVED_BYTES})})
+        assert decode_progress(encode_progress(progress)) == JobProgress(RUNNING)
+
+    # Guards against a record that takes a different length than its parts were estimated at.
+    @given(
+        st.integers(0, 3_000),
+        st.lists(st.text(max_size=60), max_size=40),
+        st.integers(1_000, 10_000),
+    )
+    def test_record_fits_if_all_else_does(
+        self, done: int, texts: list[str], most_bytes: int
+    ) -> None:
+        steps = {(0, 0): StepProgress(set(range(done)), saved=dict(enumerate(texts)))}
+        record = encode_progress_within(JobProgress(RUNNING, steps), most_bytes)
+        bare = encode_progress(JobProgress(RUNNING, steps), 0)
+        assert len(record) <= max(most_bytes, len(bare))
+        assert decode_progress(bare).steps.get((0, 0), StepProgress()).done == set(range(done))
--- a/wasabiramp/entry/admission.py
+++ b/wasabiramp/entry/admission.py
@@ -9,6 +9,7 @@
 from wasabiramp.entry.ports import (
     Store,
     StoreConflictError,
+    StoreInvalidError,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
@@ -24,11 +25,13 @@
 REPEATED: Final = "repeated"
 VOIDED: Final = "voided"
 REFUSED: Final = "refused"
+UNSTORABLE: Final = "unstorable"
 UNKNOWN: Final = "unknown"
 """Outcomes of a submission.
 
 A job is `REPEATED` if it was stored before, and `VOIDED` if it was cancelled before it was stored
-and therefore never runs. `UNKNOWN` means that it may or may not be stored."""
+and therefore never runs. The store can never take the record of one that is `UNSTORABLE`. `UNKNOWN`
+means that it may or may not be stored."""
 
 CERTAIN_OUTCOMES: Final = frozenset({STORED, REPEATED, VOIDED})
 """Outcomes that no other attempt to store the job can change."""
@@ -44,14 +47,19 @@
     exists, so that a repeated request at any time and any daemon remains one job.
     """
 
-    def __init__(self, store: Store) -> None:
-        """Store into `store`."""
+    def __init__(self, store: Store, value_bytes: int) -> None:
+        """Store into `store`, which takes values of at most `value_bytes`."""
         self._store = store
+        self._value_bytes = value_bytes
         self._waiting: list[tuple[JobDefinition, asyncio.Future[AdmissionResult]]] = []
         self._job_queued = asyncio.Event()
 
     async def async_store(self, job: JobDefinition) -> AdmissionResult:
         """Store one job; return the outcome and, if it is `STORED`, the revision."""
+        length = len(encode_definition(job))
+        if length > self._value_bytes:
+            log_event("job_not_storable", job=job.id, bytes=length, most=self._value_bytes)
+            return UNSTORABLE, 0
         future: asyncio.Future[AdmissionResult] = asyncio.get_running_loop().create_future()
         self._waiting.append((job, future))
         self._job_queued.set()
@@ -87,6 +95,13 @@
             revision = await self._store.async_commit(transaction)
         except StoreConflictError as err:
             self._resolve_conflict(batch, err)
+        except StoreInvalidError as err:
+            log_event("admission_refused", jobs=len(unique_jobs), error=err)
+            if len(unique_jobs) == 1:
+                _set_outcome(batch, UNSTORABLE)
+                return
+            for job_id in unique_jobs:
+                await self._async_store_batch([row for row in batch if row[0].id == job_id])
         except StoreRefusedError as err:
             log_event("admission_refused", jobs=len(unique_jobs), error=err)
             _set_outcome(batch, REFUSED)
--- a/wasabiramp/entry/daemon.py
+++ b/wasabiramp/entry/daemon.py
@@ -125,7 +125,13 @@
         # By term, the time from which its leases end as early as the next owner expects.
         self._completed_terms: dict[int, float] = {}
         self.request_handler = RequestHandler(
-            store, self._membership, peers, self._get_owner, self.metrics, read_wall
+            store,
+            self._membership,
+            peers,
+            self._get_owner,
+            self.metrics,
+            read_wall,
+            settings.store_value_bytes,
         )
         self.config = CellConfig(0, ())
         self._invalid_config = InvalidInputs("config_unreadable")
@@ -269,6 +275,7 @@
             self.settings.lease_limit_s,
             self.settings.status_s,
             self.settings.link_mbps,
+            self.settings.store_value_bytes,
             self._membership.end_tenure,
             self._resign,
             self._lag,
--- a/wasabiramp/entry/health.py
+++ b/wasabiramp/entry/health.py
@@ -11,6 +11,7 @@
     Change,
     Item,
     Store,
+    StoreInvalidError,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
@@ -91,6 +92,9 @@
         called_at = asyncio.get_running_loop().time()
         try:
             result = await call
+        except StoreInvalidError:
+            self._record_answer()
+            raise
         except (StoreRefusedError, StoreUnknownError):
             self._record_failure(called_at)
             raise
--- a/wasabiramp/entry/journal.py
+++ b/wasabiramp/entry/journal.py
@@ -25,6 +25,7 @@
     PartialList,
     Store,
     StoreConflictError,
+    StoreInvalidError,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
@@ -37,9 +38,11 @@
     decode_definition,
     decode_progress,
     encode_progress,
+    encode_progress_within,
     encode_void,
 )
 from wasabiramp.scheduling.scheduler import Changes
+from wasabiramp.scheduling.state import JobRun
 
 MAX_ENTRIES_PER_COMMIT: Final = 32
 """Entries that the store accepts in one transaction."""
@@ -48,6 +51,9 @@
 """Entries that each transaction needs: conditions on the term and the commits key, and the write
 of the latter."""
 
+MAX_BYTES_PER_COMMIT: Final = 524_288
+"""Bytes of records in one transaction, unless a single record is longer."""
+
 MAX_REMOVALS_PER_COMMIT: Final = 30
 """Keys removed by one transaction; with its condition it stays below the store's 32 entries."""
 
@@ -73,6 +79,16 @@
     unreadable: list[str] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A record to write, and keys to remove with it; `job_id` is empty for the roster."""
+
+    job_id: str
+    key: str
+    value: bytes
+    removed: tuple[str, ...] = ()
+
+
 class Journal:
     """Stores the changes of one owner, on condition that its term is still current."""
 
@@ -81,14 +97,17 @@
         store: Store,
         tenure: Tenure,
         on_tenure_lost: Callable[[str], None],
+        value_bytes: int,
         shards: tuple[str, ...] = UNSHARDED,
     ) -> None:
         """Call `on_tenure_lost` when the store holds another term; read in the parts `shards`.
 
-        `has_unanswered_commit` is True while the outcome of a commit is not known.
+        The store takes values of at most `value_bytes`. `has_unanswered_commit` is True while the
+        outcome of a commit is not known.
         """
         self._store = store
         self._on_tenure_lost = on_tenure_lost
+        self._value_bytes = value_bytes
         self.tenure = tenure
         self._jobs_read = ShardedRead(store, PREFIX_JOB, shards)
         self._progress_read = ShardedRead(store, PREFIX_PROGRESS, shards)
@@ -127,9 +146,38 @@
         return stored_state
 
     async def async_store(self, changes: Changes) -> bool:
-        """Write changes in successive transactions; return whether all are stored."""
-        for transaction in _build_transactions(changes):
-            if not await self._async_commit(transaction):
+        """Write changes in successive transactions; return whether all are stored.
+
+        Jobs with records that the store cannot take are noted in `changes.left_out`.
+        """
+        changes.left_out.clear()
+        for batch in _build_batches(self._encode_changes(changes)):
+            if not await self._async_store_batch(batch, changes):
+                return False
+        return True
+
+    def _encode_changes(self, changes: Changes) -> list[Entry]:
+        """Return the records to write; those of jobs that are too long are left out."""
+        entries = []
+        if changes.roster is not None:
+            entries.append(Entry("", KEY_ROSTER, msgpack.packb(changes.roster)))
+        for job in changes.jobs:
+            entry = _encode_job(job, self._value_bytes)
+            if len(entry.value) <= self._value_bytes:
+                entries.append(entry)
+                continue
+            changes.left_out[entry.job_id] = f"{len(entry.value)} of {self._value_bytes} bytes"
+        return entries
+
+    async def _async_store_batch(self, batch: list[Entry], changes: Changes) -> bool:
+        """Write records in one transaction, or each by itself if the store cannot take them all."""
+        try:
+            return await self._async_commit(_build_transaction(batch))
+        except StoreInvalidError as err:
+            if len(batch) == 1:
+                return _leave_out(batch[0], changes, str(err))
+        for entry in batch:
+            if not await self._async_store_batch([entry], changes):
                 return False
         return True
 
@@ -138,6 +186,8 @@
 
         Each commit also replaces the commits key (compare-and-swap), so that a commit whose answer
         was lost cannot take effect after a later one.
+
+        Raise StoreInvalidError if the store cannot take the transaction.
         """
         self._commit_number += 1
         commit_id = f"{self.tenure.fencing_token}.{self._commit_number}".encode()
@@ -157,6 +207,8 @@
             except StoreRefusedError as err:
                 self.has_unanswered_commit = was_unanswered
                 log_event("commit_refused", entries=transaction.size, error=err)
+                if isinstance(err, StoreInvalidError):
+                    raise
                 return False
             except StoreUnknownError as err:
                 log_event("commit_unanswered", entries=transaction.size, error=err)
@@ -258,21 +310,41 @@
         stored_state.jobs.append((definition, item.revision, progress))
 
 
-def _build_transactions(changes: Changes) -> list[Transaction]:
-    """Return the writes as transactions within the store's limit of entries."""
-    transactions: list[Transaction] = []
-    if changes.is_empty:
-        return transactions
-    current = Transaction()
-    if changes.roster is not None:
-        current.writes[KEY_ROSTER] = (msgpack.packb(changes.roster), 0)
-    for job in changes.jobs:
-        if current.size + 2 > MAX_ENTRIES_PER_COMMIT - CONDITION_ENTRIES:
-            transactions.append(current)
-            current = Transaction()
-        job_id = job.definition.id
-        current.writes[build_progress_key(job_id)] = (encode_progress(job.progress), 0)
-        if job.progress.phase in FINAL_PHASES:
-            current.removed.append(build_job_key(job_id))
-    transactions.append(current)
-    return transactions
+def _encode_job(job: JobRun, most_bytes: int) -> Entry:
+    """Return the record of a job; that of an ended one has its phase only, as no more is read."""
+    job_id, phase = job.definition.id, job.progress.phase
+    key = build_progress_key(job_id)
+    if phase in FINAL_PHASES:
+        return Entry(job_id, key, encode_progress(JobProgress(phase)), (build_job_key(job_id),))
+    return Entry(job_id, key, encode_progress_within(job.progress, most_bytes))
+
+
+def _leave_out(entry: Entry, changes: Changes, reason: str) -> bool:
+    """Note a job whose record the store cannot take; return False for the roster."""
+    if not entry.job_id:
+        return False
+    changes.left_out[entry.job_id] = reason
+    return True
+
+
+def _build_batches(entries: list[Entry]) -> list[list[Entry]]:
+    """Return the entries in parts that each fit into one transaction."""
+    batches: list[list[Entry]] = []
+    count, length = 0, 0
+    for entry in entries:
+        count += 1 + len(entry.removed)
+        length += len(entry.value)
+        is_full = count > MAX_ENTRIES_PER_COMMIT - CONDITION_ENTRIES
+        if not batches or is_full or length > MAX_BYTES_PER_COMMIT:
+            batches.append([])
+            count, length = 1 + len(entry.removed), len(entry.value)
+        batches[-1].append(entry)
+    return batches
+
+
+def _build_transaction(batch: list[Entry]) -> Transaction:
+    """Return the transaction that writes entries, without its conditions."""
+    return Transaction(
+        writes={entry.key: (entry.value, 0) for entry in batch},
+        removed=[key for entry in batch for key in entry.removed],
+    )
--- a/wasabiramp/entry/owner.py
+++ b/wasabiramp/entry/owner.py
@@ -177,6 +177,7 @@
         lease_limit_s: float,
         status_s: float,
         link_mbps: float,
+        store_value_bytes: int,
         on_tenure_lost: Callable[[str], None],
         on_overload: Callable[[], None],
         lag: LoopLag,
@@ -186,12 +187,14 @@
         """Prepare the owner; nothing is sent before `start`.
 
         `lease_limit_s` is the longest lease that executors accept, `status_s` the time for which
-        callers may query ended jobs. `read_uptime` returns seconds that also count while the
+        callers may query ended jobs, and `store_value_bytes` the greatest length of a value in the
+        store. `read_uptime` returns seconds that also count while the
         machine is suspended, which the loop's clock does not.
         """
         self.tenure = tenure
         self._store = store
-        self._journal = Journal(store, tenure, on_tenure_lost, choose_shards(link_mbps))
+        shards = choose_shards(link_mbps)
+        self._journal = Journal(store, tenure, on_tenure_lost, store_value_bytes, shards)
         self._peers = peers
         self._codec = codec
         self._metrics = metrics
--- a/wasabiramp/entry/ports.py
+++ b/wasabiramp/entry/ports.py
@@ -18,6 +18,13 @@
     """The store refused the call, which had no effect."""
 
 
+class StoreInvalidError(StoreRefusedError):
+    """The store answered that it cannot take the call, such as a value that is too long.
+
+    It would refuse the same call again. It does not turn the caller away.
+    """
+
+
 class StoreUnknownError(WasabirampError):
     """The answer was lost: the call may have taken effect, or may still do so."""
 
--- a/wasabiramp/entry/request_handler.py
+++ b/wasabiramp/entry/request_handler.py
@@ -143,6 +143,7 @@
         get_owner: Callable[[], Owner | None],
         metrics: Metrics,
         read_wall: Callable[[], float],
+        store_value_bytes: int,
     ) -> None:
         """Create the handler; `get_owner` returns the owner in this process, if any."""
         self._store = store
@@ -151,7 +152,7 @@
         self._get_owner = get_owner
         self._metrics = metrics
         self._read_wall = read_wall
-        self.admission = Admission(store)
+        self.admission = Admission(store, store_value_bytes)
         self._unannounced: dict[str, Announcement] = {}
         self._older_owner_address = ""
         self._announcement_ready = asyncio.Event()
@@ -180,6 +181,9 @@
                 took_s = round(loop.time() - started_at, 4)
                 log_event("job_stored", job=job.id, queue=job.queue.name, how=outcome, s=took_s)
                 return Answer(ACCEPTED)
+            if outcome == admission_outcomes.UNSTORABLE and not may_be_stored:
+                log_event("job_refused", job=job.id, queue=job.queue.name, reason="too long")
+                return Answer(NOT_RUN, reason="the store cannot take the job's record")
             may_be_stored = may_be_stored or outcome == admission_outcomes.UNKNOWN
             if self._store.is_unavailable() and not may_be_stored:
                 break
@@ -202,7 +206,7 @@
                 return admission_outcomes.UNKNOWN
             if outcome == admission_outcomes.STORED:
                 self._announce(job, revision)
-            if outcome in admission_outcomes.CERTAIN_OUTCOMES:
+            if outcome in (*admission_outcomes.CERTAIN_OUTCOMES, admission_outcomes.UNSTORABLE):
                 return outcome
         message = StoreJobs([encode_definition(job)])
         for address in self._list_peers()[:MAX_PEERS_TRIED]:
@@ -216,7 +220,7 @@
                 continue
             if answer.value in admission_outcomes.CERTAIN_OUTCOMES:
                 return answer.value
-            if answer.value != admission_outcomes.REFUSED:
+            if answer.value not in (admission_outcomes.REFUSED, admission_outcomes.UNSTORABLE):
                 outcome = admission_outcomes.UNKNOWN
         return outcome
 
--- a/wasabiramp/model/entry/store.py
+++ b/wasabiramp/model/entry/store.py
@@ -14,6 +14,7 @@
     LeaseEndedError,
     NoAnswerError,
     StoreConflictError,
+    StoreInvalidError,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
@@ -38,6 +39,10 @@
 Result = Any
 
 
+MAX_VALUE_BYTES: Final = 1_048_576
+"""Greatest length of a value."""
+
+
 class ModelStore:
     """The state of the store and the faults that affect all its clients.
 
@@ -160,10 +165,12 @@
     def commit(self, transaction: Transaction) -> int:
         """Commit a transaction and return its revision.
 
-        Raises StoreConflictError where a key is not at its expected revision, and LeaseEndedError
-        where a lease has ended.
+        Raises StoreConflictError where a key is not at its expected revision, LeaseEndedError
+        where a lease has ended, and StoreInvalidError where a value is too long.
         """
         assert transaction.size <= MAX_TRANSACTION_ENTRIES, "the transaction is too large"
+        if any(len(value) > MAX_VALUE_BYTES for value, _lease in transaction.writes.values()):
+            raise StoreInvalidError("status 400")
         for key, revision in transaction.expected.items():
             item = self.items.get(key)
             if (item.revision if item is not None else 0) != revision:
@@ -291,7 +298,12 @@
                 if self._store.is_in_outage:
                     await asyncio.sleep(3600)
                 return changes, None
-            except (StoreConflictError, LeaseEndedError, HistoryLostError) as err:
+            except (
+                StoreConflictError,
+                LeaseEndedError,
+                HistoryLostError,
+                StoreInvalidError,
+            ) as err:
                 return None, err
 
         if self.is_refused or self._store.is_refusing:
@@ -349,8 +361,8 @@
 
 
 def _apply_unanswered(operation: Callable[[], Result]) -> None:
-    """Apply a write whose answer is lost, ignoring a conflict or an ended lease."""
+    """Apply a write whose answer is lost, ignoring an error."""
     try:
         operation()
-    except (StoreConflictError, LeaseEndedError):
+    except (StoreConflictError, LeaseEndedError, StoreInvalidError):
         return
--- a/wasabiramp/model/entry/world.py
+++ b/wasabiramp/model/entry/world.py
@@ -29,7 +29,7 @@
 )
 from wasabiramp.model.entry.heartbeats import HEARTBEAT_S, Heartbeats
 from wasabiramp.model.entry.network import ADVISER, ModelListener, ModelPeers, Network, NodeLimits
-from wasabiramp.model.entry.store import ModelStore, ModelStoreClient
+from wasabiramp.model.entry.store import MAX_VALUE_BYTES, ModelStore, ModelStoreClient
 from wasabiramp.scheduling.model import (
     FINAL_PHASES,
     AdvicePolicy,
@@ -282,7 +282,7 @@
                 status_s=self._status_s,
                 config_s=2.0,
                 lease_least_s=1.0,
-                store_value_bytes=1_000_000,
+                store_value_bytes=MAX_VALUE_BYTES,
                 link_mbps=1_000.0 if self._link is None else self._link[0] * 8 / 1e6,
             )
             client = ModelStoreClient(self.network, node, self.store)
--- a/wasabiramp/platform/clients.py
+++ b/wasabiramp/platform/clients.py
@@ -25,6 +25,7 @@
     OrderAnswer,
     PartialList,
     StoreConflictError,
+    StoreInvalidError,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
@@ -309,7 +310,9 @@
         self._timeouts.record_response_time(kind, loop.time() - sent_at)
         if status in (200, 404, 410, 412):
             return status, _parse_answer(lambda: parse_lenient_json(data)) if data else {}
-        if status in (400, 403, 429, 503):
+        if status in (400, 413):
+            raise StoreInvalidError(f"status {status}")
+        if status in (403, 429, 503):
             raise StoreRefusedError(f"status {status}")
         raise StoreUnknownError(f"status {status}")
 
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -34,6 +34,15 @@
 MAX_ROWS: Final = 1_000_000
 """Greatest length of a list in the progress of a job."""
 
+MAX_SAVED_BYTES: Final = 524_288
+"""Bytes of saved values in the progress of a job, as each change of it writes them all."""
+
+SAVED_OVERHEAD_BYTES: Final = 8
+"""Bytes that each saved value takes besides its text."""
+
+SAVED_REDUCTION: Final = 8
+"""Factor by which the saved values are reduced until a record fits."""
+
 PHASES: Final = FINAL_PHASES | {PENDING, RUNNING, VOID}
 
 
@@ -203,20 +212,69 @@
 QUEUE_FIELDS: Final = 10
 
 
-def encode_progress(progress: JobProgress) -> bytes:
-    """Encode the progress of a job."""
+def encode_progress(progress: JobProgress, saved_bytes: int = MAX_SAVED_BYTES) -> bytes:
+    """Encode the progress of a job; of the saved values, leave out the longest that do not fit.
+
+    Only work is lost with a saved value, and only if the owner changes before its task runs again.
+    """
+    saved = _select_saved(progress, saved_bytes)
     steps = [
-        (occurrence, index, *_encode_step_progress(step))
+        (occurrence, index, *_encode_step_progress(step, saved.get((occurrence, index), {})))
         for (occurrence, index), step in progress.steps.items()
-        if step.done or step.failed or step.saved or step.crashes or step.unconfirmed
+        if step.done
+        or step.failed
+        or (occurrence, index) in saved
+        or step.crashes
+        or step.unconfirmed
     ]
     return msgpack.packb((FORMAT, progress.phase, steps))
 
 
-def _encode_step_progress(step: StepProgress) -> tuple[Any, ...]:
+def encode_progress_within(progress: JobProgress, most_bytes: int) -> bytes:
+    """Encode the progress of a job with as many saved values as fit into a length.
+
+    The record is longer if it does not fit even without them, as nothing else may be left out.
+    """
+    saved_bytes = min(MAX_SAVED_BYTES, most_bytes)
+    record = encode_progress(progress, saved_bytes)
+    while len(record) > most_bytes and saved_bytes:
+        saved_bytes //= SAVED_REDUCTION
+        record = encode_progress(progress, saved_bytes)
+    return record
+
+
+def _select_saved(progress: JobProgress, most_bytes: int) -> dict[tuple[int, int], dict[int, str]]:
+    """Return the saved values by step: all, or the shortest ones if they are too long."""
+    saved = {key: step.saved for key, step in progress.steps.items() if step.saved}
+    texts = [text for by_task in saved.values() for text in by_task.values()]
+    # The number of characters, which is known, is the least length.
+    least_bytes = sum(map(len, texts)) + SAVED_OVERHEAD_BYTES * len(texts)
+    if least_bytes <= most_bytes and _measure_texts(texts) <= most_bytes:
+        return saved
+    rows = [
+        (_measure_texts([text]), key, number)
+        for key, by_task in saved.items()
+        for number, text in by_task.items()
+    ]
+    selected: dict[tuple[int, int], dict[int, str]] = {}
+    left_bytes = most_bytes
+    for size, key, number in sorted(rows):
+        left_bytes -= size
+        if left_bytes < 0:
+            break
+        selected.setdefault(key, {})[number] = saved[key][number]
+    return selected
+
+
+def _measure_texts(texts: list[str]) -> int:
+    """Return the bytes that saved values take in a record."""
+    return len("".join(texts).encode()) + SAVED_OVERHEAD_BYTES * len(texts)
+
+
+def _encode_step_progress(step: StepProgress, saved: dict[int, str]) -> tuple[Any, ...]:
     """Return the fields of a step's progress; the last ones are left out if they are empty."""
     failed = {number: sorted(runs) for number, runs in step.failed.items()}
-    fields = (sorted(step.done), failed, step.saved)
+    fields = (sorted(step.done), failed, saved)
     if not step.crashes and not step.unconfirmed:
         return fields
     crashes = {
--- a/wasabiramp/scheduling/scheduler.py
+++ b/wasabiramp/scheduling/scheduler.py
@@ -16,13 +16,13 @@
     runs,
     sharing,
 )
-from wasabiramp.scheduling.attribution import get_last_attributed_end
+from wasabiramp.scheduling.attribution import get_last_attributed_end, parse_job_id
 from wasabiramp.scheduling.effects import Effect
-from wasabiramp.scheduling.events import Committed
+from wasabiramp.scheduling.events import Committed, HoldAnswered
 from wasabiramp.scheduling.leases import note_suspension
 from wasabiramp.scheduling.model import FINAL_PHASES
 from wasabiramp.scheduling.placement import place_work
-from wasabiramp.scheduling.state import JobRun, SchedulerState
+from wasabiramp.scheduling.state import ExecutorState, JobRun, SchedulerState
 
 EVENT_HANDLER_MODULES: Final = (
     advice,
@@ -44,7 +44,7 @@
 class Changes:
     """Changes to store before phases may be shown to callers and ends acknowledged."""
 
-    __slots__ = ("jobs", "roster", "read_ends", "withdrawals")
+    __slots__ = ("jobs", "left_out", "roster", "read_ends", "withdrawals")
 
     def __init__(
         self,
@@ -57,9 +57,11 @@
 
         `roster` is None if unchanged; `read_ends` maps an executor to its start time and the number
         of the last end that may be acknowledged, and `withdrawals` to its start time and the
-        numbers of ends that the jobs no longer hold as possible attempts.
+        numbers of ends that the jobs no longer hold as possible attempts. `left_out` is for the
+        ids of jobs whose records the store cannot take, with the reasons.
         """
         self.jobs = jobs
+        self.left_out: dict[str, str] = {}
         self.roster = roster
         self.read_ends = read_ends
         self.withdrawals = withdrawals
@@ -67,7 +69,7 @@
     @property
     def is_empty(self) -> bool:
         """Return whether nothing has to be written to the store."""
-        return not self.jobs and self.roster is None
+        return len(self.jobs) == len(self.left_out) and self.roster is None
 
 
 class Scheduler:
@@ -86,6 +88,8 @@
         self.state = SchedulerState(term, lease_s, lease_limit_s, wall_offset_s)
         self._pending_changes: Changes | None = None
         self._pending_phases: dict[str, str] = {}
+        self._unstored_jobs: set[str] = set()
+        self._storable_ends: dict[str, tuple[int, int]] = {}
 
     def limit_leases(self, end_by: float) -> None:
         """Let no lease that is given from now on end after a time on the event loop's clock."""
@@ -103,6 +107,8 @@
             handler(self.state, event)
         if isinstance(event, Committed):
             self._finish_changes()
+        if isinstance(event, HoldAnswered) and self._unstored_jobs:
+            self._find_storable_ends(event)
         return self._take_effects()
 
     def place(self, now: float) -> list[Effect]:
@@ -118,14 +124,14 @@
         state = self.state
         dirty = [job for job in state.jobs.values() if job.is_dirty]
         read_ends = {
-            e.id: (e.born_ms, get_last_attributed_end(e))
+            e.id: (e.born_ms, self._get_last_storable_end(e))
             for e in state.executors.values()
-            if get_last_attributed_end(e) > e.last_seen
+            if self._get_last_storable_end(e) > e.last_seen
         }
         withdrawals = {
             e.id: (e.born_ms, set(e.unstored_withdrawals))
             for e in state.executors.values()
-            if e.unstored_withdrawals
+            if e.unstored_withdrawals and not self._unstored_jobs
         }
         if not dirty and not read_ends and not withdrawals and not state.is_roster_dirty:
             return None
@@ -165,9 +171,13 @@
             return
         self._pending_changes = None
         for job in changes.jobs:
+            if job.definition.id in changes.left_out:
+                continue
+            self._unstored_jobs.discard(job.definition.id)
             phase = self._pending_phases[job.definition.id]
             if phase in FINAL_PHASES:
                 self._show_final_phase(job, phase)
+        self._leave_out_jobs(changes)
         for executor_id, (born_ms, number) in changes.read_ends.items():
             executor = self.state.executors.get(executor_id)
             if executor is not None and executor.born_ms == born_ms:
@@ -183,6 +193,39 @@
                 if executor is not None:
                     executor.is_in_stored_roster = executor.reached_at in ("", address)
 
+    def _leave_out_jobs(self, changes: Changes) -> None:
+        """Acknowledge no ends of jobs that are not stored, as a later owner would not know them.
+
+        Which ends these are is seen once they are listed again. Each job is tried again with its
+        next change.
+        """
+        for job_id, reason in changes.left_out.items():
+            if job_id in self._unstored_jobs:
+                continue
+            self._unstored_jobs.add(job_id)
+            self._storable_ends.clear()
+            changes.read_ends.clear()
+            self.state.log_decision("job_not_storable", job=job_id, reason=reason)
+        if self._unstored_jobs:
+            changes.withdrawals.clear()
+
+    def _find_storable_ends(self, event: HoldAnswered) -> None:
+        """Note the last end that an executor lists before any of a job that is not stored."""
+        last = event.last_seen
+        for end in sorted(event.report.ended, key=lambda end: end.number):
+            if parse_job_id(end.task) in self._unstored_jobs:
+                break
+            last = end.number
+        self._storable_ends[event.executor] = (event.report.born_ms, last)
+
+    def _get_last_storable_end(self, executor: ExecutorState) -> int:
+        """Return the number of the last end that may be acknowledged once changes are stored."""
+        last = get_last_attributed_end(executor)
+        if not self._unstored_jobs:
+            return last
+        born_ms, number = self._storable_ends.get(executor.id, (executor.born_ms, 0))
+        return min(last, number) if born_ms == executor.born_ms else 0
+
     def _show_final_phase(self, job: JobRun, phase: str) -> None:
         """Show a stored final phase to callers, and log it if the storage took long."""
         job.shown_phase = phase
