Records over the limit: post-mortem, a takeover beside a job that is not stored

TestUnstoredJob plays a takeover while a job's record cannot be stored: the next owner reads its ends again.

--- a/tests/entry/test_record_limits.py
+++ b/tests/entry/test_record_limits.py
@@ -10,6 +10,7 @@
 
 from tests.entry.test_components import ScriptedStore, make_job, run
 from tests.entry.test_owner import make_job as make_world_job
+from wasabiramp.entry import journal
 from wasabiramp.entry.admission import (
     MAX_JOBS_PER_COMMIT,
     STORED,
@@ -84,8 +85,8 @@
     outcome: list[bool] = []
 
     async def run_scenario() -> None:
-        journal = Journal(store, Tenure(1, 50), lambda reason: None, value_bytes)
-        outcome.append(await journal.async_store(changes))
+        owned = Journal(store, Tenure(1, 50), lambda reason: None, value_bytes)
+        outcome.append(await owned.async_store(changes))
 
     run(run_scenario())
     return outcome[0]
@@ -262,6 +263,50 @@
         world.run(run_scenario())
 
 
+class TestUnstoredJob:
+    """A job whose record the store cannot take runs on, also with the next owner."""
+
+    # Guards against TWICE: the next owner started tasks again whose ends had been acknowledged.
+    def test_next_owner_reads_its_ends_again(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        world = World(14)
+        job_id = f"{0xAB:016x}"
+        encode = journal.encode_progress_within
+        left_out: list[bytes] = []
+
+        def encode_too_long(progress: JobProgress, most_bytes: int) -> bytes:
+            owner = find_owner(world)
+            state = world.daemons[owner].owner.scheduler.state if owner is not None else None
+            job = state.jobs.get(job_id) if state is not None else None
+            if job is None or progress is not job.progress or not progress.steps[(0, 0)].done:
+                return encode(progress, most_bytes)
+            left_out.append(b"x" * (most_bytes + 1))
+            return left_out[-1]
+
+        monkeypatch.setattr(journal, "encode_progress_within", encode_too_long)
+
+        async def run_scenario() -> None:
+            await world.async_start()
+            steps = (
+                Step(6, Resources(500, 100, 0), 0.5),
+                Step(4, Resources(500, 100, 0), 4.0, (0,)),
+            )
+            job = JobDefinition(job_id, world.queues[2], "long", steps, world.read_wall_ms())
+            assert await world.async_submit(job)
+            await asyncio.sleep(2.0)
+            assert await world.async_submit(make_world_job(world, 1))
+            await asyncio.sleep(2.0)
+            assert left_out
+            assert await world.async_show(f"{1:016x}") == DONE
+            owner = find_owner(world)
+            assert owner is not None
+            world.kill_daemon(owner)
+            await world.async_wait_for_jobs(40.0)
+            assert await world.async_show(job_id) == DONE
+
+        world.run(run_scenario())
+        assert world.checker.breaches == []
+
+
 class TestStoreOfTheModel:
     """The simulated store refuses what the platform's store refuses."""
 
--- a/tests/scheduling/test_unstored_jobs.py
+++ b/tests/scheduling/test_unstored_jobs.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from tests.scheduling.helpers import SchedulerHarness, StartTask, make_step
-from wasabiramp.scheduling.events import CancelAsked, Committed
-from wasabiramp.scheduling.model import CANCELLED, DONE, RUNNING
+from wasabiramp.scheduling.events import CancelAsked, Committed, JobsRecovered, StoredJob
+from wasabiramp.scheduling.model import CANCELLED, DONE, RUNNING, JobProgress, StepProgress
 
 LONG, OTHER = "a" * 16, "b" * 16
 
@@ -133,3 +133,20 @@
         harness.commit()
         harness.commit()
         assert executor.unstored_withdrawals == set()
+
+
+class TestSavedOfAGang:
+    """The saved value of any one member is enough for a gang."""
+
+    # Guards against UNASKED and GANG: members that start from different values, or some without.
+    def test_members_start_from_the_value_that_was_stored(self) -> None:
+        harness = SchedulerHarness(executors=1, cpu=8_000)
+        definition = harness.submit(LONG, "gangs", make_step(3, is_gang=True)).definition
+        del harness.scheduler.state.jobs[LONG]
+        harness.scheduler.state.open_steps.clear()
+        progress = JobProgress(RUNNING, {(0, 0): StepProgress(saved={1: "half"})})
+        stored = StoredJob(definition, harness.now, 50, progress)
+        harness.apply(JobsRecovered([stored], [("e0", "e0")], 0.0, 60))
+        harness.answer_hold("e0")
+        harness.tick(0.1)
+        assert [start.saved for start in harness.place()] == ["half"] * 3
--- a/wasabiramp/scheduling/jobs.py
+++ b/wasabiramp/scheduling/jobs.py
@@ -29,7 +29,7 @@
 
 MAX_STEPS: Final = 200
 MAX_TASKS: Final = 20_000
-"""Limits of one job, which keep its record well below the store's limit of a value."""
+"""Limits of one job."""
 
 
 @handles(ConfigChanged)
