Tell the next owner of long leases of restarted executors, also of those that run nothing

An owner that hands over answers that its leases end as soon as usual ones. It left out executors that had restarted and listed no runs; but a hold that was meant for the process before gives the next one the longest lease too, under which later runs go on. The floor of its lease is counted now.

--- a/tests/scheduling/test_processes.py
+++ b/tests/scheduling/test_processes.py
@@ -18,7 +18,7 @@
     StartAnswered,
     StopAnswered,
 )
-from wasabiramp.scheduling.leases import convert_lease_s
+from wasabiramp.scheduling.leases import calculate_long_leases_end, convert_lease_s
 from wasabiramp.scheduling.processes import FENCE_EPOCHS, build_fence
 
 JOB, OTHER_JOB = "a" * 16, "b" * 16
@@ -342,6 +342,16 @@
         harness.tick(2 * LEASE_LIMIT_S)
         assert harness.place() == []
 
+    # Guards against TWICE: an owner that ended told its successor that the lease of an executor which
+    # had just restarted was a usual one, though a hold may have given it the longest.
+    def test_restarted_executor_may_have_a_long_lease(self) -> None:
+        harness = SchedulerHarness(executors=1)
+        harness.incarnations["e0"] = 2
+        harness.list_executor("e0")
+        harness.meet_process("e0")
+        ends_at = calculate_long_leases_end(harness.scheduler.state)
+        assert ends_at >= harness.now + convert_lease_s(LEASE_LIMIT_S)
+
     # Guards against LOST: an end that was acknowledged after a lapse was counted as an attempt.
     def test_lease_by_the_clock_of_the_process_before_is_not_confirmed(self) -> None:
         harness = SchedulerHarness(executors=1)
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -273,7 +273,6 @@
     _close_hold(executor, event)
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
-    _note_long_lease(state, executor, report)
     executor.clock_ms = report.clock_ms
     executor.clock_at = state.now
     executor.clock_asked_at = event.sent_at
@@ -328,15 +327,6 @@
     executor.has_accepted_fence = True
 
 
-def _note_long_lease(
-    state: SchedulerState, executor: ExecutorState, report: ExecutorReport
-) -> None:
-    """Note that a process may have a long lease, if it runs what was meant for an earlier one."""
-    if executor.clock_ms is None and executor.calls.process_epoch and report.running:
-        ends_at = state.now + convert_lease_s(state.lease_limit_s)
-        state.long_leases_end_at = max(state.long_leases_end_at, ends_at)
-
-
 def _note_lease(executor: ExecutorState, report: ExecutorReport, until_ms: int | None) -> None:
     """Note whether the lease may have lapsed since the last complete report.
 
--- a/wasabiramp/scheduling/leases.py
+++ b/wasabiramp/scheduling/leases.py
@@ -160,11 +160,12 @@
 
 def calculate_long_leases_end(state: SchedulerState) -> float:
     """Return the time at which all leases have ended that may be longer than usual ones."""
-    calls = [executor.calls for executor in state.executors.values()]
-    doubted_at = max((each.get_doubted_at() for each in calls), default=-math.inf)
-    if any(each.has_open_starts for each in calls):
+    executors = state.executors.values()
+    doubted_at = max((e.calls.get_doubted_at() for e in executors), default=-math.inf)
+    if any(executor.calls.has_open_starts for executor in executors):
         doubted_at = state.now
-    ends_at = max(state.long_leases_end_at, state.predecessor_leases_end_at)
+    floors = (executor.lease_expiry_floor for executor in executors)
+    ends_at = max(state.long_leases_end_at, state.predecessor_leases_end_at, *floors)
     return max(ends_at, doubted_at + convert_lease_s(state.lease_limit_s))
 
 
