--- a/tests/scheduling/test_processes.py
+++ b/tests/scheduling/test_processes.py
@@ -342,8 +342,8 @@
         harness.tick(2 * LEASE_LIMIT_S)
         assert harness.place() == []
 
-    # Guards against TWICE: an owner that ended told its successor that the lease of an executor which
-    # had just restarted was a usual one, though a hold may have given it the longest.
+    # Guards against TWICE: an owner that ended told its successor that the lease of an executor
+    # which had just restarted was a usual one, though a hold may have given it the longest.
     def test_restarted_executor_may_have_a_long_lease(self) -> None:
         harness = SchedulerHarness(executors=1)
         harness.incarnations["e0"] = 2
