Infer crashes under starts without an answer and under gangs that are lost as a whole

Cause: that a process ended within the lease, and that the run was on it, were taken as one fact. Where only the second was in doubt, nothing was noted, so no crash was ever witnessed.

A crash is inferred now, which is weaker than witnessed, if a process that answered right before a start leaves it unanswered and is replaced within the lease, or if the executors of all members of a gang that were lost are. Trials after two crashes without a witness ask an idle executor first.

--- a/tests/scheduling/test_trials.py
+++ b/tests/scheduling/test_trials.py
@@ -4,10 +4,14 @@
 
 import pytest
 
-from tests.scheduling.helpers import SchedulerHarness, make_step
+from tests.scheduling.helpers import HoldExecutor, SchedulerHarness, make_step
 from wasabiramp.scheduling.crashes import update_suspect
 from wasabiramp.scheduling.model import Crash, Step
-from wasabiramp.scheduling.trials import BACKOFF_S, MAX_TRIAL_WAIT_S
+from wasabiramp.scheduling.trials import (
+    BACKOFF_S,
+    MAX_LIKELY_TRIAL_WAIT_S,
+    MAX_TRIAL_WAIT_S,
+)
 
 MAX_WAIT_S = 3.0
 """Time for which a task may wait although an executor has room for it."""
@@ -118,3 +122,46 @@
         harness = SchedulerHarness(executors=2)
         submit_after_losses(harness, "batch", make_step(1, is_lasting=True), 0, 5)
         assert len(harness.place()) == 1
+
+
+class TestAnswerBeforeATrial:
+    """An executor that runs nothing is asked whether it lives right before some trials."""
+
+    def submit(self, unsure: int, witnessed: int = 0) -> SchedulerHarness:
+        """Submit a task of which executors were lost, with or without a witness, some time ago."""
+        harness = SchedulerHarness(executors=2)
+        step = harness.submit("a" * 16, "batch", make_step(1)).steps[(0, 0)]
+        step.progress.crashes[0] = [
+            Crash(f"gone{n}", 1, 0.1, 0.5, n < witnessed, True, 0.0, n < witnessed)
+            for n in range(unsure + witnessed)
+        ]
+        update_suspect(harness.scheduler.state, step, 0)
+        harness.commit()
+        harness.tick(0.5)
+        harness.take_effects(HoldExecutor)
+        return harness
+
+    # Guards against BUDGET: an executor without work is not polled, so it was not known whether a
+    # start that it left unanswered had met it or had come after its crash.
+    def test_start_follows_an_answer(self) -> None:
+        harness = self.submit(unsure=2)
+        assert harness.place() == []
+        (hold,) = harness.take_effects(HoldExecutor)
+        harness.tick(0.02)
+        assert harness.place() == []
+        assert harness.take_effects(HoldExecutor) == []
+        harness.answer_hold(hold.executor)
+        (start,) = harness.place()
+        assert start.executor == hold.executor
+
+    # Guards against LOST: a suspect must not wait for good where each answer comes late.
+    def test_trial_starts_without_an_answer_in_time(self) -> None:
+        harness = self.submit(unsure=2)
+        submitted_at = harness.now
+        while not harness.place():
+            harness.tick(0.1)
+            assert harness.now <= submitted_at + MAX_LIKELY_TRIAL_WAIT_S + 0.2
+
+    @pytest.mark.parametrize(("unsure", "witnessed"), [(1, 0), (0, 2), (1, 2)])
+    def test_other_suspects_do_not_wait(self, unsure: int, witnessed: int) -> None:
+        assert len(self.submit(unsure, witnessed).place()) == 1
--- a/wasabiramp/scheduling/crashes.py
+++ b/wasabiramp/scheduling/crashes.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import math
 from typing import Final
 
@@ -30,7 +31,7 @@
     note_loss,
     withdraw_unexplained,
 )
-from wasabiramp.scheduling.model import FAILED, Crash
+from wasabiramp.scheduling.model import FAILED, Crash, RunReport
 from wasabiramp.scheduling.state import (
     ExecutorState,
     Run,
@@ -312,17 +313,22 @@
 
 
 def handle_answer_of_successor(
-    state: SchedulerState, executor: ExecutorState, born_ms: int | None
+    state: SchedulerState,
+    executor: ExecutorState,
+    born_ms: int | None,
+    running: Iterable[RunReport] = (),
 ) -> None:
     """Give up the tasks under which a process crashed, as another one answers in its place.
 
-    `born_ms` is the start time of that process, or None if it is another executor's.
+    `born_ms` is the start time of that process, or None if it is another executor's, and `running`
+    are the runs that it lists.
     """
     tasks = executor.open_crashes
     if not tasks:
         return
-    witness_crashes(state, executor, born_ms)
-    for task in tasks:
+    listed = {(run.task, run.run) for run in running}
+    shown = witness_crashes(state, executor, born_ms, listed)
+    for task in (*tasks, *shown):
         give_up_if_guilty(state, task.step, task.index)
 
 
--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -264,7 +264,7 @@
     if not executor.calls.is_for_process(event.fence_epoch):
         # What it acknowledged were ends of an earlier process.
         event = replace(event, last_seen=0)
-    handle_answer_of_successor(state, executor, report.born_ms)
+    handle_answer_of_successor(state, executor, report.born_ms, report.running)
     executor.has_open_hold = False
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
--- a/wasabiramp/scheduling/model.py
+++ b/wasabiramp/scheduling/model.py
@@ -242,6 +242,7 @@
     the crash, from 0 to 1, without regard to its other crashes. `is_proven` is set once the process
     is gone. `is_certain` is set if the executor had answered the start and was lost alone, and
     `is_witnessed` if its process ended while the run was on it, so that it certainly crashed.
+    `is_inferred` is set if it crashed, but the run was only most likely on it.
     """
 
     executor: str
@@ -252,6 +253,7 @@
     is_proven: bool = False
     survived_s: float = 0.0
     is_witnessed: bool = False
+    is_inferred: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/wasabiramp/scheduling/records.py
+++ b/wasabiramp/scheduling/records.py
@@ -232,9 +232,11 @@
 
 
 def _encode_crash(crash: Crash) -> tuple[Any, ...]:
-    """Return the fields of a crash; the last one is left out if it is not set."""
+    """Return the fields of a crash; the last ones are left out if they are not set."""
     fields = astuple(crash)
-    return fields if crash.is_witnessed else fields[:-1]
+    if crash.is_inferred:
+        return fields
+    return fields[:-1] if crash.is_witnessed else fields[:-2]
 
 
 def encode_void() -> bytes:
@@ -291,7 +293,7 @@
 
 def _decode_crash(row: Any) -> Crash:
     """Decode a crash of an executor under a task."""
-    executor, born_ms, age_s, blame, *more = _check_list(row, "crash", 8, 4)
+    executor, born_ms, age_s, blame, *more = _check_list(row, "crash", 9, 4)
     crash = Crash(
         _check_text(executor, "crash"),
         _check_whole_number(born_ms, "crash"),
@@ -303,6 +305,8 @@
         crash.survived_s = _check_number(more[2], "crash")
     if len(more) > 3:
         crash.is_witnessed = _check_flag(more[3], "crash")
+    if len(more) > 4:
+        crash.is_inferred = _check_flag(more[4], "crash")
     return crash
 
 
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -109,8 +109,11 @@
     and `age_share` that a sound run is at such an age at any time. By answers up to one that was
     asked for at `answer_asked_at`, the run was there under a lease that lasts at least until
     `lease_ends_at`, which is in the past if that is not known. `run` is that run, or None if the
-    record is one of an earlier owner. `counted_risk` is what was counted for the queue of the task
-    at `counted_at`.
+    record is one of an earlier owner. `lost_members` are the records of all members of its gang
+    that were lost together, this one among them. `has_ended_in_time` is set once the process
+    certainly ended before the lease did, and `is_run_known` if the process had answered for the
+    run. `counted_risk` is what was counted for the queue of the
+    task at `counted_at`.
     """
 
     __slots__ = (
@@ -120,8 +123,11 @@
         "counted_at",
         "counted_risk",
         "crash",
+        "has_ended_in_time",
         "index",
+        "is_run_known",
         "lease_ends_at",
+        "lost_members",
         "mass",
         "run",
         "step",
@@ -142,6 +148,9 @@
         self.answer_asked_at = -math.inf
         self.lease_ends_at = -math.inf
         self.run: Run | None = None
+        self.lost_members: list[TaskAtCrash] = [self]
+        self.has_ended_in_time = False
+        self.is_run_known = False
 
 
 class Loss:
--- a/wasabiramp/scheduling/suspicion.py
+++ b/wasabiramp/scheduling/suspicion.py
@@ -13,7 +13,7 @@
 
 So crashes at ages that differ, and those in a wave of crashes, hardly count against a task. A
 suspicion decides which tasks are tried apart. It convicts none: that takes crashes of several
-executors that were witnessed (`is_convicting`, `scheduling/crash_evidence.py`).
+executors that were witnessed or inferred (`is_convicting`, `scheduling/crash_evidence.py`).
 """
 
 from __future__ import annotations
@@ -46,12 +46,18 @@
 LEAST_SUSPICION: Final = ((2, 0.98), (3, 0.85))
 """Numbers of witnessed crashes, and the suspicion from which a task is given up by them."""
 
+LEAST_SUSPICION_IF_INFERRED: Final = ((2, 0.99), (3, 0.95))
+"""The same for crashes of which some are inferred only."""
+
 UNCERTAIN_WEIGHT: Final = 0.5
 """Weight of a crash if the start was not answered, as the executor may have been gone before it."""
 
 MAX_LIKELIHOOD_RATIO: Final = 1e100
 """Greatest likelihood ratio of the crashes of a task, of which there may be many."""
 
+MIN_SHOWN_CRASHES: Final = min(least for least, _needed in LEAST_SUSPICION)
+"""Number of witnessed or inferred crashes below which nothing is given up."""
+
 MIN_EXECUTORS: Final = 2
 MAX_REPEATED_CRASHES: Final = 3
 """Number of different executors that must have been lost under a task that is given up, and number
@@ -150,12 +156,27 @@
     Two processes must certainly have crashed while a run of the task was on them; losses of contact
     do not count, however many there are. They only show that it is not one executor that has a
     fault of its own. That one is enough if it crashed more often, as only it may be able to run the
-    task.
+    task. Crashes that are inferred count as well, but take a higher suspicion.
     """
     proven = [crash for crash in crashes if crash.is_proven]
     witnessed = [crash for crash in crashes if crash.is_witnessed]
-    executors = {crash.executor for crash in proven}
-    if len(executors) < MIN_EXECUTORS and len(witnessed) < MAX_REPEATED_CRASHES:
+    shown = [crash for crash in crashes if crash.is_witnessed or crash.is_inferred]
+    if len(shown) < MIN_SHOWN_CRASHES:
         return False
     suspicion = measure_suspicion(proven)
-    return any(len(witnessed) >= least and suspicion >= needed for least, needed in LEAST_SUSPICION)
+    return _is_enough(proven, witnessed, suspicion, LEAST_SUSPICION) or _is_enough(
+        shown, shown, suspicion, LEAST_SUSPICION_IF_INFERRED
+    )
+
+
+def _is_enough(
+    lost: list[Crash],
+    shown: list[Crash],
+    suspicion: float,
+    least_suspicion: tuple[tuple[int, float], ...],
+) -> bool:
+    """Return whether crashes that were shown, beside all losses, are evidence enough."""
+    executors = {crash.executor for crash in lost}
+    if len(executors) < MIN_EXECUTORS and len(shown) < MAX_REPEATED_CRASHES:
+        return False
+    return any(len(shown) >= least and suspicion >= needed for least, needed in least_suspicion)
--- a/wasabiramp/scheduling/trials.py
+++ b/wasabiramp/scheduling/trials.py
@@ -7,7 +7,9 @@
 from typing import Final
 
 from wasabiramp.policy.switches import switchable
+from wasabiramp.scheduling.crash_evidence import MAX_ANSWER_AGE_S
 from wasabiramp.scheduling.crashes import find_proven_crashes
+from wasabiramp.scheduling.holds import send_hold
 from wasabiramp.scheduling.reservations import could_hold
 from wasabiramp.scheduling.state import ExecutorState, SchedulerState, StepRun, TaskState
 from wasabiramp.scheduling.suspicion import measure_suspicion
@@ -24,6 +26,10 @@
 """Suspicion from which suspects also wait while many executors are down, and the longest time for
 which they do: their trial most likely costs another executor."""
 
+MIN_UNSURE_CRASHES: Final = 2
+"""Number of crashes that may not have met a run of a task, from which an executor is asked whether
+it lives right before the next trial."""
+
 BACKOFF_LOSSES: Final = 4
 BACKOFF_S: Final = 10.0
 MAX_BACKOFF_S: Final = 20.0
@@ -127,8 +133,10 @@
         )
         others = [executor for executor in group if executor.id not in crashed]
         must_differ = best.id in crashed and could_hold(step, others)
-        if is_due or (not must_differ and not count_other_runs(best, step)):
+        if is_due:
             return best
+        if not must_differ and not count_other_runs(best, step):
+            return best if self._is_known_alive(state, step, best) else None
         if must_differ:
             best = min(others, key=lambda executor: count_other_runs(executor, step))
         if step.trial_executor not in {executor.id for executor in group} - crashed:
@@ -137,6 +145,23 @@
             self.closed.add(step.trial_executor)
         return None
 
+    def _is_known_alive(
+        self, state: SchedulerState, step: StepRun, executor: ExecutorState
+    ) -> bool:
+        """Return whether a trial may start on an executor, which should have answered right now.
+
+        Else a start that it leaves unanswered tells little, as it may have crashed before. One that
+        runs nothing is asked if need be, and kept for the suspects meanwhile.
+        """
+        is_known = state.now <= executor.clock_asked_at + MAX_ANSWER_AGE_S / 2
+        if is_known or executor.runs or not may_crash_at_start(step):
+            return True
+        if not executor.has_open_hold:
+            send_hold(state, executor, 0.0)
+        step.trial_executor = executor.id
+        self.closed.add(executor.id)
+        return False
+
 
 def is_likely_deadly(step: StepRun) -> bool:
     """Return whether a suspect of a step most likely crashes its executor."""
@@ -146,6 +171,18 @@
     )
 
 
+def may_crash_at_start(step: StepRun) -> bool:
+    """Return whether executors were lost several times under a suspect without witnesses."""
+    return any(
+        sum(
+            not crash.is_certain and not crash.is_witnessed
+            for crash in find_proven_crashes(step, index)
+        )
+        >= MIN_UNSURE_CRASHES
+        for index in step.suspects
+    )
+
+
 def find_crashed_executors(step: StepRun) -> set[str]:
     """Return the ids of the executors that have crashed under suspects of a step."""
     crashes = step.progress.crashes
