--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -269,7 +269,7 @@
     if not executor.calls.is_for_process(event.fence_epoch):
         # The end of the lease is a time on the clock of an earlier process, whose ends it named.
         event = replace(event, last_seen=0, until_ms=None)
-    handle_answer_of_successor(state, executor, report.born_ms)
+    handle_answer_of_successor(state, executor, report.born_ms, report.running)
     _close_hold(executor, event)
     executor.answered_at = executor.reported_at = state.now
     executor.answered_hold_sent_at = max(executor.answered_hold_sent_at, event.sent_at)
