Soak: restarts of executors under their ids, late entries, calls that reach the next process and cuts that hold bytes

New are a path mode that holds calls and answers until the cut is over, unless their connection was reset meanwhile; calls to an executor that is down, which its next process serves, half of them without an answer; entries that follow up to a heartbeat after a restart; four faults; a kind of short jobs; and the mix `restarts`.

--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -82,6 +82,19 @@
     return JobDraft(f"/{kind}/", {"spec": draw_spec(random), "steps": steps}, PLAIN_CANCEL_SHARE)
 
 
+@job_kind(4.0)
+def draw_short(random: Random) -> JobDraft:
+    """Draw a job of small tasks on many executors that end within a part of a heartbeat."""
+    step = {
+        "cpu": random.randrange(50, 300),
+        "memMb": random.randrange(50, 300),
+        "estimateMs": random.randrange(10, 150),
+        "count": random.randrange(3, 9),
+        "antiAffinity": 1,
+    }
+    return JobDraft("/b/", {"spec": draw_spec(random), "steps": [step]}, PLAIN_CANCEL_SHARE)
+
+
 @job_kind(1.5)
 def draw_long(random: Random) -> JobDraft:
     """Draw a job of a few large tasks that work for many seconds."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Final
 
-from soak import cuts, lapses, outages, owner_faults  # noqa: F401 - they register their faults
+from soak import cuts, lapses, outages, owner_faults, restarts  # noqa: F401 - for their faults
 from soak.faults import FAULTS, HAND_OVER_FAULTS, Fault
 from soak.jobs import JOB_KINDS
 
@@ -14,12 +14,13 @@
 FULL: Final = "full"
 FAILURES: Final = "failures"
 LAPSES: Final = "lapses"
-MIXES: Final = (PLAIN, FULL, FAILURES, LAPSES)
+RESTARTS: Final = "restarts"
+MIXES: Final = (PLAIN, FULL, FAILURES, LAPSES, RESTARTS)
 # Jobs that last would fill the executors at the rate of the others.
-JOBS_PER_S: Final = {PLAIN: 6.0, FULL: 6.0, FAILURES: 6.0, LAPSES: 1.5}
+JOBS_PER_S: Final = {PLAIN: 6.0, FULL: 6.0, FAILURES: 6.0, LAPSES: 1.5, RESTARTS: 9.0}
 """Jobs of each mix submitted per second."""
 
-FAULTS_PER_RUN: Final = {PLAIN: 5, FULL: 4, FAILURES: 2, LAPSES: 3}
+FAULTS_PER_RUN: Final = {PLAIN: 5, FULL: 4, FAILURES: 2, LAPSES: 3, RESTARTS: 6}
 """Number of the faults of each mix, or of their series where there are series."""
 
 SERIES_SIZES: Final = (1, 3)
@@ -29,8 +30,13 @@
 """Time within which the faults of a series begin."""
 
 FAILURE_SHARE: Final = 0.03
+RESTARTS_FAILURE_SHARE: Final = 0.2
 HIGH_FAILURE_SHARE: Final = 0.33
-"""Shares of the runs that fail by themselves: in most mixes, and in that of failures."""
+"""Shares of the runs that fail by themselves: in most mixes, and in those of restarts and of
+failures."""
+
+FAILURE_SHARES: Final = {FAILURES: HIGH_FAILURE_SHARE, RESTARTS: RESTARTS_FAILURE_SHARE}
+"""Shares of the mixes in which more runs fail."""
 
 ALL_FAULTS: Final[dict[str, Fault]] = {**FAULTS, **HAND_OVER_FAULTS}
 MIX_FAULTS: Final = {
@@ -52,6 +58,12 @@
         "kill_owner",
         "pause_owner",
     ],
+    RESTARTS: [
+        *3 * ("crash_executor", "restart_and_cut"),
+        "restart_and_cut_rack",
+        "restart_behind_cut",
+        "restart_kill_owner_and_cut",
+    ],
 }
 MIX_KINDS: Final = {
     PLAIN: [PLAIN],
@@ -59,6 +71,7 @@
     # With several attempts, jobs of long tasks would outlast the wait for their end.
     FAILURES: ["gangs", "plain", "repeated"],
     LAPSES: ["lasting", "long"],
+    RESTARTS: ["lasting", "long", "plain", "short"],
 }
 
 
@@ -66,10 +79,19 @@
     """What a seed plays: names of job kinds and faults, and how many of them.
 
     With `is_series`, faults begin in series, and overlap. The share `failure_share` of the runs
-    fail by themselves.
+    fail by themselves. With `has_restarts`, calls to an executor that is down are served by its
+    next process, and its entry follows late.
     """
 
-    __slots__ = ("failure_share", "fault_count", "faults", "is_series", "job_kinds", "jobs_per_s")
+    __slots__ = (
+        "failure_share",
+        "fault_count",
+        "faults",
+        "has_restarts",
+        "is_series",
+        "job_kinds",
+        "jobs_per_s",
+    )
 
     def __init__(
         self,
@@ -79,6 +101,7 @@
         jobs_per_s: float,
         is_series: bool,
         failure_share: float = FAILURE_SHARE,
+        has_restarts: bool = False,
     ) -> None:
         """Describe a plan; `fault_count` counts series, if there are any."""
         self.job_kinds = job_kinds
@@ -87,6 +110,7 @@
         self.jobs_per_s = jobs_per_s
         self.is_series = is_series
         self.failure_share = failure_share
+        self.has_restarts = has_restarts
 
     def draw_faults(self, random: Random, seconds: float) -> list[tuple[float, str]]:
         """Draw when each fault begins, and its name."""
@@ -119,8 +143,10 @@
         fault_count = FAULTS_PER_RUN[mix]
     if jobs_per_s is None:
         jobs_per_s = JOBS_PER_S[mix]
-    failure_share = HIGH_FAILURE_SHARE if mix == FAILURES else FAILURE_SHARE
-    return Plan(kinds, fault_names, fault_count, jobs_per_s, is_series, failure_share)
+    failure_share = FAILURE_SHARES.get(mix, FAILURE_SHARE)
+    return Plan(
+        kinds, fault_names, fault_count, jobs_per_s, is_series, failure_share, mix == RESTARTS
+    )
 
 
 def _parse_names(text: str, known: Iterable[str]) -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -48,6 +48,8 @@
         await asyncio.sleep(WARM_UP_S)
         await cell.async_wait_until_ready()
         cell.platform.executors.failure_share = plan.failure_share
+        cell.platform.executors.keeps_calls = plan.has_restarts
+        cell.platform.has_late_entries = plan.has_restarts
         callers = [Caller(cell, checker, random) for _ in range(CALLER_COUNT)]
         jobs = [
             _async_run_after(
@@ -90,6 +92,8 @@
     print(f"seed {cell.seed}: {accepted} jobs accepted, {checker.starts} starts, {cell.folder}")
     lapsed = checker.lapses.total()
     print(f"  {lapsed} lapsed runs, {checker.crashes_after_lapse} crashes after a lapse")
+    platform = cell.platform
+    print(f"  {platform.held_calls} calls held up, {platform.withdrawn_calls} of them withdrawn")
     codes = [text.partition(" ")[0] for text in checker.breaches]
     if codes:
         print("  " + ", ".join(f"{code} {codes.count(code)}" for code in sorted(set(codes))))
--- a/stand_ins/paths.py
+++ b/stand_ins/paths.py
@@ -15,12 +15,14 @@
 SILENT: Final = "silent"
 REFUSED: Final = "refused"
 ONE_WAY: Final = "one-way"
+HELD: Final = "held"
 
 
 class Cut:
     """A cut of executors from some daemons, or from all if `daemons` is None.
 
-    SILENT loses all calls, ONE_WAY loses the answers, and REFUSED resets the connections.
+    SILENT loses all calls, ONE_WAY loses the answers, and REFUSED resets the connections. HELD
+    delivers calls and answers once the cut is over, unless their connection was reset meanwhile.
     """
 
     __slots__ = ("daemons", "executors", "mode")
@@ -54,6 +56,13 @@
             for cut in self._cuts
         )
 
+    def is_held(self, executor: str) -> bool:
+        """Return whether the calls of all daemons to an executor are held."""
+        return any(
+            cut.mode == HELD and cut.daemons is None and executor in cut.executors
+            for cut in self._cuts
+        )
+
     def get_mode(self, executor: str, find_daemon: Callable[[], str]) -> str:
         """Return the mode of a path; `find_daemon` is called only where the daemon matters.
 
--- a/stand_ins/reports.py
+++ b/stand_ins/reports.py
@@ -43,6 +43,10 @@
                     self._remove_entry(name)
             await asyncio.sleep(POLL_S)
 
+    def report_later(self, executor: ModelExecutor, delay_s: float) -> None:
+        """Let an executor report after a delay, and not before."""
+        self._next_at[executor.entry.id] = asyncio.get_running_loop().time() + delay_s
+
     def report(self, executor: ModelExecutor) -> None:
         """Report now, if the store is up; the entry is written if it differs."""
         now = asyncio.get_running_loop().time()
--- a/tests/platform_stand_ins/test_paths.py
+++ b/tests/platform_stand_ins/test_paths.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from stand_ins.paths import ONE_WAY, OPEN, REFUSED, SILENT, Cut, ExecutorPaths
+from stand_ins.paths import HELD, ONE_WAY, OPEN, REFUSED, SILENT, Cut, ExecutorPaths
 
 
 def get_mode(paths: ExecutorPaths, executor: str, daemon: str) -> str:
@@ -43,3 +43,12 @@
         paths.add(Cut(["i-0"], None, REFUSED))
         assert paths.is_refused("i-0")
         assert not paths.is_refused("i-1")
+
+    def test_resets_are_held_only_if_the_calls_of_all_daemons_are(self) -> None:
+        paths = ExecutorPaths()
+        paths.add(Cut(["i-0"], ["entry-1"], HELD))
+        paths.add(Cut(["i-0"], None, SILENT))
+        assert not paths.is_held("i-0")
+        paths.add(Cut(["i-0"], None, HELD))
+        assert paths.is_held("i-0")
+        assert not paths.is_held("i-1")
