--- a/soak/run.py
+++ b/soak/run.py
@@ -28,9 +28,6 @@
 `--mix plain --first SEED --count 1`."""
 
 CALLER_COUNT: Final = 8
-FINISH_TIMEOUT_S: Final = 45.0
-"""Time after the last fault within which all accepted jobs have to end."""
-
 WARM_UP_S: Final = 3.0
 """Time from the start of the cell until the traffic begins."""
 
@@ -48,6 +45,8 @@
         await asyncio.sleep(WARM_UP_S)
         await cell.async_wait_until_ready()
         cell.platform.executors.failure_share = plan.failure_share
+        cell.platform.executors.keeps_calls = plan.has_restarts
+        cell.platform.has_late_entries = plan.has_restarts
         callers = [Caller(cell, checker, random) for _ in range(CALLER_COUNT)]
         jobs = [
             _async_run_after(
@@ -67,7 +66,7 @@
         cell.note("calm")
         await async_check_lasting_tasks(checker)
         await async_cancel_lasting_jobs(cell, checker, random)
-        await async_wait_for_jobs(cell, checker, random, FINISH_TIMEOUT_S)
+        await async_wait_for_jobs(cell, checker, random, plan.finish_timeout_s)
         await async_check_cancelled_jobs(checker)
         await async_check_open_calls(cell)
         for caller in callers:
@@ -90,6 +89,8 @@
     print(f"seed {cell.seed}: {accepted} jobs accepted, {checker.starts} starts, {cell.folder}")
     lapsed = checker.lapses.total()
     print(f"  {lapsed} lapsed runs, {checker.crashes_after_lapse} crashes after a lapse")
+    platform = cell.platform
+    print(f"  {platform.held_calls} calls held up, {platform.withdrawn_calls} of them withdrawn")
     codes = [text.partition(" ")[0] for text in checker.breaches]
     if codes:
         print("  " + ", ".join(f"{code} {codes.count(code)}" for code in sorted(set(codes))))
