Model: count attempts whose ends are acknowledged after the next start

The users saw BUDGET as well: an end that counts as an attempt, but was acknowledged unread, so that nobody counted it.

--- a/tests/model/entry/test_kinds.py
+++ b/tests/model/entry/test_kinds.py
@@ -62,7 +62,7 @@
     def test_short_runs_end_at_the_next_process(self, seed: int) -> None:
         check(run_kind("restarts_of_short_runs", seed))
 
-    # An end that was acknowledged unread was not counted as an attempt.
+    # Seed 6 broke BUDGET: an end `failed` that the process before made the next one forget, unread.
     @pytest.mark.parametrize("seed", range(1, 11))
     def test_runs_fail_at_the_next_process(self, seed: int) -> None:
         check(run_kind("restarts_and_failures", seed))
--- a/wasabiramp/model/entry/checker.py
+++ b/wasabiramp/model/entry/checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import Final
 
 from wasabiramp.scheduling.model import (
@@ -106,6 +107,10 @@
         self.starts_after_crashes: dict[str, int] = {}
         # By task, when its latest run started.
         self.started_at: dict[str, float] = {}
+        # By task, the time of each start that has no breach of BUDGET yet, and of the end of each
+        # acknowledged failure, by run.
+        self._open_starts: defaultdict[str, dict[int, float]] = defaultdict(dict)
+        self._failed_at: defaultdict[str, dict[int, float]] = defaultdict(dict)
         self.starts = 0
         # The end of the last disturbance, once that is over.
         self.calm_from = float("inf")
@@ -178,6 +183,7 @@
         """
         record, occurrence, number, index, step = self.find_task(task)
         where = f"at {now:.3f} {task} run {run} on {executor}"
+        breaches_before = len(self.breaches)
         if spec != record.definition.spec or index >= step.count:
             self.report(f"UNASKED {where}: differs from the submitted job")
         if record.submit_attempts and record.refusals == record.submit_attempts:
@@ -198,6 +204,8 @@
         if acked_at is not None and now > acked_at + CANCEL_GRACE_S and not is_late:
             self.report(f"UNASKED {where}: cancelled at {acked_at:.3f}")
         self._check_waiting_cancel(now, where, record)
+        if not any(text.startswith("BUDGET") for text in self.breaches[breaches_before:]):
+            self._open_starts[task][run] = now
         self.starts += 1
         self.started_at[task] = now
         self.running.setdefault(task, set()).add((executor, run))
@@ -301,6 +309,23 @@
             self.acknowledged_done.add(task)
         elif how == FAILED:
             record.acknowledged_failures.setdefault(task, set()).add(run)
+            self._failed_at[task].setdefault(run, ended_at)
+            self._check_earlier_starts(now, task)
+
+    def _check_earlier_starts(self, now: float, task: str) -> None:
+        """Report starts after the last attempt had ended, which is acknowledged only now."""
+        record, _occurrence, _number, _index, step = self.find_task(task)
+        ends = sorted(self._failed_at[task].values())
+        limit = record.definition.queue.max_attempts
+        if step.is_lasting or len(ends) < limit:
+            return
+        starts = self._open_starts[task]
+        for run in [run for run, started_at in starts.items() if started_at > ends[limit - 1]]:
+            started_at = starts.pop(run)
+            self.report(
+                f"BUDGET at {started_at:.3f} {task} run {run}: already failed {limit} times, "
+                f"acknowledged at {now:.3f}"
+            )
 
     def check_shown(self, now: float, job_id: str, phase: str) -> None:
         """Check and record a phase that a caller is shown."""
