Withdraw the acknowledgements of a failed hold in one place

Two branches of handle_hold_failure did the same for a refusal by fence and for other definite refusals; a docstring is wrapped.

--- a/wasabiramp/scheduling/executors.py
+++ b/wasabiramp/scheduling/executors.py
@@ -417,15 +417,14 @@
     if is_fenced_by_other(state, event):
         give_up_ownership(state, f"{event.executor} refused a hold as fenced")
         return
-    if event.outcome == REFUSED_FENCE:
-        withdraw_acknowledgements(executor, event.last_seen)
-        _close_hold(executor, event)
-        executor.next_hold_at = state.now
-        return
     if event.outcome == UNKNOWN:
         executor.calls.note_acknowledgement_failed()
     else:
         withdraw_acknowledgements(executor, event.last_seen)
+    if event.outcome == REFUSED_FENCE:
+        _close_hold(executor, event)
+        executor.next_hold_at = state.now
+        return
     # A later hold was answered, so this failure does not mean that the executor is silent.
     if event.sent_at < executor.answered_hold_sent_at and event.outcome in (UNKNOWN, NOT_SENT):
         return
--- a/wasabiramp/scheduling/state.py
+++ b/wasabiramp/scheduling/state.py
@@ -112,8 +112,7 @@
     record is one of an earlier owner. `lost_members` are the records of all members of its gang
     that were lost together, this one among them. `has_ended_in_time` is set once the process
     certainly ended before the lease did, and `is_run_known` if the process had answered for the
-    run. `counted_risk` is what was counted for the queue of the
-    task at `counted_at`.
+    run. `counted_risk` is what was counted for the queue of the task at `counted_at`.
     """
 
     __slots__ = (
